--- /dev/null
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace cornelpier {
+
+/// Number of a log event. Numbers are never reused. Hundreds by duty: 100 lifecycle, drain and pause;
+/// 200 plan; 300 membership and VM list; 400 entry, routing, health and retry; 500 owner, admission and
+/// execution; 600 links and servers; 700 settings and operator interface.
+enum class event_number : std::uint16_t {
+    node_started = 100,
+    node_serving = 101,
+    drain_started = 102,
+    drain_cancelled = 103,
+    node_stopped = 104,
+    pause_detected = 105,
+    plan_accepted = 200,
+    plan_refused_older = 201,
+    plan_refused_conflict = 202,
+    plan_refused_invalid = 203,
+    plan_refused_too_large = 204,
+    configuration_unreachable = 205,
+    member_joined = 300,
+    member_restarted = 301,
+    vm_leaving = 302,
+    vm_list_unreachable = 303,
+    target_ejected = 400,
+    target_trial = 401,
+    target_recovered = 402,
+    answer_discarded = 403,
+    retry_budget_exhausted = 404,
+    verdict_unknown = 405,
+    run_refused = 500,
+    duplicate_run_refused = 501,
+    measuring_budget_exhausted = 502,
+    ledger_full = 503,
+    link_silent = 600,
+    link_lost = 601,
+    server_unreachable = 602,
+    server_draining = 603,
+    bad_request = 604,
+    settings_invalid = 700,
+};
+
+/// Severity of an event.
+enum class severity : std::uint8_t { debug, info, warning, error };
+
+/// Entry of the catalogue.
+struct event_description {
+    event_number number;
+    severity level;
+    std::string_view name; ///< Stable identifier in snake case, as in the enumeration.
+    std::string_view text; ///< What happened, one sentence.
+};
+
+/// @return all events in ascending order of number.
+std::span<const event_description> event_catalogue();
+
+/// @return the description of an event.
+const event_description& describe(event_number number);
+
+/// @return `debug`, `info`, `warning` or `error`.
+std::string_view to_string(severity level);
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/base/event_record.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "cornelpier/base/event_catalogue.hpp"
+
+#include <initializer_list>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cornelpier {
+
+/// One numbered log event with its fields. The shell adds time, node and order.
+struct event_record {
+    event_number number{};
+    std::vector<std::pair<std::string, std::string>> fields;
+
+    friend bool operator==(const event_record&, const event_record&) = default;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/base/strong_id.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace cornelpier {
+
+/// Identifier that cannot be confused with an identifier of another kind.
+/// @tparam Tag distinguishes the kinds; never defined.
+/// @tparam Value underlying type, `std::string` or an unsigned integer.
+template <typename Tag, typename Value>
+class strong_id {
+  public:
+    strong_id() = default;
+
+    explicit strong_id(Value value) : m_value(std::move(value)) {}
+
+    /// @return the underlying value.
+    [[nodiscard]] const Value& value() const noexcept { return m_value; }
+
+    friend bool operator==(const strong_id&, const strong_id&) = default;
+    friend auto operator<=>(const strong_id&, const strong_id&) = default;
+
+  private:
+    Value m_value{};
+};
+
+} // namespace cornelpier
+
+/// Hashes the underlying value, so that identifiers serve as keys of unordered containers.
+template <typename Tag, typename Value>
+struct std::hash<cornelpier::strong_id<Tag, Value>> {
+    std::size_t operator()(const cornelpier::strong_id<Tag, Value>& id) const noexcept {
+        return std::hash<Value>{}(id.value());
+    }
+};
--- /dev/null
+++ b/src/cornelpier/entry/entry_manager.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "cornelpier/base/random_source.hpp"
+#include "cornelpier/node/node_identity.hpp"
+#include "cornelpier/node/traffic_actions.hpp"
+#include "cornelpier/node/traffic_events.hpp"
+#include "cornelpier/timer/timer_service.hpp"
+
+#include <memory>
+
+namespace cornelpier {
+
+/// Owns the calls that callers made at this node, from arrival to the final answer, and the links that this
+/// node opened to owners.
+class entry_manager {
+  public:
+    /// @param identity who the node is.
+    /// @param timers outlives the manager; its `now()` is the current time.
+    /// @param random seeded generator of its own.
+    entry_manager(const node_identity& identity, timer_service& timers, random_source random);
+    ~entry_manager();
+
+    entry_manager(const entry_manager&) = delete;
+    entry_manager& operator=(const entry_manager&) = delete;
+    entry_manager(entry_manager&&) = delete;
+    entry_manager& operator=(entry_manager&&) = delete;
+
+    /// Timers append to this list too; it must be set before time advances.
+    void set_output(traffic_actions& actions);
+
+    void on_call(const call_arrived& event);
+    void on_fate_asked(const call_fate_asked& event);
+    void on_abandoned(const call_abandoned& event);
+    void on_link_opened(link_id link);
+    void on_link_closed(link_id link);
+    void on_message(link_id link, const traffic_message& message);
+    void on_fleet(const shared_fleet_view& view);
+
+    /// Drops readings and permits, resets links and asks for the fate of what is outstanding.
+    void on_pause();
+
+    /// Announces drain to callers: answers carry `Connection: close`.
+    void set_draining(bool draining);
+
+    /// @return calls without a final answer.
+    [[nodiscard]] std::size_t calls_in_progress() const;
+
+    /// @return links that are open or opening.
+    [[nodiscard]] std::size_t open_links() const;
+
+  private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/message/control_messages.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "cornelpier/base/ids.hpp"
+#include "cornelpier/base/units.hpp"
+#include "cornelpier/message/traffic_messages.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cornelpier {
+
+/// State of a VM in the platform's list.
+enum class vm_state : std::uint8_t { unlisted, live, leaving };
+
+/// What a node knows about another one, with the age of the fact at the sender.
+struct member_record {
+    target_id target;
+    incarnation process;
+    node_state state = node_state::serving;
+    duration age{};
+    vm_state vm = vm_state::unlisted;
+    duration vm_age{};
+};
+
+/// Names a plan without its content.
+struct plan_digest {
+    std::uint64_t version = 0;
+    std::uint64_t content_hash = 0;
+
+    friend bool operator==(const plan_digest&, const plan_digest&) = default;
+};
+
+/// Periodic exchange of hints; fits a datagram of 1400 bytes.
+struct gossip {
+    target_id from;
+    incarnation process;
+    plan_digest digest;
+    duration confirmed_age{}; ///< Time since a reader last saw this plan at the configuration service.
+    std::vector<member_record> members;
+    bool wants_reply = false;
+};
+
+/// Asks for the plan in force at the receiver.
+struct plan_pull {
+    target_id from;
+};
+
+/// Hands on a plan sheet unchanged.
+struct plan_push {
+    target_id from;
+    std::string sheet;
+};
+
+using control_message = std::variant<gossip, plan_pull, plan_push>;
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/message/http_fields.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cornelpier {
+
+/// Header fields in order, names in lower case.
+using http_fields = std::vector<std::pair<std::string, std::string>>;
+
+/// Body shared between messages and actions without copies; never null where a body is expected.
+using shared_body = std::shared_ptr<const std::string>;
+
+/// @return a shared body that holds the text.
+inline shared_body make_body(std::string text = {}) {
+    return std::make_shared<const std::string>(std::move(text));
+}
+
+/// HTTP request without hop-by-hop fields.
+struct http_request {
+    std::string method;
+    std::string path; ///< Origin form with query.
+    http_fields fields;
+    shared_body body = make_body();
+};
+
+/// HTTP response without hop-by-hop fields; its body is complete.
+struct http_response {
+    int status = 0;
+    http_fields fields;
+    shared_body body = make_body();
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/message/message_fields.hpp
@@ -0,0 +1,207 @@
+#pragma once
+
+#include "cornelpier/message/control_messages.hpp"
+#include "cornelpier/message/traffic_messages.hpp"
+
+#include <concepts>
+#include <type_traits>
+
+namespace cornelpier {
+
+/// Visits the fields of a message in the order of the wire format. One list serves writing and reading.
+/// New fields go to the end of a list.
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, attempt_id>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.request.entry);
+    visit(it.request.sequence);
+    visit(it.number);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, permit>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.owner);
+    visit(it.expires_at);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, http_request>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.method);
+    visit(it.path);
+    visit(it.fields);
+    visit(it.body);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, http_response>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.status);
+    visit(it.fields);
+    visit(it.body);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, reading>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.target);
+    visit(it.in_flight);
+    visit(it.queued);
+    visit(it.limit);
+    visit(it.service_time);
+    visit(it.expected_wait);
+    visit(it.uptime);
+    visit(it.state);
+    visit(it.leave);
+    visit(it.sequence);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, hello>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.from);
+    visit(it.process);
+    visit(it.data_centre);
+    visit(it.plan_version);
+}
+
+/// Messages without fields.
+template <typename Message>
+concept empty_message = std::same_as<std::remove_const_t<Message>, probe> ||
+    std::same_as<std::remove_const_t<Message>, permit_request> ||
+    std::same_as<std::remove_const_t<Message>, ping> || std::same_as<std::remove_const_t<Message>, pong>;
+
+template <typename Message, typename Visitor>
+requires empty_message<Message>
+void for_each_field(Message& /*it*/, Visitor&& /*visit*/) {}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, permit_grant>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.leave);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, run>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.attempt);
+    visit(it.service);
+    visit(it.request);
+    visit(it.idempotent);
+    visit(it.priority);
+    visit(it.leave);
+    visit(it.key);
+    visit(it.wait_limit);
+    visit(it.remaining);
+    visit(it.depth);
+    visit(it.outer_retry);
+    visit(it.plan_version);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, answer>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.attempt);
+    visit(it.outcome);
+    visit(it.reason);
+    visit(it.response);
+    visit(it.retry_after);
+    visit(it.served_in);
+    visit(it.load);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, cancel>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.attempt);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, fate_query>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.attempt);
+    visit(it.leave);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, fate>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.attempt);
+    visit(it.outcome);
+    visit(it.load);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, member_record>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.target);
+    visit(it.process);
+    visit(it.state);
+    visit(it.age);
+    visit(it.vm);
+    visit(it.vm_age);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, plan_digest>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.version);
+    visit(it.content_hash);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, gossip>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.from);
+    visit(it.process);
+    visit(it.digest);
+    visit(it.confirmed_age);
+    visit(it.members);
+    visit(it.wants_reply);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, plan_pull>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.from);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, plan_push>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.from);
+    visit(it.sheet);
+}
+
+/// Types with a list of fields.
+template <typename Message>
+concept has_message_fields = requires(Message& it) {
+    for_each_field(it, [](auto& /*field*/) {});
+};
+
+constexpr verdict last_value(verdict /*tag*/) {
+    return verdict::unknown;
+}
+
+constexpr refusal last_value(refusal /*tag*/) {
+    return refusal::not_home;
+}
+
+constexpr node_state last_value(node_state /*tag*/) {
+    return node_state::stopped;
+}
+
+constexpr request_class last_value(request_class /*tag*/) {
+    return request_class::patient_lookup;
+}
+
+constexpr fate_outcome last_value(fate_outcome /*tag*/) {
+    return fate_outcome::unknown;
+}
+
+constexpr vm_state last_value(vm_state /*tag*/) {
+    return vm_state::leaving;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/node/control_events.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "cornelpier/base/event_record.hpp"
+#include "cornelpier/base/ids.hpp"
+#include "cornelpier/fleet/fleet_view.hpp"
+#include "cornelpier/message/control_messages.hpp"
+#include "cornelpier/node/traffic_actions.hpp"
+#include "cornelpier/node/traffic_events.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace cornelpier {
+
+/// A control message arrived.
+struct control_received {
+    control_message message;
+};
+
+/// The configuration service returned a sheet, which may be old.
+struct plan_read {
+    std::string sheet;
+};
+
+/// The configuration service has nothing newer; the watch ended.
+struct plan_unchanged {};
+
+/// The configuration service did not answer.
+struct plan_read_failed {};
+
+/// The VM list was read.
+struct vm_list_read {
+    std::vector<std::pair<vm_id, vm_state>> vms;
+};
+
+/// The VM list could not be read.
+struct vm_list_failed {};
+
+/// State of the own node, reported by the traffic side.
+struct own_state_changed {
+    node_state state = node_state::serving;
+};
+
+using control_event = std::variant<control_received, plan_read, plan_unchanged, plan_read_failed,
+                                   vm_list_read, vm_list_failed, own_state_changed, clock_gap>;
+
+/// Sends a control message: gossip as a datagram, plans over a node link. May be lost.
+struct send_control {
+    target_id to;
+    std::string address; ///< `IP:port`.
+    control_message message;
+};
+
+/// Reads the plan. Ends in `plan_read`, `plan_unchanged` or `plan_read_failed`.
+struct read_plan {
+    std::optional<std::uint64_t> newer_than; ///< Watch: wait until the version differs, at most 30 s.
+};
+
+/// Reads the VM list. Ends in `vm_list_read` or `vm_list_failed`.
+struct read_vm_list {};
+
+/// Hands a view to the traffic side.
+struct publish_view {
+    shared_fleet_view view;
+};
+
+using control_action = std::variant<send_control, read_plan, read_vm_list, publish_view, record_event>;
+
+using control_actions = std::vector<control_action>;
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/owner_manager.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "cornelpier/base/random_source.hpp"
+#include "cornelpier/node/node_identity.hpp"
+#include "cornelpier/node/traffic_actions.hpp"
+#include "cornelpier/node/traffic_core.hpp"
+#include "cornelpier/node/traffic_events.hpp"
+#include "cornelpier/timer/timer_service.hpp"
+
+#include <memory>
+
+namespace cornelpier {
+
+/// Owns the runs of this node's target: admission, queue, ledger, hand-over to the server, drain.
+class owner_manager {
+  public:
+    /// @copydoc entry_manager::entry_manager
+    owner_manager(const node_identity& identity, timer_service& timers, random_source random);
+    ~owner_manager();
+
+    owner_manager(const owner_manager&) = delete;
+    owner_manager& operator=(const owner_manager&) = delete;
+    owner_manager(owner_manager&&) = delete;
+    owner_manager& operator=(owner_manager&&) = delete;
+
+    /// @copydoc entry_manager::set_output
+    void set_output(traffic_actions& actions);
+
+    void on_link_closed(link_id link);
+    void on_message(link_id link, const traffic_message& message);
+    void on_server_answered(const server_answered& event);
+    void on_server_failed(const server_failed& event);
+    void on_server_report(const server_report& event);
+    void on_server_report_failed();
+    void on_fleet(const shared_fleet_view& view);
+    void on_terminate();
+
+    /// Checks deadlines again before anything queued starts.
+    void on_pause();
+
+    /// @return whether new work is taken.
+    [[nodiscard]] node_state state() const;
+
+    /// @return true if no run is queued or at the server.
+    [[nodiscard]] bool idle() const;
+
+    /// Fills in the owner's part of a snapshot.
+    void describe(traffic_snapshot& snapshot) const;
+
+  private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/plan/plan.cpp
@@ -0,0 +1,36 @@
+#include "cornelpier/plan/plan.hpp"
+
+#include <algorithm>
+
+namespace cornelpier {
+
+const request_rule* service_plan::match(std::string_view method, std::string_view path) const {
+    const auto it = std::ranges::find_if(rules, [&](const request_rule& rule) {
+        return (rule.method == "*" || rule.method == method) && path.starts_with(rule.path_prefix);
+    });
+    return it == rules.end() ? nullptr : &*it;
+}
+
+const service_plan* plan::find_service(const service_id& id) const {
+    const auto it = std::ranges::find(services, id, &service_plan::id);
+    return it == services.end() ? nullptr : &*it;
+}
+
+const service_plan* plan::service_of(const target_id& id) const {
+    const auto it = std::ranges::find_if(services, [&](const service_plan& service) {
+        return std::ranges::find(service.targets, id, &target_plan::id) != service.targets.end();
+    });
+    return it == services.end() ? nullptr : &*it;
+}
+
+const target_plan* plan::find_target(const target_id& id) const {
+    for (const auto& service : services) {
+        const auto it = std::ranges::find(service.targets, id, &target_plan::id);
+        if (it != service.targets.end()) {
+            return &*it;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/tests/message/codec_test.cpp
@@ -0,0 +1,84 @@
+#include "cornelpier/message/codec.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cornelpier {
+
+namespace {
+
+run example_run() {
+    run message;
+    message.attempt = {{incarnation{0xfedcba9876543210ULL}, 7}, 2};
+    message.service = service_id{"comenzi"};
+    message.request = {
+        "POST", "/orders", {{"content-type", "text/plain"}}, make_body(std::string("a\0b\xff", 4))};
+    message.priority = request_class::order;
+    message.leave = permit{incarnation{9}, time_point{duration{123456}}};
+    message.key = "key-1";
+    message.wait_limit = duration{2500};
+    message.remaining = std::chrono::milliseconds{800};
+    message.depth = 3;
+    return message;
+}
+
+template <typename Message>
+Message round_trip(const Message& message) {
+    const auto outcome = decode(encode(traffic_message{message}));
+    REQUIRE(has_value(outcome));
+    return std::get<Message>(std::get<traffic_message>(std::get<node_message>(outcome)));
+}
+
+} // namespace
+
+TEST_CASE("a run keeps every field, binary bodies included", "[codec]") {
+    const run sent = example_run();
+    const run received = round_trip(sent);
+
+    CHECK(received.attempt == sent.attempt);
+    CHECK(received.service == sent.service);
+    CHECK(received.request.fields == sent.request.fields);
+    CHECK(*received.request.body == *sent.request.body);
+    CHECK(received.leave == sent.leave);
+    CHECK(received.key == sent.key);
+    CHECK(received.wait_limit == sent.wait_limit);
+    CHECK(received.remaining == sent.remaining);
+}
+
+TEST_CASE("an answer without a response stays without one", "[codec]") {
+    answer sent;
+    sent.outcome = verdict::not_run;
+    sent.reason = refusal::wait_limit;
+    sent.load = reading{};
+    sent.load->state = node_state::draining;
+
+    const answer received = round_trip(sent);
+    CHECK(received.outcome == verdict::not_run);
+    CHECK(received.reason == refusal::wait_limit);
+    CHECK_FALSE(received.response.has_value());
+    CHECK(received.load->state == node_state::draining);
+}
+
+TEST_CASE("every truncation and every changed byte of a message is decoded safely", "[codec]") {
+    const std::string bytes = encode(traffic_message{example_run()});
+
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        CHECK_FALSE(has_value(decode(std::string_view{bytes}.substr(0, n))));
+
+        std::string changed = bytes;
+        changed[n] = static_cast<char>(changed[n] ^ 0x5a);
+        CHECK_NOTHROW(decode(changed));
+    }
+}
+
+TEST_CASE("gossip with 16 member records fits a datagram", "[codec]") {
+    gossip message;
+    message.from = target_id{"comenzi-data-centre-1-target-11"};
+    for (std::uint64_t n = 0; n < 16; ++n) {
+        message.members.push_back({target_id{"comenzi-data-centre-1-target-" + std::to_string(n)},
+                                   incarnation{~n}, node_state::serving, std::chrono::seconds{30},
+                                   vm_state::live, std::chrono::seconds{30}});
+    }
+    CHECK(encode(control_message{message}).size() <= 1400);
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over the sources. Needs a configured build directory. Arguments: files (default: all).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+build=${BUILD_DIR:-build}
+jobs=${JOBS:-$(nproc)}
+if [ $# -gt 0 ]; then files=("$@"); else mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'examples/*.cpp'); fi
+printf '%s\0' "${files[@]}" | xargs -0 -r -n 1 -P "$jobs" clang-tidy -p "$build" --quiet 2> >(grep -v 'warnings generated' >&2)
+echo "lint: ${#files[@]} files checked"
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Builds, runs all tests and prints a closing line of counts.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+build=${BUILD_DIR:-build}
+tools/install_packages.sh || exit 1
+cmake -S . -B "$build" -G Ninja > /dev/null && cmake --build "$build" || exit 1
+
+output=$(ctest --test-dir "$build" --output-on-failure 2>&1)
+status=$?
+echo "$output"
+passed=$(grep -c ' Passed ' <<< "$output")
+failed=$(grep -cE '\*\*\*(Failed|Timeout|Exception|Not Run)' <<< "$output")
+echo "tests: $passed passed, $failed failed"
+exit $status
