--- /dev/null
+++ b/tests/standins/http_service.cpp
@@ -0,0 +1,152 @@
+#include "http_service.hpp"
+
+#include <csignal>
+#include <cstdint>
+#include <stdexcept>
+#include <utility>
+
+namespace cornelpier::standins {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+namespace {
+
+class session : public http_exchange, public std::enable_shared_from_this<session> {
+  public:
+    session(asio::ip::tcp::socket socket, http_service::handler on_request)
+        : m_socket(std::move(socket)), m_on_request(std::move(on_request)) {
+        m_socket.set_option(asio::ip::tcp::no_delay{true});
+    }
+
+    void read() {
+        ++m_exchange;
+        m_request = {};
+        m_answered = false;
+        on_cancelled = nullptr;
+        http::async_read(m_socket, m_buffer, m_request,
+                         [self = shared_from_this()](error_code ec, std::size_t) {
+                             if (!ec) {
+                                 self->handle();
+                             }
+                         });
+    }
+
+    [[nodiscard]] const http_request_message& request() const override { return m_request; }
+
+    void respond(int status, std::string body, std::string content_type) override {
+        if (std::exchange(m_answered, true)) {
+            return;
+        }
+        m_response = {};
+        m_response.version(11);
+        m_response.result(static_cast<unsigned>(status));
+        m_response.set(http::field::content_type, content_type);
+        m_response.body() = std::move(body);
+        m_response.keep_alive(m_request.keep_alive());
+        m_response.prepare_payload();
+        http::async_write(m_socket, m_response, [self = shared_from_this()](error_code ec, std::size_t) {
+            if (!ec && self->m_response.keep_alive()) {
+                self->read();
+            }
+        });
+    }
+
+    void respond_truncated(std::string body) override {
+        if (std::exchange(m_answered, true)) {
+            return;
+        }
+        m_raw = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size() + 100) + "\r\n\r\n" + body;
+        asio::async_write(m_socket, asio::buffer(m_raw),
+                          [self = shared_from_this()](error_code, std::size_t) { self->close(); });
+    }
+
+    void abort() override {
+        m_answered = true;
+        close();
+    }
+
+  private:
+    void handle() {
+        watch_for_close();
+        m_on_request(shared_from_this());
+    }
+
+    /// A readable socket without data means that the peer has closed it. The wait may outlive its exchange.
+    void watch_for_close() {
+        const auto on_readable = [self = shared_from_this(), exchange = m_exchange](error_code ec) {
+            if (ec || self->m_answered || exchange != self->m_exchange) {
+                return;
+            }
+            error_code available_error;
+            if (self->m_socket.available(available_error) == 0 && self->on_cancelled) {
+                self->m_answered = true;
+                std::exchange(self->on_cancelled, nullptr)();
+            }
+        };
+        m_socket.async_wait(asio::ip::tcp::socket::wait_read, on_readable);
+    }
+
+    void close() {
+        error_code ignored;
+        m_socket.close(ignored);
+    }
+
+    asio::ip::tcp::socket m_socket;
+    http_service::handler m_on_request;
+    beast::flat_buffer m_buffer;
+    http_request_message m_request;
+    http_response_message m_response;
+    std::string m_raw;
+    std::uint64_t m_exchange = 0;
+    bool m_answered = false;
+};
+
+} // namespace
+
+asio::ip::tcp::endpoint parse_endpoint(const std::string& address) {
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        throw std::runtime_error("not an address of the form IP:port: " + address);
+    }
+    const auto port = static_cast<unsigned short>(std::stoul(address.substr(colon + 1)));
+    return {asio::ip::make_address(address.substr(0, colon)), port};
+}
+
+std::string query_value(const std::string& target, const std::string& name, const std::string& otherwise) {
+    const auto question = target.find('?');
+    if (question == std::string::npos) {
+        return otherwise;
+    }
+    const std::string query = '&' + target.substr(question + 1);
+    const auto start = query.find('&' + name + '=');
+    if (start == std::string::npos) {
+        return otherwise;
+    }
+    const auto value = start + name.size() + 2;
+    return query.substr(value, query.find('&', value) - value);
+}
+
+http_service::http_service(asio::io_context& context, const std::string& address, handler on_request)
+    : m_acceptor(context, parse_endpoint(address)), m_on_request(std::move(on_request)) {
+    accept();
+}
+
+void http_service::accept() {
+    m_acceptor.async_accept([this](error_code ec, asio::ip::tcp::socket socket) {
+        if (!ec) {
+            std::make_shared<session>(std::move(socket), m_on_request)->read();
+        }
+        accept();
+    });
+}
+
+void run_until_signal(asio::io_context& context) {
+    asio::signal_set signals{context, SIGTERM, SIGINT};
+    signals.async_wait([&context](error_code, int) { context.stop(); });
+    context.run();
+}
+
+} // namespace cornelpier::standins
--- /dev/null
+++ b/tests/standins/http_service.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cornelpier::standins {
+
+using http_request_message = boost::beast::http::request<boost::beast::http::string_body>;
+using http_response_message = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// A request that waits for its answer. Copies refer to the same exchange.
+class http_exchange {
+  public:
+    virtual ~http_exchange() = default;
+
+    /// @return the request.
+    [[nodiscard]] virtual const http_request_message& request() const = 0;
+
+    /// Sends the answer; the first call counts.
+    virtual void respond(int status, std::string body, std::string content_type = "application/json") = 0;
+
+    /// Announces a longer body than it sends, then closes the connection.
+    virtual void respond_truncated(std::string body) = 0;
+
+    /// Closes the connection without an answer.
+    virtual void abort() = 0;
+
+    /// Called once if the peer closes the connection before the answer.
+    std::function<void()> on_cancelled;
+};
+
+/// HTTP/1.1 server of the stand-ins: one thread, keep-alive, no limits beyond those of the parser.
+class http_service {
+  public:
+    using handler = std::function<void(std::shared_ptr<http_exchange>)>;
+
+    /// @param address `IP:port` to listen on; throws if it cannot be used.
+    http_service(boost::asio::io_context& context, const std::string& address, handler on_request);
+
+  private:
+    void accept();
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    handler m_on_request;
+};
+
+/// @return the endpoint for `IP:port`; throws for anything else.
+boost::asio::ip::tcp::endpoint parse_endpoint(const std::string& address);
+
+/// @return the value of a query parameter of a request target, or the default.
+std::string query_value(const std::string& target, const std::string& name,
+                        const std::string& otherwise = "");
+
+/// Runs the context until SIGTERM or SIGINT.
+void run_until_signal(boost::asio::io_context& context);
+
+} // namespace cornelpier::standins
--- /dev/null
+++ b/tests/standins/server_standin.cpp
@@ -0,0 +1,246 @@
+/// Stand-in for a server: slots, a queue, service times, and scripted misbehaviour by requests below
+/// `/control`.
+
+#include "http_service.hpp"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <iostream>
+#include <list>
+#include <map>
+#include <random>
+
+namespace cornelpier::standins {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+using steady = std::chrono::steady_clock;
+
+struct server_options {
+    std::string listen;
+    std::string name = "server";
+    std::size_t slots = 10;
+    std::size_t queue = 1000;   ///< Requests that wait before the server sheds with 503.
+    double service_ms = 2;      ///< Mean of the exponentially distributed service time.
+    double cold_start_ms = 0;   ///< After the start, service times are threefold for this long.
+    double report_lag_ms = 100; ///< Age of the figures that `/load` shows.
+    std::uint64_t seed = 1;
+};
+
+class server_standin {
+  public:
+    server_standin(asio::io_context& context, const server_options& options)
+        : m_context(context), m_options(options), m_random(options.seed), m_start(steady::now()),
+          m_service(context, options.listen, [this](const auto& it) { on_request(it); }) {}
+
+  private:
+    using exchange = std::shared_ptr<http_exchange>;
+
+    struct work {
+        exchange request;
+        steady::time_point deadline;
+        std::unique_ptr<asio::steady_timer> timer;
+    };
+
+    void on_request(const exchange& it) {
+        const std::string target{it->request().target()};
+        if (target.starts_with("/control")) {
+            on_control(it, target);
+            return;
+        }
+        if (target == "/load") {
+            on_load(it);
+            return;
+        }
+        if (target == "/executions") {
+            it->respond(200, json(m_executions).dump());
+            return;
+        }
+        admit(it);
+    }
+
+    void admit(const exchange& it) {
+        if (m_failing) {
+            it->respond(500, R"({"error":"failing"})");
+            return;
+        }
+        if (m_shedding || m_queue.size() >= m_options.queue) {
+            it->respond(503, R"({"error":"shed"})");
+            return;
+        }
+        m_queue.push_back({it, deadline_of(it), nullptr});
+        const auto position = std::prev(m_queue.end());
+        it->on_cancelled = [this, position] { m_queue.erase(position); };
+        start_work();
+    }
+
+    static steady::time_point deadline_of(const exchange& it) {
+        const auto field = it->request().find("Cornelpier-Deadline-Ms");
+        if (field == it->request().end()) {
+            return steady::time_point::max();
+        }
+        return steady::now() + std::chrono::milliseconds{std::stoll(std::string{field->value()})};
+    }
+
+    void start_work() {
+        while (m_running.size() < m_options.slots && !m_queue.empty()) {
+            m_running.splice(m_running.end(), m_queue, m_queue.begin());
+            const auto position = std::prev(m_running.end());
+            if (position->deadline < steady::now()) {
+                position->request->respond(503, R"({"error":"deadline passed before start"})");
+                m_running.erase(position);
+                continue;
+            }
+            execute(position);
+        }
+        remember_load();
+    }
+
+    void execute(std::list<work>::iterator position) {
+        const auto& request = position->request->request();
+        const std::string identity{request["X-Identity"]};
+        if (!identity.empty()) {
+            ++m_executions[identity];
+        }
+        position->request->on_cancelled = [this, position] { finish(position); };
+        position->timer = std::make_unique<asio::steady_timer>(m_context, service_time());
+        position->timer->async_wait([this, position](boost::system::error_code ec) {
+            if (!ec) {
+                answer(position->request);
+                finish(position);
+            }
+        });
+    }
+
+    void answer(const exchange& it) {
+        if (m_losing) {
+            it->abort();
+            return;
+        }
+        const auto& request = it->request();
+        const json body{{"server", m_options.name},
+                        {"method", std::string{request.method_string()}},
+                        {"path", std::string{request.target()}},
+                        {"identity", std::string{request["X-Identity"]}},
+                        {"body", request.body()}};
+        if (m_truncating) {
+            it->respond_truncated(body.dump());
+            return;
+        }
+        it->respond(200, body.dump());
+    }
+
+    void finish(std::list<work>::iterator position) {
+        m_running.erase(position);
+        start_work();
+    }
+
+    steady::duration service_time() {
+        std::exponential_distribution<double> distribution{1.0 / m_options.service_ms};
+        const auto now = steady::now();
+        const std::chrono::duration<double, std::milli> age = now - m_start;
+        double factor = age.count() < m_options.cold_start_ms ? 3 : 1;
+        if (now < m_slow_until) {
+            factor *= m_slow_factor;
+        }
+        const std::chrono::duration<double, std::milli> time{distribution(m_random) * factor};
+        return std::chrono::duration_cast<steady::duration>(time);
+    }
+
+    /// `/control?slow=FACTOR&for_ms=N`, and `drain`, `shed`, `fail`, `lose`, `truncate`, `sick`, each `=0|1`.
+    void on_control(const exchange& it, const std::string& target) {
+        set_flag(target, "drain", m_draining);
+        set_flag(target, "shed", m_shedding);
+        set_flag(target, "fail", m_failing);
+        set_flag(target, "lose", m_losing);
+        set_flag(target, "truncate", m_truncating);
+        set_flag(target, "sick", m_sick);
+        if (const auto factor = query_value(target, "slow"); !factor.empty()) {
+            m_slow_factor = std::stod(factor);
+            m_slow_until =
+                steady::now() + std::chrono::milliseconds{std::stoll(query_value(target, "for_ms", "50"))};
+        }
+        it->respond(200, "{}");
+    }
+
+    static void set_flag(const std::string& target, const std::string& name, bool& flag) {
+        flag = query_value(target, name, flag ? "1" : "0") == "1";
+    }
+
+    void on_load(const exchange& it) {
+        ++m_reports;
+        it->respond(200, json{{"healthy", !m_sick},
+                              {"draining", m_draining},
+                              {"in_flight", lagging_load()},
+                              {"reports", m_reports}}
+                             .dump());
+    }
+
+    void remember_load() {
+        constexpr std::size_t most = 10'000;
+        m_load_history.emplace_back(steady::now(), m_running.size() + m_queue.size());
+        if (m_load_history.size() > most) {
+            m_load_history.pop_front();
+        }
+    }
+
+    [[nodiscard]] std::size_t lagging_load() const {
+        const auto lag = std::chrono::duration<double, std::milli>{m_options.report_lag_ms};
+        const auto moment = steady::now() - std::chrono::duration_cast<steady::duration>(lag);
+        for (auto it = m_load_history.rbegin(); it != m_load_history.rend(); ++it) {
+            if (it->first <= moment) {
+                return it->second;
+            }
+        }
+        return 0;
+    }
+
+    asio::io_context& m_context;
+    server_options m_options;
+    std::mt19937_64 m_random;
+    steady::time_point m_start;
+    std::list<work> m_queue;
+    std::list<work> m_running;
+    std::map<std::string, int> m_executions;
+    std::deque<std::pair<steady::time_point, std::size_t>> m_load_history;
+    steady::time_point m_slow_until{};
+    double m_slow_factor = 1;
+    std::uint64_t m_reports = 0;
+    bool m_draining = false;
+    bool m_shedding = false;
+    bool m_failing = false;
+    bool m_losing = false;
+    bool m_truncating = false;
+    bool m_sick = false;
+    http_service m_service;
+};
+
+} // namespace cornelpier::standins
+
+int main(int argc, char** argv) {
+    CLI::App app{"Stand-in for a server"};
+    cornelpier::standins::server_options options;
+    app.add_option("--listen", options.listen, "IP:port")->required();
+    app.add_option("--name", options.name, "name in the answers");
+    app.add_option("--slots", options.slots, "requests worked on at a time");
+    app.add_option("--queue", options.queue, "requests that wait before the server sheds");
+    app.add_option("--service-ms", options.service_ms, "mean service time in ms");
+    app.add_option("--cold-start-ms", options.cold_start_ms, "threefold service time for this long");
+    app.add_option("--report-lag-ms", options.report_lag_ms, "age of the figures in /load");
+    app.add_option("--seed", options.seed, "seed of the service times");
+    CLI11_PARSE(app, argc, argv);
+
+    try {
+        boost::asio::io_context context;
+        const cornelpier::standins::server_standin server{context, options};
+        cornelpier::standins::run_until_signal(context);
+    } catch (const std::exception& problem) {
+        std::cerr << "server stand-in: " << problem.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
