Add the quickstart script and fix the stand-in's empty VM list

Cause of the empty list: the loop ran over a temporary JSON value that was gone before the first step (seen as `{"vms":[]}` for a plan with one VM). The value is kept now.

--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -25,7 +25,8 @@
     platform_standin(asio::io_context& context, const std::string& address, std::string sheet)
         : m_context(context), m_service(context, address, [this](const auto& it) { on_request(it); }) {
         m_sheets.push_back(std::move(sheet));
-        for (const auto& service : json::parse(m_sheets.back()).at("services")) {
+        const json plan = json::parse(m_sheets.back());
+        for (const auto& service : plan.at("services")) {
             for (const auto& target : service.at("targets")) {
                 m_vms[target.at("vm").get<std::string>()] = "live";
             }
--- /dev/null
+++ b/tools/quickstart.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# Installs the packages, builds, starts a small fleet on loopback, sends a status lookup and an order through
+# different nodes, prints the answers with their verdicts, and stops everything it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source tools/fleet.sh
+
+tools/install_packages.sh
+cmake -S . -B "${BUILD_DIR:-build}" -G Ninja > /dev/null
+cmake --build "${BUILD_DIR:-build}"
+
+directory=$(mktemp -d)
+trap 'fleet_stop; rm -rf "$directory"' EXIT
+base=$(fleet_free_port_base)
+fleet_start "$directory" "$base"
+echo "fleet: 10 nodes, 10 stand-in servers and the platform stand-in run on 127.0.0.1:$base and up"
+
+show() { # TITLE EXPECTED_VERDICT CURL_ARGUMENTS...
+  local title=$1 expected=$2 answer
+  shift 2
+  answer=$(curl -s -i -m 5 "$@" | tr -d '\r')
+  echo "--- $title"
+  grep -iE '^(HTTP|Cornelpier-)|^\{' <<< "$answer"
+  grep -qi "^Cornelpier-Verdict: $expected" <<< "$answer"
+}
+
+show "status lookup through node 1" ran -H 'Host: comenzi' "http://127.0.0.1:$((base + 1))/orders/17"
+show "order through node 2" ran -H 'Host: comenzi' -H 'Idempotency-Key: quickstart-1' \
+  -d '{"mallets": 12}' "http://127.0.0.1:$((base + 2))/orders"
+show "the same order again through node 7" ran -H 'Host: comenzi' -H 'Idempotency-Key: quickstart-1' \
+  -d '{"mallets": 12}' "http://127.0.0.1:$((base + 7))/orders"
+show "unknown service" not-run -H 'Host: nowhere' "http://127.0.0.1:$((base + 3))/"
+echo "quickstart: done"
