--- /dev/null
+++ b/src/daemon/report/fleet_report.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "daemon/report/node_report.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cornelpier {
+
+/// A node that a report asks, and what it answered.
+struct node_inquiry {
+    target_id node;
+    service_id service;
+    data_centre_id data_centre;
+    std::optional<node_report> answer;
+    duration answer_age{}; ///< Between the arrival of the answer and the making of the report.
+    std::string failure;   ///< Why there is no answer.
+};
+
+/// Where a fact about a node comes from.
+enum class fact_source : std::uint8_t {
+    own,     ///< The node said so itself.
+    hearsay, ///< Another node said so.
+    none,    ///< Nobody knows.
+};
+
+/// One line of the report.
+struct node_line {
+    target_id node;
+    service_id service;
+    data_centre_id data_centre;
+    fact_source source = fact_source::none;
+    target_id heard_from; ///< Set for hearsay.
+    std::string state = "unknown";
+    std::string vm_state = "unknown";
+    duration age{};
+    bool stale = false; ///< Too old to be shown as current.
+    std::optional<node_report> details; ///< Set for `own`.
+};
+
+/// Sums over the nodes of a group that answered.
+struct group_totals {
+    std::size_t nodes = 0;
+    std::size_t answered = 0;
+    std::size_t serving = 0; ///< Of those that answered.
+    std::uint64_t running = 0;
+    std::uint64_t queued = 0;
+    call_counts calls; ///< `p50` and `p99` are the largest of any entry.
+};
+
+/// State of a fleet as far as it is known at one moment.
+struct fleet_report {
+    std::string taken_at; ///< UTC, ISO 8601.
+    std::uint64_t plan_version = 0; ///< Highest version that a node reports.
+    std::size_t nodes_with_plan = 0; ///< Nodes that report this version.
+    bool plan_conflict = false;
+    duration plan_confirmed_age{}; ///< Smallest age that a node reports.
+    group_totals all;
+    std::map<service_id, group_totals> services;
+    std::map<data_centre_id, group_totals> data_centres;
+    std::vector<node_line> lines; ///< Nodes in trouble first, then by name.
+};
+
+/// A fact older than this is shown as stale.
+inline constexpr duration stale_after = std::chrono::seconds{30};
+
+/// Puts the answers of all nodes together. Facts about a node that did not answer come from the freshest
+/// record of another node and are marked as such.
+/// @param inquiries all nodes of the plan, with or without an answer.
+/// @param taken_at time of the report, UTC, ISO 8601.
+fleet_report make_fleet_report(const std::vector<node_inquiry>& inquiries, std::string taken_at);
+
+/// @return true if an operator should look at the line: no answer, stale, not serving, or a leaving VM.
+bool needs_attention(const node_line& line);
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/report/node_report.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "cornelpier/base/ids.hpp"
+#include "cornelpier/base/result.hpp"
+#include "cornelpier/base/units.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelpier {
+
+/// What one node knows about another.
+struct member_view {
+    target_id target;
+    std::string state;    ///< `starting`, `serving`, `draining` or `stopped`.
+    std::string vm_state; ///< `live`, `leaving` or `unlisted`.
+    duration age{};       ///< Age of the state when the node reported it.
+    duration vm_age{};    ///< Age of the VM's state when the node reported it.
+};
+
+/// Calls of the last minute at one entry.
+struct call_counts {
+    std::uint64_t ran = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t unknown = 0;
+    duration p50{};
+    duration p99{};
+};
+
+/// What a node says about itself in answer to `GET /state` on its operator address.
+struct node_report {
+    target_id node;
+    vm_id vm;
+    data_centre_id data_centre;
+    service_id service;
+    std::string state;
+    duration uptime{};
+    std::uint64_t plan_version = 0;
+    std::string plan_hash;
+    duration plan_confirmed_age{}; ///< Since a reader saw the plan at the configuration service.
+    bool plan_conflict = false;
+    std::uint64_t running = 0; ///< Requests at the server.
+    std::uint64_t queued = 0;
+    std::uint64_t limit = 0;
+    duration service_time{};
+    double measurements_per_second = 0;
+    double measuring_budget = 0; ///< Per second.
+    call_counts calls;
+    std::vector<member_view> members;
+};
+
+/// @return the JSON text that `GET /state` returns.
+std::string to_json(const node_report& report);
+
+/// @param text JSON text of another node, possibly of another version.
+/// @return the report, or an error with the place of the first mistake.
+result<node_report> parse_node_report(std::string_view text);
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/report/report_json.cpp
@@ -0,0 +1,88 @@
+#include "daemon/report/report_json.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace cornelpier {
+
+namespace {
+
+using nlohmann::json;
+
+json to_item(const group_totals& totals) {
+    return {{"nodes", totals.nodes},
+            {"answered", totals.answered},
+            {"serving", totals.serving},
+            {"running", totals.running},
+            {"queued", totals.queued},
+            {"last_minute",
+             {{"ran", totals.calls.ran},
+              {"not_run", totals.calls.not_run},
+              {"unknown", totals.calls.unknown},
+              {"worst_entry_p50_us", totals.calls.p50.count()},
+              {"worst_entry_p99_us", totals.calls.p99.count()}}}};
+}
+
+const char* name_of(fact_source source) {
+    switch (source) {
+    case fact_source::own:
+        return "own";
+    case fact_source::hearsay:
+        return "hearsay";
+    case fact_source::none:
+        break;
+    }
+    return "none";
+}
+
+json to_item(const node_line& line) {
+    json item{{"node", line.node.value()},
+              {"service", line.service.value()},
+              {"data_centre", line.data_centre.value()},
+              {"source", name_of(line.source)},
+              {"state", line.state},
+              {"vm_state", line.vm_state}};
+    if (line.source == fact_source::none) {
+        return item;
+    }
+    item["age_us"] = line.age.count();
+    item["stale"] = line.stale;
+    if (line.source == fact_source::hearsay) {
+        item["heard_from"] = line.heard_from.value();
+    }
+    return item;
+}
+
+template <typename Id>
+json to_items(const std::map<Id, group_totals>& groups) {
+    json items = json::object();
+    for (const auto& [id, totals] : groups) {
+        items[id.value()] = to_item(totals);
+    }
+    return items;
+}
+
+} // namespace
+
+std::string to_json(const fleet_report& report) {
+    json lines = json::array();
+    for (const auto& it : report.lines) {
+        lines.push_back(to_item(it));
+    }
+
+    json plan{{"version", report.plan_version},
+              {"nodes_with_plan", report.nodes_with_plan},
+              {"conflict", report.plan_conflict}};
+    if (report.all.answered > 0) {
+        plan["confirmed_age_us"] = report.plan_confirmed_age.count();
+    }
+
+    const json item{{"taken_at", report.taken_at},
+                    {"plan", plan},
+                    {"fleet", to_item(report.all)},
+                    {"services", to_items(report.services)},
+                    {"data_centres", to_items(report.data_centres)},
+                    {"nodes", lines}};
+    return item.dump(1) + '\n';
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/report/report_text.cpp
@@ -0,0 +1,100 @@
+#include "daemon/report/report_text.hpp"
+
+#include <sstream>
+
+namespace cornelpier {
+
+namespace {
+
+void write_plan(std::ostream& out, const fleet_report& report) {
+    out << "plan      version " << report.plan_version << " at " << report.nodes_with_plan << " of "
+        << report.all.answered << " that answered\n";
+    if (report.plan_conflict) {
+        out << "          CONFLICT: two contents of one version\n";
+    }
+    if (report.all.answered > 0) {
+        out << "          confirmed " << format_age(report.plan_confirmed_age) << " ago\n";
+    }
+}
+
+void write_group(std::ostream& out, const std::string& name, const group_totals& totals) {
+    out << name << ": " << format_answered(totals) << ", " << totals.serving << " serving\n"
+        << "  running " << totals.running << ", queued " << totals.queued << '\n'
+        << "  last minute: ran " << totals.calls.ran << ", not run " << totals.calls.not_run << ", unknown "
+        << totals.calls.unknown << '\n'
+        << "  worst entry: p50 " << format_age(totals.calls.p50) << ", p99 " << format_age(totals.calls.p99) << '\n';
+}
+
+void write_line(std::ostream& out, const node_line& line) {
+    out << "  " << line.node.value() << " (" << line.data_centre.value() << "): " << line.state;
+    if (line.vm_state == "leaving") {
+        out << ", VM leaving";
+    }
+    out << "\n    " << format_source(line) << '\n';
+}
+
+} // namespace
+
+std::string format_age(duration age) {
+    using namespace std::chrono;
+    if (age < 10ms) {
+        return std::to_string(age.count() / 1000) + '.' + std::to_string(age.count() % 1000 / 100) + " ms";
+    }
+    if (age < 2s) {
+        return std::to_string(duration_cast<milliseconds>(age).count()) + " ms";
+    }
+    if (age < 2min) {
+        return std::to_string(duration_cast<seconds>(age).count()) + " s";
+    }
+    if (age < 2h) {
+        return std::to_string(duration_cast<minutes>(age).count()) + " min";
+    }
+    return std::to_string(duration_cast<hours>(age).count()) + " h";
+}
+
+std::string format_source(const node_line& line) {
+    if (line.source == fact_source::none) {
+        return "no answer, nothing heard";
+    }
+    std::string text = line.source == fact_source::own ? "own word" : "no answer; heard from " + line.heard_from.value();
+    text += ", " + format_age(line.age) + " old";
+    return line.stale ? text + ", STALE" : text;
+}
+
+std::string format_answered(const group_totals& totals) {
+    if (totals.answered == totals.nodes) {
+        return "all " + std::to_string(totals.nodes) + " nodes answered";
+    }
+    return std::to_string(totals.answered) + " of " + std::to_string(totals.nodes) + " nodes answered";
+}
+
+std::string to_text(const fleet_report& report) {
+    std::ostringstream out;
+    out << "cornelpier " << report.taken_at << '\n';
+    write_plan(out, report);
+    write_group(out, "fleet", report.all);
+
+    out << "\nservices\n";
+    for (const auto& [id, totals] : report.services) {
+        write_group(out, id.value(), totals);
+    }
+    out << "\ndata centres\n";
+    for (const auto& [id, totals] : report.data_centres) {
+        out << id.value() << ": " << format_answered(totals) << ", " << totals.serving << " serving\n";
+    }
+
+    out << "\nneed attention\n";
+    std::size_t n = 0;
+    for (const auto& it : report.lines) {
+        if (needs_attention(it)) {
+            write_line(out, it);
+            ++n;
+        }
+    }
+    if (n == 0) {
+        out << "  none of the nodes that answered\n";
+    }
+    return out.str();
+}
+
+} // namespace cornelpier
