--- /dev/null
+++ b/tests/scenario/scenario_runner.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "tests/scenario/scenario_parser.hpp"
+#include "tests/support/fleet.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelpier::testing {
+
+/// What a scenario gave.
+struct scenario_result {
+    std::string transcript;
+    std::vector<std::string> failures; ///< Expectations that do not hold and violations found by `check`.
+};
+
+/// Runs one scenario. The words are listed in tests/scenarios/README.md.
+class scenario_runner {
+  public:
+    /// @param commands parsed lines.
+    /// @return the transcript and the failures; the same for the same commands.
+    static scenario_result run(const std::vector<scenario_command>& commands);
+
+  private:
+    void set_up(const scenario_command& it);
+    void start();
+    void perform(const scenario_command& it);
+    bool perform_on_process(const scenario_command& it);
+    bool perform_on_network(const scenario_command& it);
+    bool perform_on_server(const scenario_command& it);
+    bool perform_on_platform(const scenario_command& it);
+    void call(const scenario_command& it);
+    void start_load(const scenario_command& it);
+    void publish_plan(const scenario_command& it);
+    void expect(const scenario_command& it);
+    void expect_load(const scenario_command& it);
+    void expect_plan(const scenario_command& it);
+    void fail(const scenario_command& it, const std::string& text);
+    void compare(const scenario_command& it, const std::string& name, const std::string& actual);
+
+    template <typename Function>
+    void for_each_pair(const scenario_command& it, Function function);
+
+    fleet_settings m_settings;
+    plan m_plan;
+    std::unique_ptr<fleet> m_fleet;
+    std::map<std::string, std::size_t> m_calls;
+    scenario_result m_result;
+};
+
+} // namespace cornelpier::testing
--- /dev/null
+++ b/tests/schedules/random_schedule.cpp
@@ -0,0 +1,349 @@
+#include "tests/schedules/random_schedule.hpp"
+
+#include "tests/schedules/checker.hpp"
+#include "tests/support/plan_sheet.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace cornelpier::testing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point first_call{500ms};
+constexpr time_point last_call{7s};
+/// Late copies and repeats have time to do harm.
+constexpr time_point schedule_end{16s};
+constexpr double keyed_share = 0.4;
+constexpr double order_share = 0.5;
+
+} // namespace
+
+random_schedule::random_schedule(std::uint64_t seed, tamper_function tamper,
+                                 std::function<void(const std::string&)> transcript)
+    : m_random(seed), m_seed(seed) {
+    make_fleet(std::move(tamper), std::move(transcript));
+    plan_calls();
+    plan_failures();
+}
+
+schedule_result random_schedule::run() {
+    m_fleet->queue().run_until(schedule_end);
+    m_result.violations = check(m_fleet->records(), schedule_end);
+    for (const auto& call : m_fleet->records().calls) {
+        ++m_result.calls;
+        if (!call.answers.empty()) {
+            const auto outcome = call.answers.front().outcome;
+            m_result.ran += outcome == verdict::ran ? 1 : 0;
+            m_result.not_run += outcome == verdict::not_run ? 1 : 0;
+            m_result.unknown += outcome == verdict::unknown ? 1 : 0;
+        }
+    }
+    return m_result;
+}
+
+void random_schedule::make_fleet(tamper_function tamper, std::function<void(const std::string&)> transcript) {
+    service_plan service;
+    service.id = service_id{"comenzi"};
+    service.deadline = between(500ms, 2000ms);
+    service.tail_weight = m_random.unit();
+    service.measuring = rate{static_cast<double>(2 + m_random.below(20))};
+    service.slots = static_cast<std::uint32_t>(2 + m_random.below(9));
+    service.refusal_statuses = {503};
+    service.rules = default_rules();
+    const auto size = 3 + m_random.below(4);
+    for (std::size_t n = 0; n < size; ++n) {
+        service.targets.push_back(
+            make_target("comenzi-" + std::to_string(n + 1), "brasov-" + std::to_string(1 + n % 3), n));
+    }
+
+    fleet_settings settings;
+    settings.seed = m_random.next();
+    settings.initial_plan = seal({1, "ro-centru", {service}, {}, 0});
+    settings.server = {service.slots, between(2ms, 30ms), chance(0.5)};
+    settings.tamper = std::move(tamper);
+    settings.transcript = std::move(transcript);
+    settings.transcript_level = severity::debug;
+    m_fleet = std::make_unique<fleet>(settings);
+}
+
+void random_schedule::plan_calls() {
+    const auto spacing = to_seconds(between(10ms, 60ms));
+    std::size_t number = 0;
+    for (auto time = first_call; time < last_call; ++number) {
+        plan_call(time, number);
+        time += from_seconds(m_random.exponential(spacing));
+    }
+}
+
+void random_schedule::plan_call(time_point time, std::size_t number) {
+    call_request request;
+    request.name = "c" + std::to_string(number);
+    request.body = request.name;
+    request.service = service_id{"comenzi"};
+    request.entry = any_target();
+    const bool order = chance(order_share);
+    request.method = order ? "POST" : "GET";
+    request.path = order ? "/orders" : "/status";
+    if (chance(0.1)) {
+        request.deadline = between(10ms, 300ms);
+    }
+    m_fleet->queue().call_at(time, [this, request] {
+        const auto call = m_fleet->call(request);
+        if (request.body.ends_with("7")) {
+            m_fleet->queue().call_after(30ms, [this, call] {
+                if (m_fleet->records().calls[call].answers.empty()) {
+                    m_fleet->abandon(call);
+                }
+            });
+        }
+    });
+
+    if (!order || !chance(keyed_share)) {
+        return;
+    }
+    request.key = "key-" + request.name;
+    // A keyed order is repeated through any entry while the first is in progress or later.
+    for (auto repeats = 1 + m_random.below(3); repeats > 0; --repeats) {
+        request.name += "r";
+        request.entry = any_target();
+        m_fleet->queue().call_at(time + between(1ms, 5s), [this, request] { m_fleet->call(request); });
+    }
+}
+
+const std::vector<random_schedule::failure_kind>& random_schedule::kinds() {
+    static const std::vector<failure_kind> result{
+        {"kill", &random_schedule::plant_kill},
+        {"vanish", &random_schedule::plant_vanish},
+        {"pause", &random_schedule::plant_pause},
+        {"terminate", &random_schedule::plant_terminate},
+        {"cut", &random_schedule::plant_cut},
+        {"isolation", &random_schedule::plant_isolation},
+        {"data centre cut", &random_schedule::plant_data_centre_cut},
+        {"silence", &random_schedule::plant_silence},
+        {"broken links", &random_schedule::plant_broken_links},
+        {"slow server", &random_schedule::plant_slow_server},
+        {"hanging server", &random_schedule::plant_hanging_server},
+        {"failing server", &random_schedule::plant_failing_server},
+        {"shedding server", &random_schedule::plant_shedding_server},
+        {"server down", &random_schedule::plant_server_down},
+        {"lost answers", &random_schedule::plant_lost_answers},
+        {"false report", &random_schedule::plant_false_report},
+        {"server drain", &random_schedule::plant_server_drain},
+        {"leaving VM", &random_schedule::plant_leaving_vm},
+        {"plan change", &random_schedule::plant_plan_change},
+    };
+    return result;
+}
+
+/// One kind alone, two kinds at once, or up to six kinds at any time, in turn by seed.
+void random_schedule::plan_failures() {
+    const auto& all = kinds();
+    const auto family = m_seed % 3;
+    const auto& first = all[(m_seed / 3) % all.size()];
+    const auto& second = all[m_random.below(all.size())];
+    if (family == 0) {
+        for (auto n = 1 + m_random.below(3); n > 0; --n) {
+            plant(first, time_point{} + between(1s, 6s));
+        }
+        return;
+    }
+    if (family == 1) {
+        const auto from = time_point{} + between(1s, 6s);
+        plant(first, from);
+        plant(second, from + between(0ms, 600ms));
+        return;
+    }
+    for (auto n = 3 + m_random.below(4); n > 0; --n) {
+        plant(all[m_random.below(all.size())], time_point{} + between(1s, 6s));
+    }
+}
+
+void random_schedule::plant(const failure_kind& kind, time_point from) {
+    const auto until = from + (chance(0.5) ? between(20ms, 700ms) : between(700ms, 6500ms));
+    m_result.failures.push_back(std::string{kind.name} + format_time(from) + " to" + format_time(until));
+    (this->*kind.plant)(from, until);
+}
+
+void random_schedule::at(time_point from, std::function<void()> begin, time_point until,
+                         std::function<void()> end) {
+    m_fleet->queue().call_at(from, std::move(begin));
+    m_fleet->queue().call_at(until, std::move(end));
+}
+
+target_id random_schedule::any_target() {
+    return m_fleet->targets()[m_random.below(m_fleet->targets().size())];
+}
+
+duration random_schedule::between(duration least, duration most) {
+    return least + duration{static_cast<std::int64_t>(
+                       m_random.below(static_cast<std::uint64_t>((most - least).count()) + 1))};
+}
+
+void random_schedule::plant_kill(time_point from, time_point until) {
+    const auto target = any_target();
+    at(
+        from, [this, target] { m_fleet->kill(target); }, until, [this, target] { m_fleet->restart(target); });
+}
+
+void random_schedule::plant_vanish(time_point from, time_point until) {
+    const auto target = any_target();
+    at(
+        from, [this, target] { m_fleet->kill(target, false); }, until,
+        [this, target] { m_fleet->restart(target); });
+}
+
+void random_schedule::plant_pause(time_point from, time_point until) {
+    const auto target = any_target();
+    const pause_kind kind{chance(0.5), chance(0.5)};
+    at(
+        from, [this, target] { m_fleet->pause(target); }, until,
+        [this, target, kind] { m_fleet->resume(target, kind); });
+}
+
+void random_schedule::plant_terminate(time_point from, time_point until) {
+    const auto target = any_target();
+    at(
+        from, [this, target] { m_fleet->terminate(target); }, until,
+        [this, target] {
+            if (!m_fleet->host(target).alive()) {
+                m_fleet->restart(target);
+            }
+        });
+}
+
+void random_schedule::plant_cut(time_point from, time_point until) {
+    const auto a = m_fleet->index(any_target());
+    const auto b = m_fleet->index(any_target());
+    at(
+        from, [this, a, b] { m_fleet->network().cut(a, b); }, until,
+        [this, a, b] { m_fleet->network().heal(a, b); });
+}
+
+void random_schedule::plant_isolation(time_point from, time_point until) {
+    const auto target = m_fleet->index(any_target());
+    for (node_index other = 0; other < m_fleet->targets().size(); ++other) {
+        if (other != target) {
+            at(
+                from, [this, target, other] { m_fleet->network().cut(target, other); }, until,
+                [this, target, other] { m_fleet->network().heal(target, other); });
+        }
+    }
+}
+
+void random_schedule::plant_data_centre_cut(time_point from, time_point until) {
+    const auto isolated = m_fleet->current_plan()->find_target(any_target())->data_centre;
+    const auto& targets = m_fleet->current_plan()->services.front().targets;
+    for (const auto& a : targets) {
+        for (const auto& b : targets) {
+            if (a.data_centre != isolated || b.data_centre == isolated) {
+                continue;
+            }
+            const auto first = m_fleet->index(a.id);
+            const auto second = m_fleet->index(b.id);
+            at(
+                from, [this, first, second] { m_fleet->network().cut(first, second); }, until,
+                [this, first, second] { m_fleet->network().heal(first, second); });
+        }
+    }
+}
+
+void random_schedule::plant_silence(time_point from, time_point until) {
+    const auto a = m_fleet->index(any_target());
+    const auto b = m_fleet->index(any_target());
+    const bool recovers = chance(0.7);
+    at(
+        from, [this, a, b] { m_fleet->network().set_silent(a, b, true); }, until,
+        [this, a, b, recovers] {
+            if (recovers) {
+                m_fleet->network().set_silent(a, b, false);
+            }
+        });
+}
+
+void random_schedule::plant_broken_links(time_point from, time_point until) {
+    const auto a = m_fleet->index(any_target());
+    const auto b = m_fleet->index(any_target());
+    const auto break_them = [this, a, b] { m_fleet->network().break_links(a, b); };
+    at(from, break_them, until, break_them);
+}
+
+void random_schedule::plant_slow_server(time_point from, time_point until) {
+    auto& server = m_fleet->server(any_target());
+    const auto factor = 2 + 8 * m_random.unit();
+    at(
+        from, [&server, factor] { server.set_slowdown(factor); }, until,
+        [&server] { server.set_slowdown(1); });
+}
+
+void random_schedule::plant_hanging_server(time_point from, time_point until) {
+    auto& server = m_fleet->server(any_target());
+    at(
+        from, [&server] { server.set_slowdown(10'000); }, until, [&server] { server.set_slowdown(1); });
+}
+
+void random_schedule::plant_failing_server(time_point from, time_point until) {
+    auto& server = m_fleet->server(any_target());
+    at(
+        from, [&server] { server.set_failing(true); }, until, [&server] { server.set_failing(false); });
+}
+
+void random_schedule::plant_shedding_server(time_point from, time_point until) {
+    auto& server = m_fleet->server(any_target());
+    at(
+        from, [&server] { server.set_shedding(true); }, until, [&server] { server.set_shedding(false); });
+}
+
+void random_schedule::plant_server_down(time_point from, time_point until) {
+    auto& server = m_fleet->server(any_target());
+    at(
+        from, [&server] { server.set_down(true); }, until, [&server] { server.set_down(false); });
+}
+
+void random_schedule::plant_lost_answers(time_point from, time_point until) {
+    auto& server = m_fleet->server(any_target());
+    const auto count = static_cast<std::uint32_t>(1 + m_random.below(10));
+    const auto lose = [&server, count] { server.lose_answers(count); };
+    at(from, lose, until, lose);
+}
+
+void random_schedule::plant_false_report(time_point from, time_point until) {
+    auto& server = m_fleet->server(any_target());
+    server.set_report_age(between(0ms, 5s));
+    at(
+        from, [&server] { server.set_lying(true); }, until, [&server] { server.set_lying(false); });
+}
+
+void random_schedule::plant_server_drain(time_point from, time_point until) {
+    const auto target = any_target();
+    at(
+        from, [this, target] { m_fleet->set_server_draining(target, true); }, until,
+        [this, target] { m_fleet->set_server_draining(target, false); });
+}
+
+void random_schedule::plant_leaving_vm(time_point from, time_point until) {
+    const auto vm = m_fleet->current_plan()->find_target(any_target())->vm;
+    at(
+        from, [this, vm] { m_fleet->set_vm_state(vm, vm_state::leaving); }, until,
+        [this, vm] { m_fleet->set_vm_state(vm, vm_state::live); });
+}
+
+void random_schedule::plant_plan_change(time_point from, time_point until) {
+    const auto removed = any_target();
+    const auto publish = [this](std::vector<target_plan> targets) {
+        auto changed = *m_fleet->current_plan();
+        ++changed.version;
+        changed.services.front().targets = std::move(targets);
+        m_fleet->publish(seal(std::move(changed)));
+    };
+    const auto all = m_fleet->current_plan()->services.front().targets;
+    auto fewer = all;
+    std::erase_if(fewer, [&](const target_plan& it) { return it.id == removed; });
+    at(
+        from, [publish, fewer] { publish(fewer); }, until, [publish, all] { publish(all); });
+}
+
+} // namespace cornelpier::testing
--- /dev/null
+++ b/tests/schedules/random_schedule.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "cornelpier/base/random_source.hpp"
+
+#include "tests/support/fleet.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cornelpier::testing {
+
+/// What a schedule gave.
+struct schedule_result {
+    std::vector<std::string> violations;
+    std::vector<std::string> failures; ///< Planted failures with their times.
+    std::size_t calls = 0;
+    std::size_t ran = 0;
+    std::size_t not_run = 0;
+    std::size_t unknown = 0;
+};
+
+/// Changes the actions of a node before they are carried out, to plant a fault in the core.
+using tamper_function = std::function<void(node_index, traffic_actions&)>;
+
+/// A small fleet under random calls and failures. Everything follows from the seed.
+class random_schedule {
+  public:
+    explicit random_schedule(std::uint64_t seed, tamper_function tamper = {},
+                             std::function<void(const std::string&)> transcript = {});
+
+    schedule_result run();
+
+  private:
+    struct failure_kind {
+        const char* name;
+        void (random_schedule::*plant)(time_point from, time_point until);
+    };
+
+    static const std::vector<failure_kind>& kinds();
+
+    void make_fleet(tamper_function tamper, std::function<void(const std::string&)> transcript);
+    void plan_calls();
+    void plan_call(time_point time, std::size_t number);
+    void plan_failures();
+    void plant(const failure_kind& kind, time_point from);
+
+    void plant_kill(time_point from, time_point until);
+    void plant_vanish(time_point from, time_point until);
+    void plant_pause(time_point from, time_point until);
+    void plant_terminate(time_point from, time_point until);
+    void plant_cut(time_point from, time_point until);
+    void plant_isolation(time_point from, time_point until);
+    void plant_data_centre_cut(time_point from, time_point until);
+    void plant_silence(time_point from, time_point until);
+    void plant_broken_links(time_point from, time_point until);
+    void plant_slow_server(time_point from, time_point until);
+    void plant_hanging_server(time_point from, time_point until);
+    void plant_failing_server(time_point from, time_point until);
+    void plant_shedding_server(time_point from, time_point until);
+    void plant_server_down(time_point from, time_point until);
+    void plant_lost_answers(time_point from, time_point until);
+    void plant_false_report(time_point from, time_point until);
+    void plant_server_drain(time_point from, time_point until);
+    void plant_leaving_vm(time_point from, time_point until);
+    void plant_plan_change(time_point from, time_point until);
+
+    /// Does something at `from` and undoes it at `until`.
+    void at(time_point from, std::function<void()> begin, time_point until, std::function<void()> end);
+
+    [[nodiscard]] target_id any_target();
+    [[nodiscard]] duration between(duration least, duration most);
+    [[nodiscard]] bool chance(double probability) { return m_random.unit() < probability; }
+
+    random_source m_random;
+    std::uint64_t m_seed;
+    std::unique_ptr<fleet> m_fleet;
+    schedule_result m_result;
+};
+
+} // namespace cornelpier::testing
--- /dev/null
+++ b/tests/schedules/schedules_test.cpp
@@ -0,0 +1,229 @@
+#define CATCH_CONFIG_RUNNER
+#include "tests/schedules/checker.hpp"
+#include "tests/schedules/random_schedule.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdint>
+#include <future>
+#include <iostream>
+#include <string>
+#include <vector>
+
+using namespace cornelpier;
+using namespace cornelpier::testing;
+
+namespace {
+
+std::uint64_t first_seed = 1;
+std::uint64_t seed_count = 2100;
+bool print_transcript = false;
+
+constexpr std::size_t workers = 4;
+constexpr std::size_t most_reports = 20;
+
+bool mentions(const std::vector<std::string>& violations, const std::string& text) {
+    return std::ranges::any_of(violations,
+                               [&](const std::string& it) { return it.find(text) != std::string::npos; });
+}
+
+/// Runs schedules with a planted fault until the checker reports it.
+bool detects(const tamper_function& tamper, const std::string& violation) {
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        if (mentions(random_schedule{seed, tamper}.run().violations, violation)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<schedule_result> run_all() {
+    std::vector<schedule_result> results(seed_count);
+    std::atomic<std::size_t> next = 0;
+    std::vector<std::future<void>> running;
+    for (std::size_t n = 0; n < workers; ++n) {
+        running.push_back(std::async(std::launch::async, [&] {
+            for (auto it = next++; it < results.size(); it = next++) {
+                results[it] = random_schedule{first_seed + it}.run();
+            }
+        }));
+    }
+    for (auto& it : running) {
+        it.get();
+    }
+    return results;
+}
+
+void report(std::uint64_t seed, const schedule_result& it) {
+    std::cout << "seed " << seed << " failed\n";
+    for (const auto& failure : it.failures) {
+        std::cout << "  planted: " << failure << "\n";
+    }
+    for (const auto& violation : it.violations) {
+        std::cout << "  " << violation << "\n";
+    }
+}
+
+} // namespace
+
+// Guards against any combination of failures that breaks what must always hold.
+TEST_CASE("random failures never break a promise to a caller") {
+    if (print_transcript) {
+        random_schedule{first_seed, {}, [](const std::string& line) { std::cout << line << "\n"; }}.run();
+    }
+    schedule_result sum;
+    std::size_t failed = 0;
+    const auto results = run_all();
+    for (std::size_t n = 0; n < results.size(); ++n) {
+        const auto& it = results[n];
+        sum.calls += it.calls;
+        sum.ran += it.ran;
+        sum.not_run += it.not_run;
+        sum.unknown += it.unknown;
+        if (!it.violations.empty() && ++failed <= most_reports) {
+            report(first_seed + n, it);
+        }
+    }
+    std::cout << "schedules: seeds " << first_seed << " to " << first_seed + seed_count - 1 << ", " << failed
+              << " failed; calls " << sum.calls << ", ran " << sum.ran << ", not run " << sum.not_run
+              << ", unknown " << sum.unknown << "\n";
+    CHECK(failed == 0);
+    // Guards against schedules in which nothing happens.
+    CHECK(sum.ran > sum.calls / 2);
+    CHECK(sum.unknown > 0);
+    CHECK(sum.not_run > 0);
+}
+
+// Guards against results that depend on addresses, hash order or earlier runs.
+TEST_CASE("a schedule gives the same transcript at every run") {
+    std::vector<std::string> lines;
+    const auto record = [&](const std::string& line) { lines.push_back(line); };
+    random_schedule{2, {}, record}.run();
+    const auto first = std::exchange(lines, {});
+    random_schedule{2, {}, record}.run();
+    CHECK(first == lines);
+}
+
+// The following cases guard against a checker that cannot fail: each plants one fault.
+
+TEST_CASE("the checker detects an owner that runs duplicates") {
+    CHECK(detects(
+        [](node_index, traffic_actions& actions) {
+            for (std::size_t n = actions.size(); n-- > 0;) {
+                if (const auto* run = std::get_if<start_run>(&actions[n])) {
+                    auto copy = *run;
+                    copy.run = run_id{run->run.value() + 1'000'000};
+                    actions.emplace_back(copy);
+                }
+            }
+        },
+        "order executed 2 times"));
+}
+
+TEST_CASE("the checker detects a not-run that is not proved") {
+    CHECK(detects(
+        [](node_index, traffic_actions& actions) {
+            for (auto& it : actions) {
+                if (auto* answer = std::get_if<answer_caller>(&it);
+                    answer != nullptr && answer->outcome == verdict::unknown) {
+                    answer->outcome = verdict::not_run;
+                }
+            }
+        },
+        "answered not-run but executed"));
+}
+
+TEST_CASE("the checker detects another caller's answer") {
+    auto last = std::make_shared<shared_body>(make_body());
+    CHECK(detects(
+        [last](node_index, traffic_actions& actions) {
+            for (auto& it : actions) {
+                if (auto* answer = std::get_if<answer_caller>(&it)) {
+                    std::swap(*last, answer->response.body);
+                }
+            }
+        },
+        "received the answer"));
+}
+
+TEST_CASE("the checker detects a truncated answer") {
+    CHECK(detects(
+        [](node_index, traffic_actions& actions) {
+            for (auto& it : actions) {
+                if (auto* answer = std::get_if<answer_caller>(&it)) {
+                    const auto& body = *answer->response.body;
+                    answer->response.body = make_body(body.substr(0, body.size() / 2));
+                }
+            }
+        },
+        "received the answer"));
+}
+
+TEST_CASE("the checker detects an answer that is missing, late or repeated") {
+    const auto drop = [](node_index, traffic_actions& actions) {
+        std::erase_if(actions, [](const auto& it) { return std::holds_alternative<answer_caller>(it); });
+    };
+    CHECK(detects(drop, "never answered"));
+
+    const auto repeat = [](node_index, traffic_actions& actions) {
+        for (std::size_t n = actions.size(); n-- > 0;) {
+            if (std::holds_alternative<answer_caller>(actions[n])) {
+                actions.push_back(actions[n]);
+            }
+        }
+    };
+    CHECK(detects(repeat, "answered 2 times"));
+
+    history late;
+    late.calls.push_back({{.name = "c1", .body = "c1"}, true, false, {}, from_seconds(1), {}, false});
+    late.calls.front().answers.push_back(
+        {time_point{from_seconds(1.2)}, 504, verdict::unknown, {}, {}, {}, false});
+    CHECK(mentions(check(late, time_point{from_seconds(5)}), "answered late"));
+}
+
+TEST_CASE("the checker detects measuring above the budget") {
+    CHECK(detects(
+        [](node_index, traffic_actions& actions) {
+            for (std::size_t n = actions.size(); n-- > 0;) {
+                if (std::holds_alternative<read_server_report>(actions[n])) {
+                    actions.insert(actions.end(), 30, read_server_report{});
+                }
+            }
+        },
+        "measurements above the budget"));
+}
+
+TEST_CASE("the checker detects a stop that cuts runs") {
+    CHECK(detects(
+        [](node_index, traffic_actions& actions) {
+            if (std::ranges::any_of(actions,
+                                    [](const auto& it) { return std::holds_alternative<start_run>(it); })) {
+                actions.emplace_back(drained{});
+            }
+        },
+        "stopped with work in flight"));
+}
+
+TEST_CASE("the checker detects new work at a draining target") {
+    history records;
+    const target_id target{"t-1"};
+    records.drains.push_back({target, drain_cause::vm_leaving, time_point{from_seconds(1)}, std::nullopt});
+    records.calls.push_back({{.name = "c1", .body = "c1"}, true, false, {}, from_seconds(1), {}, true});
+    records.executions.push_back({time_point{from_seconds(3.9)}, target, "c1"});
+    CHECK(check(records, time_point{from_seconds(9)}).empty());
+
+    records.executions.push_back({time_point{from_seconds(4.1)}, target, "c1"});
+    CHECK(mentions(check(records, time_point{from_seconds(9)}), "new work while draining"));
+}
+
+int main(int argc, char** argv) {
+    Catch::Session session;
+    using Catch::clara::Opt;
+    session.cli(session.cli() | Opt(first_seed, "seed")["--seed"]("first seed") |
+                Opt(seed_count, "count")["--count"]("number of schedules") |
+                Opt(print_transcript)["--transcript"]("print the transcript of the first seed"));
+    const int status = session.applyCommandLine(argc, argv);
+    return status != 0 ? status : session.run();
+}
--- /dev/null
+++ b/tests/support/fake_network.cpp
@@ -0,0 +1,211 @@
+#include "tests/support/fake_network.hpp"
+
+#include <algorithm>
+
+namespace cornelpier::testing {
+
+namespace {
+
+constexpr duration connect_timeout{std::chrono::seconds{1}};
+constexpr duration accept_poll{std::chrono::milliseconds{10}};
+constexpr duration longest_duplicate_delay{std::chrono::milliseconds{50}};
+
+} // namespace
+
+fake_network::fake_network(event_queue& queue, network_settings settings, random_source random,
+                           network_hooks hooks)
+    : m_queue(queue), m_settings(settings), m_random(random), m_hooks(std::move(hooks)) {}
+
+void fake_network::add_node(const std::string& address, const data_centre_id& data_centre) {
+    m_addresses[address] = m_nodes.size();
+    m_nodes.push_back({data_centre});
+}
+
+duration fake_network::delay(node_index a, node_index b) const {
+    return m_nodes[a].data_centre == m_nodes[b].data_centre ? m_settings.within : m_settings.between;
+}
+
+void fake_network::open(node_index from, link_id link, const std::string& address) {
+    const auto peer = m_addresses.find(address);
+    auto it = std::make_shared<connection>();
+    it->nodes = {from, peer == m_addresses.end() ? from : peer->second};
+    it->links = {link, link_id{m_accepted++ | accepted_link_bit}};
+    m_links[{from, link}] = it;
+
+    if (peer == m_addresses.end() || unreachable(from, it->nodes[1])) {
+        m_queue.call_after(connect_timeout, [this, it] { arrive(it, 0, link_closed{it->links[0]}); });
+        return;
+    }
+    // One round trip for TCP and one for the WebSocket handshake.
+    m_queue.call_after(4 * delay(from, it->nodes[1]), [this, it] { establish(it); });
+}
+
+void fake_network::establish(const shared_connection& it) {
+    const auto [from, peer] = it->nodes;
+    if (!m_links.contains({from, it->links[0]})) {
+        return;
+    }
+    if (!m_nodes[peer].alive) {
+        arrive(it, 0, link_closed{it->links[0]});
+        return;
+    }
+    if (unreachable(from, peer) || !m_hooks.responsive(peer)) {
+        m_queue.call_after(accept_poll, [this, it] { establish(it); });
+        return;
+    }
+    m_links[{peer, it->links[1]}] = it;
+    arrive(it, 0, link_opened{it->links[0]});
+}
+
+void fake_network::close(node_index from, link_id link) {
+    const auto found = m_links.find({from, link});
+    if (found == m_links.end()) {
+        return;
+    }
+    const auto it = found->second;
+    m_links.erase(found);
+    const std::size_t side = it->links[0] == link && it->nodes[0] == from ? 1 : 0;
+    transmit(it, side, link_closed{it->links.at(side)});
+}
+
+void fake_network::send(node_index from, link_id link, const traffic_message& message) {
+    const auto found = m_links.find({from, link});
+    if (found == m_links.end()) {
+        return;
+    }
+    const auto it = found->second;
+    const std::size_t side = it->links[0] == link && it->nodes[0] == from ? 1 : 0;
+    const message_received event{it->links.at(side), message};
+    transmit(it, side, event);
+
+    if (m_duplicating.contains(ordered(it->nodes[0], it->nodes[1]))) {
+        const auto late = duration{static_cast<std::int64_t>(
+            m_random.below(static_cast<std::uint64_t>(longest_duplicate_delay.count())))};
+        m_queue.call_after(delay(it->nodes[0], it->nodes[1]) + late,
+                           [this, it, side, event] { arrive(it, side, event); });
+    }
+}
+
+void fake_network::transmit(const shared_connection& it, std::size_t side, const traffic_event& event) {
+    if (blocked(*it)) {
+        it->held.emplace_back(side, event);
+        return;
+    }
+    auto& last = it->last_arrival.at(side);
+    last = std::max(last, m_queue.now() + delay(it->nodes[0], it->nodes[1]));
+    m_queue.call_at(last, [this, it, side, event] { arrive(it, side, event); });
+}
+
+void fake_network::arrive(const shared_connection& it, std::size_t side, const traffic_event& event) {
+    const auto found = m_links.find({it->nodes.at(side), it->links.at(side)});
+    if (found == m_links.end() || found->second != it) {
+        return;
+    }
+    if (std::holds_alternative<link_closed>(event)) {
+        m_links.erase(found);
+    }
+    m_hooks.deliver(it->nodes.at(side), event);
+}
+
+void fake_network::release(const shared_connection& it) {
+    if (blocked(*it)) {
+        return;
+    }
+    for (const auto& [side, event] : std::exchange(it->held, {})) {
+        transmit(it, side, event);
+    }
+}
+
+void fake_network::send_datagram(node_index from, const std::string& address,
+                                 const control_message& message) {
+    const auto peer = m_addresses.find(address);
+    if (peer == m_addresses.end() || unreachable(from, peer->second)) {
+        return;
+    }
+    m_queue.call_after(delay(from, peer->second),
+                       [this, to = peer->second, message] { m_hooks.deliver_control(to, message); });
+}
+
+void fake_network::end_process(node_index node, bool notice) {
+    m_nodes[node].alive = false;
+    m_nodes[node].vanished = !notice;
+    std::vector<std::pair<node_index, link_id>> own;
+    for (const auto& [key, it] : m_links) {
+        if (key.first == node) {
+            own.push_back(key);
+            it->silent = it->silent || !notice;
+        }
+    }
+    for (const auto& [owner, link] : own) {
+        close(owner, link);
+    }
+}
+
+void fake_network::start_process(node_index node) {
+    // A peer of a process that vanished learns it when its next segment is answered with a reset.
+    for (node_index peer = 0; m_nodes[node].vanished && peer < m_nodes.size(); ++peer) {
+        for (const auto& it : between(node, peer)) {
+            const std::size_t side = it->nodes[0] == node ? 1 : 0;
+            m_queue.call_after(2 * delay(node, peer),
+                               [this, it, side] { arrive(it, side, link_closed{it->links.at(side)}); });
+        }
+    }
+    m_nodes[node].alive = true;
+    m_nodes[node].vanished = false;
+}
+
+void fake_network::cut(node_index a, node_index b) {
+    m_cuts.insert(ordered(a, b));
+}
+
+void fake_network::heal(node_index a, node_index b) {
+    m_cuts.erase(ordered(a, b));
+    for (const auto& it : between(a, b)) {
+        release(it);
+    }
+}
+
+void fake_network::set_silent(node_index a, node_index b, bool value) {
+    for (const auto& it : between(a, b)) {
+        it->silent = value;
+        release(it);
+    }
+}
+
+void fake_network::break_links(node_index a, node_index b) {
+    for (const auto& it : between(a, b)) {
+        for (const std::size_t side : {0U, 1U}) {
+            const link_closed event{it->links.at(side)};
+            m_queue.call_after(delay(a, b), [this, it, side, event] { arrive(it, side, event); });
+        }
+    }
+}
+
+void fake_network::set_duplicating(node_index a, node_index b, bool value) {
+    if (value) {
+        m_duplicating.insert(ordered(a, b));
+    } else {
+        m_duplicating.erase(ordered(a, b));
+    }
+}
+
+bool fake_network::blocked(const connection& it) const {
+    return it.silent || m_cuts.contains(ordered(it.nodes[0], it.nodes[1]));
+}
+
+bool fake_network::unreachable(node_index a, node_index b) const {
+    return m_cuts.contains(ordered(a, b)) || m_nodes[b].vanished;
+}
+
+std::vector<fake_network::shared_connection> fake_network::between(node_index a, node_index b) const {
+    std::vector<shared_connection> result;
+    for (const auto& [key, it] : m_links) {
+        const bool found = ordered(it->nodes[0], it->nodes[1]) == ordered(a, b);
+        if (found && std::ranges::find(result, it) == result.end()) {
+            result.push_back(it);
+        }
+    }
+    return result;
+}
+
+} // namespace cornelpier::testing
--- /dev/null
+++ b/tests/support/fleet.cpp
@@ -0,0 +1,358 @@
+#include "tests/support/fleet.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace cornelpier::testing {
+
+std::string format_time(time_point time) {
+    std::array<char, 32> buf{};
+    const auto n = std::snprintf(buf.data(), buf.size(), "%11.6f", to_seconds(time.time_since_epoch()));
+    return {buf.data(), static_cast<std::size_t>(n)};
+}
+
+fleet::fleet(fleet_settings settings)
+    : m_settings(std::move(settings)), m_random(m_settings.seed), m_platform(m_queue),
+      m_plan(m_settings.initial_plan) {
+    network_hooks hooks;
+    hooks.deliver = [this](node_index node, const traffic_event& event) { m_hosts[node]->deliver(event); };
+    hooks.deliver_control = [this](node_index node, const control_message& message) {
+        m_hosts[node]->deliver(control_event{control_received{message}});
+    };
+    hooks.responsive = [this](node_index node) { return m_hosts[node]->alive() && !m_hosts[node]->paused(); };
+    m_network =
+        std::make_unique<fake_network>(m_queue, m_settings.network, m_random.split(), std::move(hooks));
+
+    m_platform.publish(m_plan->version, m_plan->sheet);
+    for (const auto& service : m_plan->services) {
+        for (const auto& target : service.targets) {
+            m_platform.set_vm(target.vm, vm_state::live);
+            m_vms[target.vm] = vm_state::live;
+            add_target(target, service.id);
+        }
+    }
+    for (node_index node = 0; node < m_hosts.size(); ++node) {
+        start(node);
+    }
+}
+
+void fleet::add_target(const target_plan& target, const service_id& service) {
+    const auto node = m_hosts.size();
+    m_targets.push_back(target.id);
+    m_indices[target.id] = node;
+    m_network->add_node(target.node_address, target.data_centre);
+
+    const auto own = m_settings.servers.find(target.id);
+    const auto& settings = own == m_settings.servers.end() ? m_settings.server : own->second;
+    m_servers.push_back(std::make_unique<fake_server>(
+        m_queue, settings, m_random.split(),
+        [this, node](const http_request& request) { executed(node, request); }));
+    m_hosts.push_back(
+        std::make_unique<node_host>(node, m_queue, *m_network, *m_servers.back(), make_hooks()));
+    m_open_calls.emplace_back();
+    m_history.measuring_budgets[target.id] = m_plan->find_service(service)->measuring;
+}
+
+host_hooks fleet::make_hooks() {
+    host_hooks hooks;
+    hooks.answered = [this](node_index node, const answer_caller& action) { answered(node, action); };
+    hooks.recorded = [this](node_index node, const event_record& record) {
+        const auto& kind = describe(record.number);
+        if (!m_settings.transcript || kind.level < m_settings.transcript_level) {
+            return;
+        }
+        std::string line = m_targets[node].value() + " event " +
+                           std::to_string(static_cast<unsigned>(record.number)) + " " +
+                           std::string{kind.name};
+        for (const auto& [name, value] : record.fields) {
+            line += " " + name + "=" + value;
+        }
+        write(line);
+    };
+    hooks.observed = [this](node_index, const observe& action) { m_counts[action.kind] += action.value; };
+    hooks.measured = [this](node_index node) {
+        m_history.measurements[m_targets[node]].push_back(m_queue.now());
+    };
+    hooks.drained = [this](node_index node) { drained_by(node); };
+    hooks.plan_wanted = [this](node_index node, const read_plan& action) {
+        m_platform.read_plan(action.newer_than,
+                             [this, node](const control_event& event) { m_hosts[node]->deliver(event); });
+    };
+    hooks.vm_list_wanted = [this](node_index node) {
+        m_platform.read_vm_list([this, node](const control_event& event) { m_hosts[node]->deliver(event); });
+    };
+    hooks.tamper = m_settings.tamper;
+    return hooks;
+}
+
+fake_server& fleet::server(const target_id& target) {
+    return *m_servers[index(target)];
+}
+
+node_host& fleet::host(const target_id& target) {
+    return *m_hosts[index(target)];
+}
+
+node_index fleet::index(const target_id& target) const {
+    return m_indices.at(target);
+}
+
+double fleet::counted(metric kind) const {
+    const auto it = m_counts.find(kind);
+    return it == m_counts.end() ? 0 : it->second;
+}
+
+node_identity fleet::make_identity(const target_id& target) {
+    // The settings of a node do not change when a later plan leaves its target out.
+    const auto& settings = *m_settings.initial_plan;
+    const auto* service = settings.service_of(target);
+    const auto* own = settings.find_target(target);
+    node_identity result{target, incarnation{m_random.next()}, own->vm, own->data_centre, service->id, {}};
+    for (const auto& it : service->targets) {
+        if (it.id != target && result.seeds.size() < 3) {
+            result.seeds.push_back({it.id, it.node_address});
+        }
+    }
+    return result;
+}
+
+void fleet::start(node_index node) {
+    constexpr duration first_view_delay{std::chrono::milliseconds{10}};
+    m_network->start_process(node);
+    m_hosts[node]->start(make_identity(m_targets[node]), m_random.next(), m_settings.with_control);
+    if (!m_settings.with_control) {
+        deliver_view(node, first_view_delay);
+    }
+}
+
+void fleet::deliver_view(node_index node, duration delay) {
+    m_queue.call_after(delay, [this, node] {
+        auto view = std::make_shared<fleet_view>();
+        view->current_plan = m_plan;
+        for (const auto& target : m_targets) {
+            if (const auto* planned = m_plan->find_target(target)) {
+                view->vm_states[target] = m_vms[planned->vm];
+            }
+        }
+        m_hosts[node]->deliver(traffic_event{fleet_changed{view}});
+    });
+}
+
+std::size_t fleet::call(call_request request) {
+    const auto position = m_history.calls.size();
+    call_record record;
+    if (const auto* service = m_plan->find_service(request.service)) {
+        const auto* rule = service->match(request.method, request.path);
+        record.idempotent = rule != nullptr && rule->idempotent;
+        record.deadline = std::min(request.deadline.value_or(service->deadline), service->deadline);
+    }
+    record.sent = m_queue.now();
+    record.request = std::move(request);
+    if (!record.request.quiet) {
+        write("caller " + record.request.name + " sends " + record.request.method + " " +
+              record.request.service.value() + " " + record.request.path + " to " +
+              record.request.entry.value());
+    }
+    m_history.calls.push_back(std::move(record));
+    m_queue.call_after(m_settings.network.to_callers, [this, position] { deliver_call(position); });
+    return position;
+}
+
+std::size_t fleet::ask_fate(const std::string& name, const std::string& token, const target_id& entry) {
+    const auto position = m_history.calls.size();
+    call_record record;
+    record.request.name = name;
+    record.request.entry = entry;
+    record.request.body = token;
+    record.fate_question = true;
+    record.sent = m_queue.now();
+    record.deadline = m_plan->services.front().deadline;
+    write("caller " + name + " asks " + entry.value() + " for the fate of a request");
+    m_history.calls.push_back(std::move(record));
+    m_queue.call_after(m_settings.network.to_callers, [this, position] { deliver_call(position); });
+    return position;
+}
+
+void fleet::deliver_call(std::size_t call) {
+    auto& record = m_history.calls[call];
+    const auto& request = record.request;
+    const auto node = index(request.entry);
+    record.disturbed = !m_hosts[node]->alive() || m_hosts[node]->paused();
+    if (!m_hosts[node]->alive()) {
+        if (!request.quiet) {
+            write("caller " + request.name + " cannot connect");
+        }
+        return;
+    }
+
+    m_open_calls[node].insert(call);
+    const call_id id{call + 1};
+    if (record.fate_question) {
+        m_hosts[node]->deliver(traffic_event{call_fate_asked{id, request.body}});
+        return;
+    }
+    const http_request http{request.method, request.path, {}, make_body(request.body)};
+    m_hosts[node]->deliver(traffic_event{call_arrived{id, request.service, http, request.key,
+                                                      request.deadline, request.depth, request.outer_retry}});
+}
+
+void fleet::abandon(std::size_t call) {
+    auto& record = m_history.calls[call];
+    record.disturbed = true;
+    const auto node = index(record.request.entry);
+    write("caller " + record.request.name + " disconnects");
+    if (m_open_calls[node].erase(call) > 0) {
+        m_hosts[node]->deliver(traffic_event{call_abandoned{call_id{call + 1}}});
+    }
+}
+
+void fleet::answered(node_index node, const answer_caller& action) {
+    const auto call = static_cast<std::size_t>(action.call.value() - 1);
+    m_open_calls[node].erase(call);
+    call_answer answer{{},           action.response.status, action.outcome, *action.response.body,
+                       action.token, action.retry_after,     action.close};
+    m_queue.call_after(m_settings.network.to_callers, [this, call, answer] { received(call, answer); });
+}
+
+void fleet::received(std::size_t call, const call_answer& answer) {
+    auto& record = m_history.calls[call];
+    record.answers.push_back(answer);
+    record.answers.back().at = m_queue.now();
+    if (record.request.quiet) {
+        return;
+    }
+    auto line = "caller " + record.request.name + " receives " + std::to_string(answer.status) + " " +
+                std::string{to_string(answer.outcome)};
+    if (answer.retry_after > duration{}) {
+        line += " retry-after=" + std::to_string(answer.retry_after.count() / 1000) + "ms";
+    }
+    line += answer.close ? " close" : "";
+    write(line + (answer.body.empty() ? "" : " " + answer.body));
+}
+
+void fleet::executed(node_index node, const http_request& request) {
+    m_history.executions.push_back({m_queue.now(), m_targets[node], *request.body});
+    if (m_settings.transcript && !request.body->starts_with("quiet-")) {
+        write("server of " + m_targets[node].value() + " executes " + request.method + " " + request.path +
+              " " + *request.body);
+    }
+}
+
+void fleet::drained_by(node_index node) {
+    const auto& name = m_targets[node];
+    write("node " + name.value() + " has drained and ends");
+    if (m_servers[node]->load() > 0) {
+        m_history.cut_runs.push_back(name.value() + ": runs at the server");
+    }
+    for (const auto call : m_open_calls[node]) {
+        m_history.cut_runs.push_back(name.value() + ": call " + m_history.calls[call].request.name);
+    }
+    m_queue.call_after(duration{}, [this, node] {
+        disturb(node);
+        m_hosts[node]->kill(true);
+    });
+}
+
+/// Nothing is demanded of calls whose entry ended or was paused.
+void fleet::disturb(node_index node) {
+    for (const auto call : m_open_calls[node]) {
+        m_history.calls[call].disturbed = true;
+    }
+}
+
+void fleet::kill(const target_id& target, bool notice) {
+    const auto node = index(target);
+    if (!m_hosts[node]->alive()) {
+        return;
+    }
+    write("node " + target.value() + (notice ? " is killed" : " vanishes"));
+    disturb(node);
+    m_open_calls[node].clear();
+    m_hosts[node]->kill(notice);
+    for (const auto cause : {drain_cause::terminate, drain_cause::server_draining, drain_cause::vm_leaving}) {
+        set_drain_cause(target, cause, false);
+    }
+}
+
+void fleet::restart(const target_id& target) {
+    kill(target);
+    write("node " + target.value() + " starts");
+    start(index(target));
+    set_drain_cause(target, drain_cause::server_draining, server(target).draining());
+    set_drain_cause(target, drain_cause::vm_leaving,
+                    m_vms[m_settings.initial_plan->find_target(target)->vm] == vm_state::leaving);
+}
+
+void fleet::pause(const target_id& target) {
+    write("node " + target.value() + " is paused");
+    disturb(index(target));
+    host(target).pause();
+}
+
+void fleet::resume(const target_id& target, pause_kind kind) {
+    write("node " + target.value() + " resumes");
+    // A paused process cannot learn of a reason to drain.
+    for (auto& it : m_history.drains) {
+        if (it.target == target && !it.until && host(target).paused()) {
+            it.from = m_queue.now();
+        }
+    }
+    host(target).resume(kind);
+}
+
+void fleet::terminate(const target_id& target) {
+    write("node " + target.value() + " is asked to stop");
+    set_drain_cause(target, drain_cause::terminate, true);
+    host(target).deliver(traffic_event{terminate_requested{}});
+}
+
+void fleet::set_server_draining(const target_id& target, bool value) {
+    write("server of " + target.value() + (value ? " drains" : " stops draining"));
+    server(target).set_draining(value);
+    set_drain_cause(target, drain_cause::server_draining, value);
+}
+
+void fleet::set_vm_state(const vm_id& vm, vm_state state) {
+    write("VM " + vm.value() + (state == vm_state::leaving ? " is leaving" : " is live"));
+    m_platform.set_vm(vm, state);
+    m_vms[vm] = state;
+    for (const auto& target : m_targets) {
+        if (const auto* planned = m_plan->find_target(target); planned != nullptr && planned->vm == vm) {
+            set_drain_cause(target, drain_cause::vm_leaving, state == vm_state::leaving);
+        }
+    }
+    for (node_index node = 0; !m_settings.with_control && node < m_hosts.size(); ++node) {
+        deliver_view(node, m_settings.view_delay);
+    }
+}
+
+void fleet::publish(std::shared_ptr<const plan> value) {
+    write("plan " + std::to_string(value->version) + " is published");
+    m_plan = std::move(value);
+    m_platform.publish(m_plan->version, m_plan->sheet);
+    for (node_index node = 0; !m_settings.with_control && node < m_hosts.size(); ++node) {
+        deliver_view(node, m_settings.view_delay * static_cast<std::int64_t>(node + 1));
+    }
+}
+
+void fleet::set_drain_cause(const target_id& target, drain_cause cause, bool value) {
+    const auto it = std::ranges::find_if(m_history.drains, [&](const drain_period& period) {
+        return period.target == target && period.cause == cause && !period.until;
+    });
+    const bool held = it != m_history.drains.end();
+    if (value && !held) {
+        m_history.drains.push_back({target, cause, m_queue.now(), std::nullopt});
+    }
+    if (!value && held) {
+        it->until = m_queue.now();
+    }
+}
+
+void fleet::write(const std::string& text) {
+    if (m_settings.transcript) {
+        m_settings.transcript(format_time(m_queue.now()) + " " + text);
+    }
+}
+
+} // namespace cornelpier::testing
--- /dev/null
+++ b/tests/support/fleet.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "cornelpier/plan/plan.hpp"
+
+#include "tests/support/fake_network.hpp"
+#include "tests/support/fake_platform.hpp"
+#include "tests/support/fake_server.hpp"
+#include "tests/support/history.hpp"
+#include "tests/support/node_host.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cornelpier::testing {
+
+/// What a fleet starts with.
+struct fleet_settings {
+    std::uint64_t seed = 1;
+    std::shared_ptr<const plan> initial_plan;
+    server_settings server; ///< Of targets that are not listed in `servers`.
+    std::map<target_id, server_settings> servers;
+    network_settings network;
+    bool with_control = false; ///< Otherwise views are handed to the nodes by the fleet.
+    duration view_delay{std::chrono::milliseconds{200}};
+    std::function<void(node_index, traffic_actions&)> tamper; ///< Plants faults to test the checker.
+    std::function<void(const std::string&)> transcript;       ///< Receives each line; may be empty.
+    severity transcript_level = severity::info;
+};
+
+/// All targets of a plan with their nodes, servers, callers and platform in virtual time.
+class fleet {
+  public:
+    explicit fleet(fleet_settings settings);
+
+    [[nodiscard]] event_queue& queue() { return m_queue; }
+    [[nodiscard]] fake_network& network() { return *m_network; }
+    [[nodiscard]] fake_platform& platform() { return m_platform; }
+    [[nodiscard]] fake_server& server(const target_id& target);
+    [[nodiscard]] node_host& host(const target_id& target);
+    [[nodiscard]] node_index index(const target_id& target) const;
+    [[nodiscard]] const std::vector<target_id>& targets() const { return m_targets; }
+    [[nodiscard]] const std::shared_ptr<const plan>& current_plan() const { return m_plan; }
+    [[nodiscard]] const history& records() const { return m_history; }
+    [[nodiscard]] double counted(metric kind) const;
+
+    /// Sends a call to its entry.
+    /// @return its position in `records().calls`.
+    std::size_t call(call_request request);
+
+    /// Asks an entry for the fate of an earlier call by the token of its answer.
+    std::size_t ask_fate(const std::string& name, const std::string& token, const target_id& entry);
+
+    /// The caller of an unanswered call closes its connection.
+    void abandon(std::size_t call);
+
+    void kill(const target_id& target, bool notice = true);
+    void restart(const target_id& target);
+    void pause(const target_id& target);
+    void resume(const target_id& target, pause_kind kind = {});
+    void terminate(const target_id& target);
+    void set_server_draining(const target_id& target, bool value);
+    void set_vm_state(const vm_id& vm, vm_state state);
+
+    /// Puts a plan in force: at the configuration service, or at the nodes if there is no control side.
+    void publish(std::shared_ptr<const plan> value);
+
+    /// Writes a line with the current time.
+    void write(const std::string& text);
+
+  private:
+    host_hooks make_hooks();
+    void add_target(const target_plan& target, const service_id& service);
+    node_identity make_identity(const target_id& target);
+    void start(node_index node);
+    void deliver_view(node_index node, duration delay);
+    void deliver_call(std::size_t call);
+    void answered(node_index node, const answer_caller& action);
+    void received(std::size_t call, const call_answer& answer);
+    void executed(node_index node, const http_request& request);
+    void drained_by(node_index node);
+    void disturb(node_index node);
+    void set_drain_cause(const target_id& target, drain_cause cause, bool value);
+
+    fleet_settings m_settings;
+    random_source m_random;
+    event_queue m_queue;
+    fake_platform m_platform;
+    std::unique_ptr<fake_network> m_network;
+    std::shared_ptr<const plan> m_plan;
+    std::map<vm_id, vm_state> m_vms;
+    std::vector<target_id> m_targets;
+    std::map<target_id, node_index> m_indices;
+    std::vector<std::unique_ptr<fake_server>> m_servers;
+    std::vector<std::unique_ptr<node_host>> m_hosts;
+    std::vector<std::set<std::size_t>> m_open_calls; ///< Per node: arrived and not answered.
+    std::map<metric, double> m_counts;
+    history m_history;
+};
+
+/// @return the time in seconds with microseconds.
+std::string format_time(time_point time);
+
+} // namespace cornelpier::testing
--- /dev/null
+++ b/tests/support/node_host.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "cornelpier/node/control_core.hpp"
+#include "cornelpier/node/traffic_core.hpp"
+
+#include "tests/support/fake_network.hpp"
+#include "tests/support/fake_server.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace cornelpier::testing {
+
+/// What a node needs from the fleet around it.
+struct host_hooks {
+    std::function<void(node_index, const answer_caller&)> answered;
+    std::function<void(node_index, const event_record&)> recorded;
+    std::function<void(node_index, const observe&)> observed;
+    std::function<void(node_index)> measured; ///< The server's report was read or a probe was answered.
+    std::function<void(node_index)> drained;
+    std::function<void(node_index, const read_plan&)> plan_wanted;
+    std::function<void(node_index)> vm_list_wanted;
+    std::function<void(node_index, traffic_actions&)> tamper; ///< Plants faults; may be empty.
+};
+
+/// How a paused process wakes up.
+struct pause_kind {
+    bool frozen_clock = false; ///< The monotonic clock stood still too, as with a suspended VM.
+    bool late_notice = false;  ///< Waiting events are handled before the gap is noticed.
+};
+
+/// One node process: drives the cores by their events and carries out their actions, as the daemon does.
+class node_host {
+  public:
+    node_host(node_index index, event_queue& queue, fake_network& network, fake_server& server,
+              host_hooks hooks);
+
+    /// Starts a process.
+    /// @param with_control also runs `control_core`; otherwise views come from `deliver`.
+    void start(node_identity identity, std::uint64_t seed, bool with_control);
+
+    /// Ends the process at once.
+    /// @param notice whether peers learn of it.
+    void kill(bool notice);
+
+    void pause();
+    void resume(pause_kind kind);
+
+    /// Hands an event to the process; it waits while the process is paused.
+    void deliver(const traffic_event& event);
+    void deliver(const control_event& event);
+
+    [[nodiscard]] bool alive() const { return m_traffic != nullptr; }
+    [[nodiscard]] bool paused() const { return m_paused_at.has_value(); }
+    [[nodiscard]] const traffic_core& traffic() const { return *m_traffic; }
+    [[nodiscard]] const control_core* control() const { return m_control.get(); }
+
+    /// @return the time on the node's own clock.
+    [[nodiscard]] time_point local_now() const { return m_queue.now() + m_clock_offset; }
+
+  private:
+    using any_event = std::variant<traffic_event, control_event>;
+
+    void handle(const traffic_event& event);
+    void handle(const control_event& event);
+    void advance();
+    void perform(traffic_actions& actions);
+    void perform(const control_actions& actions);
+    void forward_state();
+    void schedule_wake();
+    void after(duration delay, const traffic_event& event);
+    void end_run(run_id run, const fake_server::outcome& outcome);
+
+    void on(const open_link& action) { m_network.open(m_index, action.link, action.address); }
+    void on(const close_link& action) { m_network.close(m_index, action.link); }
+    void on(const send_message& action);
+    void on(const answer_caller& action) { m_hooks.answered(m_index, action); }
+    void on(const start_run& action);
+    void on(const cancel_run& action);
+    void on(const read_server_report& action);
+    void on(const record_event& action) { m_hooks.recorded(m_index, action.record); }
+    void on(const observe& action) { m_hooks.observed(m_index, action); }
+    void on(const drained& /*action*/) { m_hooks.drained(m_index); }
+    void on(const send_control& action) { m_network.send_datagram(m_index, action.address, action.message); }
+    void on(const read_plan& action) { m_hooks.plan_wanted(m_index, action); }
+    void on(const read_vm_list& /*action*/) { m_hooks.vm_list_wanted(m_index); }
+    void on(const publish_view& action) { deliver(traffic_event{fleet_changed{action.view}}); }
+
+    node_index m_index;
+    event_queue& m_queue;
+    fake_network& m_network;
+    fake_server& m_server;
+    host_hooks m_hooks;
+    std::unique_ptr<traffic_core> m_traffic;
+    std::unique_ptr<control_core> m_control;
+    std::uint64_t m_process = 0; ///< Counts processes; callbacks for an earlier one are dropped.
+    duration m_clock_offset{};
+    std::optional<time_point> m_paused_at;
+    std::vector<any_event> m_waiting;
+    std::optional<time_point> m_wake;
+    node_state m_state = node_state::starting;
+    std::set<run_id> m_runs;           ///< Handed to the server, neither ended nor cancelled.
+    std::optional<link_id> m_probe_on; ///< Link of the probe that is being handled.
+};
+
+} // namespace cornelpier::testing
