Add the node settings and the sheet checker

Cause: the node daemon needs its settings, and the plan is checked in the same manner.

Settings and plan sheets are checked against a committed JSON Schema with valijson; a mistake has a JSON pointer and a reason, and an unknown key names the nearest known one. Rules a schema cannot say (IP and port, paths, seeds listed twice) follow once the schema holds.

Excluded: the schema's `pattern`, because valijson checks it with std::regex, and valijson's own message for unknown keys, because it has no place for the nearest key.

--- a/src/cornelpier/base/result.hpp
+++ b/src/cornelpier/base/result.hpp
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace cornelpier {
 
@@ -15,10 +16,20 @@
 template <typename T>
 using result = std::variant<T, error>;
 
+/// Either a value or everything that is wrong with it, in the order of the document.
+template <typename T>
+using checked_result = std::variant<T, std::vector<error>>;
+
 /// @return true if the result holds a value.
 template <typename T>
 [[nodiscard]] bool has_value(const result<T>& outcome) {
     return std::holds_alternative<T>(outcome);
 }
 
+/// @copydoc has_value(const result<T>&)
+template <typename T>
+[[nodiscard]] bool has_value(const checked_result<T>& outcome) {
+    return std::holds_alternative<T>(outcome);
+}
+
 } // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/sheet/ip_address.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string_view>
+
+namespace cornelpier {
+
+/// @param text `a.b.c.d:port` or `[v6]:port`; the port is between 1 and 65535.
+/// @return true if the text is an IP address and a port. Host names are not accepted.
+bool is_ip_and_port(std::string_view text);
+
+} // namespace cornelpier
