--- a/src/daemon/report/fleet_report.cpp
+++ b/src/daemon/report/fleet_report.cpp
@@ -105,14 +105,16 @@
         }
         report.plan_conflict = report.plan_conflict || answer.plan_hash != hash;
         ++report.nodes_with_plan;
-        report.plan_confirmed_age = std::min(report.plan_confirmed_age, answer.plan_confirmed_age + it.answer_age);
+        report.plan_confirmed_age =
+            std::min(report.plan_confirmed_age, answer.plan_confirmed_age + it.answer_age);
     }
 }
 
 } // namespace
 
 bool needs_attention(const node_line& line) {
-    return line.source != fact_source::own || line.stale || line.state != "serving" || line.vm_state == "leaving";
+    return line.source != fact_source::own || line.stale || line.state != "serving" ||
+           line.vm_state == "leaving";
 }
 
 fleet_report make_fleet_report(const std::vector<node_inquiry>& inquiries, std::string taken_at) {
@@ -127,7 +129,8 @@
         add_to(report.data_centres[line.data_centre], line);
     }
     std::ranges::stable_sort(report.lines, [](const node_line& first, const node_line& second) {
-        return std::pair{!needs_attention(first), first.node} < std::pair{!needs_attention(second), second.node};
+        return std::pair{!needs_attention(first), first.node} <
+               std::pair{!needs_attention(second), second.node};
     });
     return report;
 }
--- a/src/daemon/report/report_text.cpp
+++ b/src/daemon/report/report_text.cpp
@@ -22,7 +22,8 @@
         << "  running " << totals.running << ", queued " << totals.queued << '\n'
         << "  last minute: ran " << totals.calls.ran << ", not run " << totals.calls.not_run << ", unknown "
         << totals.calls.unknown << '\n'
-        << "  worst entry: p50 " << format_age(totals.calls.p50) << ", p99 " << format_age(totals.calls.p99) << '\n';
+        << "  worst entry: p50 " << format_age(totals.calls.p50) << ", p99 " << format_age(totals.calls.p99)
+        << '\n';
 }
 
 void write_line(std::ostream& out, const node_line& line) {
@@ -56,7 +57,8 @@
     if (line.source == fact_source::none) {
         return "no answer, nothing heard";
     }
-    std::string text = line.source == fact_source::own ? "own word" : "no answer; heard from " + line.heard_from.value();
+    std::string text =
+        line.source == fact_source::own ? "own word" : "no answer; heard from " + line.heard_from.value();
     text += ", " + format_age(line.age) + " old";
     return line.stale ? text + ", STALE" : text;
 }
--- a/tests/daemon/fleet_report_test.cpp
+++ b/tests/daemon/fleet_report_test.cpp
@@ -12,7 +12,8 @@
 using namespace std::chrono_literals;
 
 node_inquiry answering(const std::string& name, const std::string& data_centre) {
-    node_inquiry inquiry{target_id{name}, service_id{"comenzi"}, data_centre_id{data_centre}, node_report{}, 200ms, ""};
+    node_inquiry inquiry{
+        target_id{name}, service_id{"comenzi"}, data_centre_id{data_centre}, node_report{}, 200ms, ""};
     inquiry.answer->node = inquiry.node;
     inquiry.answer->state = "serving";
     inquiry.answer->plan_version = 12;
@@ -24,7 +25,8 @@
 }
 
 node_inquiry silent(const std::string& name, const std::string& data_centre) {
-    return {target_id{name}, service_id{"comenzi"}, data_centre_id{data_centre}, std::nullopt, {}, "no answer within 1 s"};
+    return {target_id{name},       service_id{"comenzi"}, data_centre_id{data_centre}, std::nullopt, {},
+            "no answer within 1 s"};
 }
 
 /// Three data centres, the third cut off; one silent node is known by hearsay, one by nobody.
