--- a/src/daemon/report/fleet_report.hpp
+++ b/src/daemon/report/fleet_report.hpp
@@ -37,7 +37,7 @@
     std::string state = "unknown";
     std::string vm_state = "unknown";
     duration age{};
-    bool stale = false; ///< Too old to be shown as current.
+    bool stale = false;                 ///< Too old to be shown as current.
     std::optional<node_report> details; ///< Set for `own`.
 };
 
@@ -53,8 +53,8 @@
 
 /// State of a fleet as far as it is known at one moment.
 struct fleet_report {
-    std::string taken_at; ///< UTC, ISO 8601.
-    std::uint64_t plan_version = 0; ///< Highest version that a node reports.
+    std::string taken_at;            ///< UTC, ISO 8601.
+    std::uint64_t plan_version = 0;  ///< Highest version that a node reports.
     std::size_t nodes_with_plan = 0; ///< Nodes that report this version.
     bool plan_conflict = false;
     duration plan_confirmed_age{}; ///< Smallest age that a node reports.
--- a/src/daemon/report/node_report.cpp
+++ b/src/daemon/report/node_report.cpp
@@ -22,7 +22,8 @@
 
 member_view parse_member(const json& item) {
     return {target_id{item.at("target").get<std::string>()}, item.at("state").get<std::string>(),
-            item.at("vm_state").get<std::string>(), microseconds(item, "age_us"), microseconds(item, "vm_age_us")};
+            item.at("vm_state").get<std::string>(), microseconds(item, "age_us"),
+            microseconds(item, "vm_age_us")};
 }
 
 json to_item(const call_counts& calls) {
@@ -35,7 +36,8 @@
 
 call_counts parse_calls(const json& item) {
     return {item.at("ran").get<std::uint64_t>(), item.at("not_run").get<std::uint64_t>(),
-            item.at("unknown").get<std::uint64_t>(), microseconds(item, "p50_us"), microseconds(item, "p99_us")};
+            item.at("unknown").get<std::uint64_t>(), microseconds(item, "p50_us"),
+            microseconds(item, "p99_us")};
 }
 
 void parse_plan(const json& item, node_report& report) {
--- a/src/daemon/report/report_html.cpp
+++ b/src/daemon/report/report_html.cpp
@@ -23,10 +23,10 @@
 )";
 
 void write_headline(std::ostream& out, const fleet_report& report) {
-    out << "<h1>" << format_answered(report.all) << "</h1>\n<p class=\"old\">asked at " << escape_html(report.taken_at)
-        << "</p>\n";
-    out << "<p>Plan " << report.plan_version << " at " << report.nodes_with_plan << " of " << report.all.answered
-        << " that answered";
+    out << "<h1>" << format_answered(report.all) << "</h1>\n<p class=\"old\">asked at "
+        << escape_html(report.taken_at) << "</p>\n";
+    out << "<p>Plan " << report.plan_version << " at " << report.nodes_with_plan << " of "
+        << report.all.answered << " that answered";
     if (report.all.answered > 0) {
         out << "; confirmed " << format_age(report.plan_confirmed_age) << " ago";
     }
@@ -41,18 +41,21 @@
 }
 
 void write_services(std::ostream& out, const fleet_report& report) {
-    out << "<h2>Services, last minute</h2>\n<table><tr><th>service</th><th>ran</th><th>not run</th><th>unknown</th>"
+    out << "<h2>Services, last minute</h2>\n<table><tr><th>service</th><th>ran</th><th>not "
+           "run</th><th>unknown</th>"
            "<th>p99</th></tr>\n";
     for (const auto& [id, totals] : report.services) {
-        out << "<tr><td>" << escape_html(id.value()) << " <span class=\"old\">" << totals.answered << '/' << totals.nodes
-            << "</span></td><td>" << totals.calls.ran << "</td><td>" << totals.calls.not_run << "</td><td>"
-            << totals.calls.unknown << "</td><td>" << format_age(totals.calls.p99) << "</td></tr>\n";
+        out << "<tr><td>" << escape_html(id.value()) << " <span class=\"old\">" << totals.answered << '/'
+            << totals.nodes << "</span></td><td>" << totals.calls.ran << "</td><td>" << totals.calls.not_run
+            << "</td><td>" << totals.calls.unknown << "</td><td>" << format_age(totals.calls.p99)
+            << "</td></tr>\n";
     }
     out << "</table>\n<p class=\"old\">p99 of the worst entry that answered; n/m: nodes that answered.</p>\n";
 }
 
 void write_data_centres(std::ostream& out, const fleet_report& report) {
-    out << "<h2>Data centres</h2>\n<table><tr><th>data centre</th><th>answered</th><th>serving</th><th>running</th>"
+    out << "<h2>Data centres</h2>\n<table><tr><th>data "
+           "centre</th><th>answered</th><th>serving</th><th>running</th>"
            "<th>queued</th></tr>\n";
     for (const auto& [id, totals] : report.data_centres) {
         out << "<tr><td>" << escape_html(id.value()) << "</td><td>" << totals.answered << '/' << totals.nodes
@@ -73,10 +76,10 @@
     for (std::size_t n = 0; n < std::min(count, max_listed_nodes); ++n) {
         const auto& line = report.lines[n];
         const bool current = line.source == fact_source::own && !line.stale;
-        out << "<div class=\"bad\"><b>" << escape_html(line.node.value()) << "</b> (" << escape_html(line.data_centre.value())
-            << "): " << (current ? "" : "last known ") << escape_html(line.state)
-            << (line.vm_state == "leaving" ? ", VM leaving" : "") << "<br><span class=\"old\">"
-            << escape_html(format_source(line)) << "</span></div>\n";
+        out << "<div class=\"bad\"><b>" << escape_html(line.node.value()) << "</b> ("
+            << escape_html(line.data_centre.value()) << "): " << (current ? "" : "last known ")
+            << escape_html(line.state) << (line.vm_state == "leaving" ? ", VM leaving" : "")
+            << "<br><span class=\"old\">" << escape_html(format_source(line)) << "</span></div>\n";
     }
     if (count > max_listed_nodes) {
         out << "<p>and " << count - max_listed_nodes << " more; see the text form.</p>\n";
--- /dev/null
+++ b/tests/virtual_time.cmake
@@ -0,0 +1,14 @@
+# Virtual-time fleet of real cores with fake network, servers, callers and platform.
+file(GLOB support_sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/support/*.cpp)
+add_library(cornelpier_test_support STATIC ${support_sources} schedules/checker.cpp)
+target_include_directories(cornelpier_test_support PUBLIC ${PROJECT_SOURCE_DIR})
+target_link_libraries(cornelpier_test_support PUBLIC cornelpier PRIVATE cornelpier_options nlohmann_json::nlohmann_json)
+
+add_executable(cornelpier-scenario-tests scenario/scenarios_test.cpp scenario/scenario_parser.cpp scenario/scenario_runner.cpp)
+target_compile_definitions(cornelpier-scenario-tests PRIVATE CORNELPIER_SCENARIOS="${CMAKE_CURRENT_SOURCE_DIR}/scenarios")
+target_link_libraries(cornelpier-scenario-tests PRIVATE cornelpier_test_support cornelpier_options)
+add_test(NAME scenarios COMMAND cornelpier-scenario-tests)
+
+add_executable(cornelpier-schedule-tests schedules/schedules_test.cpp schedules/random_schedule.cpp)
+target_link_libraries(cornelpier-schedule-tests PRIVATE cornelpier_test_support cornelpier_options Threads::Threads)
+add_test(NAME schedules COMMAND cornelpier-schedule-tests)
