--- /dev/null
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -0,0 +1,180 @@
+#include "cornelpier/entry/answer_composer.hpp"
+
+#include "cornelpier/entry/request_token.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <string_view>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr duration default_retry_after = std::chrono::seconds{1};
+
+constexpr int status_ok = 200;
+constexpr int status_conflict = 409;
+constexpr int status_unprocessable = 422;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+
+http_response text_response(int status, std::string_view text) {
+    return {status, {{"content-type", "text/plain"}}, make_body(std::string{text} + '\n')};
+}
+
+std::string_view describe(const attempt_result& result) {
+    switch (result.reason) {
+    case refusal::none:
+        return result.end == attempt_end::not_sent ? "no target could be reached"
+                                                   : "the target gave no complete answer";
+    case refusal::draining:
+        return "the target is draining";
+    case refusal::deadline:
+        return "the deadline cannot be met";
+    case refusal::key_conflict:
+        return "the idempotency key was used with another request";
+    case refusal::key_unproved:
+        return "it cannot be proved that the idempotency key is new";
+    case refusal::key_running:
+        return "the first request with this idempotency key is still running";
+    case refusal::server_refused:
+    case refusal::server_down:
+        return "the server does not accept requests";
+    default:
+        return "the service is overloaded";
+    }
+}
+
+/// Status for an attempt result without a response of the server.
+int status_for(const attempt_result& result, verdict outcome) {
+    if (result.reason == refusal::key_conflict) {
+        return status_unprocessable;
+    }
+    if (result.reason == refusal::key_running || outcome == verdict::ran) {
+        return status_conflict;
+    }
+    const bool may_come_back = result.reason != refusal::none || result.end == attempt_end::not_sent;
+    if (outcome == verdict::not_run || may_come_back) {
+        return status_unavailable;
+    }
+    return status_bad_gateway;
+}
+
+std::string_view text_for(fate_outcome outcome) {
+    switch (outcome) {
+    case fate_outcome::ran:
+        return "ran";
+    case fate_outcome::refused:
+        return "not-run";
+    case fate_outcome::running:
+        return "running";
+    case fate_outcome::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+verdict verdict_for(fate_outcome outcome) {
+    if (outcome == fate_outcome::ran) {
+        return verdict::ran;
+    }
+    return outcome == fate_outcome::refused ? verdict::not_run : verdict::unknown;
+}
+
+} // namespace
+
+answer_caller answer_composer::turn_away(call_id call, int status, const std::string& reason,
+                                         duration retry_after) const {
+    answer_caller result{call, text_response(status, reason), verdict::not_run, {}, {}, m_context.draining};
+    result.retry_after = spread(retry_after);
+    return result;
+}
+
+answer_caller answer_composer::finish(const call_state& call) const {
+    if (!call.last_result) {
+        auto result = base(call);
+        result.response = text_response(status_unavailable, "no target is available");
+        result.retry_after = spread(default_retry_after);
+        return result;
+    }
+
+    const attempt_result& last = *call.last_result;
+    auto result = base(call);
+    if (last.response) {
+        result.response = *last.response;
+    } else if (result.outcome == verdict::unknown && call.failure_response) {
+        result.response = *call.failure_response;
+    } else {
+        result.response = text_response(status_for(last, result.outcome), describe(last));
+    }
+
+    result.retry_after = retry_after(call, last, result.outcome);
+    return result;
+}
+
+/// The owner's advice on keys is exact. Callers are not invited to repeat what may have run and is not
+/// protected by a key.
+duration answer_composer::retry_after(const call_state& call, const attempt_result& last,
+                                      verdict outcome) const {
+    if (outcome == verdict::ran || last.reason == refusal::key_conflict) {
+        return duration::zero();
+    }
+    if (outcome == verdict::not_run) {
+        return spread(std::max(last.retry_after, default_retry_after));
+    }
+    const bool may_repeat = call.idempotent || call.is_keyed();
+    return may_repeat && last.retry_after == duration::zero() ? spread(default_retry_after)
+                                                              : last.retry_after;
+}
+
+answer_caller answer_composer::time_out(const call_state& call) const {
+    auto result = base(call);
+    result.response = result.outcome == verdict::unknown && call.failure_response
+                          ? *call.failure_response
+                          : text_response(status_gateway_timeout, "the deadline has passed");
+    if (result.outcome == verdict::not_run) {
+        result.retry_after = spread(default_retry_after);
+    }
+    return result;
+}
+
+answer_caller answer_composer::fate_known(call_id call, const std::string& token,
+                                          fate_outcome outcome) const {
+    return {call,
+            text_response(status_ok, text_for(outcome)),
+            verdict_for(outcome),
+            token,
+            {},
+            m_context.draining};
+}
+
+/// Without a word of its home, a key may have been used before: the request may have run in an earlier
+/// exchange.
+verdict answer_composer::reported_verdict(const call_state& call) {
+    const verdict outcome = call.outcome();
+    const bool home_spoke = call.last_result && (call.last_result->end == attempt_end::answered ||
+                                                 call.last_result->end == attempt_end::fate_refused);
+    if (outcome == verdict::not_run && call.is_keyed() && !call.attempts.empty() && !home_spoke) {
+        return verdict::unknown;
+    }
+    return outcome;
+}
+
+answer_caller answer_composer::base(const call_state& call) const {
+    answer_caller result;
+    result.call = call.event.call;
+    result.outcome = reported_verdict(call);
+    result.close = m_context.draining;
+    if (const auto* named = call.named_attempt()) {
+        result.token = to_string(request_token{named->target, named->owner, named->id});
+    }
+    return result;
+}
+
+/// Callers that were turned away together must not come back together.
+duration answer_composer::spread(duration retry_after) const {
+    return from_seconds(to_seconds(retry_after) * (1 + m_context.random.unit()));
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -0,0 +1,302 @@
+#include "cornelpier/entry/attempt_dispatcher.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr duration fate_poll_interval = std::chrono::milliseconds{25};
+constexpr duration hop_allowance = std::chrono::milliseconds{1};
+constexpr std::uint32_t max_home_openings = 2;
+
+/// Refusals that the owner decides without queueing, so that they show the bare round trip.
+bool is_immediate(refusal reason) {
+    return reason == refusal::wait_limit || reason == refusal::no_permit || reason == refusal::draining;
+}
+
+} // namespace
+
+attempt_dispatcher::attempt_dispatcher(entry_context& context, dispatch_tables tables,
+                                       settled_callback on_settled)
+    : m_context(context), m_tables(tables), m_on_settled(std::move(on_settled)) {}
+
+void attempt_dispatcher::begin(call_state& call, const selection& where, const attempt_state& flags) {
+    attempt_state attempt = flags;
+    const auto number = static_cast<std::uint32_t>(call.attempts.size() + 1);
+    attempt.id = {m_tables.calls.id_of(call), number};
+    attempt.target = where.target;
+    attempt.data_centre = where.data_centre;
+    attempt.trial = where.trial;
+    if (attempt.trial) {
+        m_tables.health.trial_sent(where.target);
+    }
+    call.attempts.push_back(attempt);
+    m_index.add_waiting(where.target, attempt.id);
+
+    m_tables.links.open(where.target, where.address);
+    if (m_tables.links.is_ready(where.target) && !try_send(call, call.attempts.back())) {
+        ask_for_permit(where.target);
+    }
+}
+
+void attempt_dispatcher::give_up(call_state& call) {
+    for (auto& it : call.attempts) {
+        if (it.phase == attempt_phase::settled) {
+            continue;
+        }
+        const bool was_sent = it.phase != attempt_phase::waiting;
+        if (was_sent && call.idempotent) {
+            m_tables.links.send(it.target, cancel{it.id});
+        }
+        release(it);
+        it.outcome = was_sent ? verdict::unknown : verdict::not_run;
+    }
+}
+
+void attempt_dispatcher::on_ready(const target_id& target) {
+    for (const auto& id : m_index.sent(target)) {
+        if (auto* call = m_tables.calls.find(id)) {
+            ask_fate(*call->find(id.number));
+        }
+    }
+    flush(target);
+}
+
+void attempt_dispatcher::on_lost(const target_id& target, link_loss cause) {
+    m_permits_asked.erase(target);
+    m_tables.health.on_link_lost(target, cause);
+
+    // A retry may choose the same target again; it waits for the next link.
+    const auto waiting = m_index.waiting(target);
+    for (const auto& id : m_index.sent(target)) {
+        lose_sent(id);
+    }
+    for (const auto& id : waiting) {
+        lose_waiting(target, id, cause);
+    }
+
+    const auto* planned = m_context.find_target(target);
+    if (planned != nullptr && (m_index.has_sent(target) || m_index.has_waiting(target))) {
+        m_tables.links.open(target, planned->node_address);
+    }
+}
+
+/// A process with another incarnation cannot know what became of an attempt.
+void attempt_dispatcher::on_hello(const target_id& target, incarnation process) {
+    const auto held = m_tables.readings.usable_permit(target, m_context.now());
+    if (held && held->owner != process) {
+        m_tables.readings.drop_permit(target);
+    }
+
+    for (const auto& id : m_index.sent(target)) {
+        auto* call = m_tables.calls.find(id);
+        if (call == nullptr) {
+            continue;
+        }
+        auto& attempt = *call->find(id.number);
+        if (attempt.phase == attempt_phase::asking && attempt.owner != process) {
+            settle(*call, attempt, {attempt_end::fate_unknown, verdict::unknown, refusal::none, {}, {}});
+        }
+    }
+}
+
+void attempt_dispatcher::on_permit(const target_id& target) {
+    const auto asked = m_permits_asked.find(target);
+    if (asked != m_permits_asked.end()) {
+        m_permits_asked.erase(asked);
+    }
+    flush(target);
+}
+
+bool attempt_dispatcher::on_answer(const target_id& target, const answer& word) {
+    auto* call = m_tables.calls.find(word.attempt);
+    if (call == nullptr) {
+        return false;
+    }
+    auto& attempt = *call->find(word.attempt.number);
+    const bool awaited = attempt.phase == attempt_phase::sent || attempt.phase == attempt_phase::asking;
+    if (!awaited || attempt.target != target) {
+        return false;
+    }
+
+    if (attempt.phase == attempt_phase::sent) {
+        observe_distance(attempt, word);
+    }
+    if (word.load && word.load->target == target) {
+        attempt.owner = word.load->leave.owner;
+    }
+    m_tables.health.on_answer(*call, attempt, word);
+    settle(*call, attempt,
+           {attempt_end::answered, word.outcome, word.reason, word.response, word.retry_after});
+    return true;
+}
+
+void attempt_dispatcher::on_fate(const target_id& target, const fate& word) {
+    auto* call = m_tables.calls.find(word.attempt);
+    if (call == nullptr) {
+        return;
+    }
+    auto& attempt = *call->find(word.attempt.number);
+    if (attempt.phase != attempt_phase::asking || attempt.target != target) {
+        return;
+    }
+
+    switch (word.outcome) {
+    case fate_outcome::ran:
+        settle(*call, attempt, {attempt_end::fate_ran, verdict::ran, refusal::none, {}, {}});
+        return;
+    case fate_outcome::refused:
+        settle(*call, attempt, {attempt_end::fate_refused, verdict::not_run, refusal::none, {}, {}});
+        return;
+    case fate_outcome::unknown:
+        settle(*call, attempt, {attempt_end::fate_unknown, verdict::unknown, refusal::none, {}, {}});
+        return;
+    case fate_outcome::running:
+        ask_fate_later(attempt);
+        return;
+    }
+}
+
+bool attempt_dispatcher::is_busy(const target_id& target) const {
+    return m_index.has_sent(target) || m_permits_asked.contains(target);
+}
+
+void attempt_dispatcher::flush(const target_id& target) {
+    if (!m_tables.links.is_ready(target)) {
+        return;
+    }
+    bool lacks_permit = false;
+    for (const auto& id : m_index.waiting(target)) {
+        auto* call = m_tables.calls.find(id);
+        if (call != nullptr && !try_send(*call, *call->find(id.number))) {
+            lacks_permit = true;
+        }
+    }
+    if (lacks_permit) {
+        ask_for_permit(target);
+    }
+}
+
+/// @return false if the attempt lacks a permit.
+bool attempt_dispatcher::try_send(call_state& call, attempt_state& attempt) {
+    if (!call.idempotent) {
+        attempt.leave = m_tables.readings.usable_permit(attempt.target, m_context.now());
+        if (!attempt.leave) {
+            return false;
+        }
+        attempt.owner = attempt.leave->owner;
+    }
+    send_run(call, attempt);
+    return true;
+}
+
+void attempt_dispatcher::send_run(call_state& call, attempt_state& attempt) {
+    run message;
+    message.attempt = attempt.id;
+    message.service = call.event.service;
+    message.request = call.event.request;
+    message.idempotent = call.idempotent;
+    message.priority = call.priority;
+    message.leave = attempt.leave;
+    message.key = call.event.key;
+    message.wait_limit = attempt.wait_limit;
+    message.remaining = remaining(call, attempt);
+    message.depth = call.event.depth + 1;
+    message.outer_retry = attempt.outer_retry;
+    message.plan_version = m_context.view->current_plan->version;
+
+    attempt.sent_at = m_context.now();
+    m_tables.links.send(attempt.target, std::move(message));
+    attempt.phase = attempt_phase::sent;
+    m_index.set_sent(attempt.target, attempt.id);
+    m_tables.readings.run_sent(attempt.target, attempt.sent_at);
+}
+
+duration attempt_dispatcher::remaining(const call_state& call, const attempt_state& attempt) const {
+    const duration distance = m_tables.distances.distance(attempt.target, attempt.data_centre);
+    const duration left = call.deadline - m_context.now() - hop_allowance - distance / 2;
+    return std::max(left, duration::zero());
+}
+
+void attempt_dispatcher::ask_for_permit(const target_id& target) {
+    if (m_permits_asked.contains(target)) {
+        return;
+    }
+    m_tables.links.send(target, permit_request{});
+    m_permits_asked.emplace(target, m_context.now());
+}
+
+void attempt_dispatcher::ask_fate(const attempt_state& attempt) {
+    m_tables.links.send(attempt.target, fate_query{attempt.id, attempt.leave});
+}
+
+void attempt_dispatcher::ask_fate_later(const attempt_state& attempt) {
+    m_context.timers.call_after(fate_poll_interval, [this, id = attempt.id] {
+        auto* call = m_tables.calls.find(id);
+        if (call == nullptr) {
+            return;
+        }
+        if (const auto* it = call->find(id.number); it->phase == attempt_phase::asking) {
+            ask_fate(*it);
+        }
+    });
+}
+
+/// The attempt was not sent, so another target may be chosen. A keyed request has only its home.
+void attempt_dispatcher::lose_waiting(const target_id& target, const attempt_id& id, link_loss cause) {
+    auto* call = m_tables.calls.find(id);
+    const bool is_planned = m_context.find_target(target) != nullptr;
+    if (call == nullptr || (cause == link_loss::reset && is_planned)) {
+        return;
+    }
+    auto& attempt = *call->find(id.number);
+    if (is_planned && call->is_keyed() && ++attempt.failed_opens < max_home_openings) {
+        return;
+    }
+    settle(*call, attempt, {attempt_end::not_sent, verdict::not_run, refusal::none, {}, {}});
+}
+
+/// Owners keep no record of idempotent runs, so only the others can be asked for.
+void attempt_dispatcher::lose_sent(const attempt_id& id) {
+    auto* call = m_tables.calls.find(id);
+    if (call == nullptr) {
+        return;
+    }
+    auto& attempt = *call->find(id.number);
+    if (call->idempotent) {
+        settle(*call, attempt, {attempt_end::lost, verdict::unknown, refusal::none, {}, {}});
+        return;
+    }
+    attempt.phase = attempt_phase::asking;
+}
+
+void attempt_dispatcher::observe_distance(const attempt_state& attempt, const answer& word) {
+    const duration round_trip = m_context.now() - attempt.sent_at - word.served_in;
+    if (is_immediate(word.reason)) {
+        m_tables.distances.observe(attempt.target, attempt.data_centre, round_trip);
+        return;
+    }
+    m_tables.distances.observe_upper_bound(attempt.target, attempt.data_centre, round_trip);
+}
+
+void attempt_dispatcher::settle(call_state& call, attempt_state& attempt, const attempt_result& result) {
+    release(attempt);
+    attempt.outcome = result.outcome;
+    m_on_settled(call, attempt, result);
+}
+
+void attempt_dispatcher::release(attempt_state& attempt) {
+    m_index.remove(attempt.target, attempt.id);
+    if (attempt.phase != attempt_phase::waiting) {
+        m_tables.readings.run_ended(attempt.target, attempt.sent_at);
+    }
+    if (attempt.trial) {
+        m_tables.health.trial_ended(attempt.target);
+    }
+    attempt.phase = attempt_phase::settled;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/attempt_dispatcher.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "cornelpier/entry/attempt_index.hpp"
+#include "cornelpier/entry/call_table.hpp"
+#include "cornelpier/entry/entry_context.hpp"
+#include "cornelpier/entry/health_reporter.hpp"
+#include "cornelpier/entry/link_set.hpp"
+#include "cornelpier/entry/target_selector.hpp"
+#include "cornelpier/routing/distance_table.hpp"
+#include "cornelpier/routing/reading_table.hpp"
+
+#include <functional>
+#include <unordered_map>
+
+namespace cornelpier {
+
+/// Tables that the dispatcher writes to.
+struct dispatch_tables {
+    call_table& calls;
+    reading_table& readings;
+    distance_table& distances;
+    health_reporter& health;
+    link_set& links;
+};
+
+/// Sends attempts and follows each until the owner's final word, across losses of the link.
+class attempt_dispatcher {
+  public:
+    /// Told once per attempt; the call may be removed by it.
+    using settled_callback = std::function<void(call_state&, const attempt_state&, const attempt_result&)>;
+
+    attempt_dispatcher(entry_context& context, dispatch_tables tables, settled_callback on_settled);
+
+    /// Adds an attempt to the call and sends it as soon as link and permit allow.
+    void begin(call_state& call, const selection& where, const attempt_state& flags);
+
+    /// Ends all open attempts of a call without waiting. Idempotent ones are cancelled at the owner.
+    void give_up(call_state& call);
+
+    void on_ready(const target_id& target);
+    void on_lost(const target_id& target, link_loss cause);
+    void on_hello(const target_id& target, incarnation process);
+
+    /// A reading or a grant came in; attempts may have waited for its permit.
+    void on_permit(const target_id& target);
+
+    /// @return false if the answer matches no open attempt.
+    bool on_answer(const target_id& target, const answer& word);
+    void on_fate(const target_id& target, const fate& word);
+
+    /// @return true if a word of the owner is awaited.
+    [[nodiscard]] bool is_busy(const target_id& target) const;
+
+  private:
+    void flush(const target_id& target);
+    bool try_send(call_state& call, attempt_state& attempt);
+    void send_run(call_state& call, attempt_state& attempt);
+    void ask_for_permit(const target_id& target);
+    void ask_fate(const attempt_state& attempt);
+    void ask_fate_later(const attempt_state& attempt);
+    void lose_waiting(const target_id& target, const attempt_id& id, link_loss cause);
+    void lose_sent(const attempt_id& id);
+    void observe_distance(const attempt_state& attempt, const answer& word);
+    void settle(call_state& call, attempt_state& attempt, const attempt_result& result);
+    void release(attempt_state& attempt);
+    [[nodiscard]] duration remaining(const call_state& call, const attempt_state& attempt) const;
+
+    entry_context& m_context;
+    dispatch_tables m_tables;
+    settled_callback m_on_settled;
+    attempt_index m_index;
+    std::unordered_map<target_id, time_point> m_permits_asked; ///< When, until the grant comes in.
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/attempt_index.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cornelpier/base/ids.hpp"
+#include "cornelpier/message/traffic_messages.hpp"
+
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace cornelpier {
+
+/// Attempts that are not settled, by target.
+class attempt_index {
+  public:
+    /// Adds an attempt that waits for a link or a permit.
+    void add_waiting(const target_id& target, const attempt_id& attempt);
+
+    /// Notes that the owner's word on an attempt is awaited.
+    void set_sent(const target_id& target, const attempt_id& attempt);
+
+    void remove(const target_id& target, const attempt_id& attempt);
+
+    /// @return attempts of the target that were not sent, in ascending order.
+    [[nodiscard]] std::vector<attempt_id> waiting(const target_id& target) const;
+
+    /// @return attempts of the target whose word is awaited, in ascending order.
+    [[nodiscard]] std::vector<attempt_id> sent(const target_id& target) const;
+
+    [[nodiscard]] bool has_waiting(const target_id& target) const;
+    [[nodiscard]] bool has_sent(const target_id& target) const;
+
+  private:
+    struct lists {
+        std::set<attempt_id> waiting;
+        std::set<attempt_id> sent;
+    };
+
+    std::unordered_map<target_id, lists> m_targets;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -0,0 +1,260 @@
+#include "cornelpier/entry/call_driver.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr std::uint32_t max_depth = 8;
+constexpr std::uint32_t max_tries = 4; // Without retries from the budget.
+constexpr std::uint32_t max_conditional_tries = 3;
+constexpr std::uint32_t max_retries = 2;
+constexpr duration unplanned_retry_after = std::chrono::seconds{1};
+
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+constexpr int status_loop_detected = 508;
+
+/// The request cost the server nothing, so that choosing again needs no budget.
+bool is_free(const attempt_result& result) {
+    return result.end == attempt_end::not_sent || result.end == attempt_end::fate_refused ||
+           result.reason == refusal::wait_limit || result.reason == refusal::no_permit ||
+           result.reason == refusal::draining;
+}
+
+/// The refusal concerns the request itself; no other target would decide otherwise.
+bool is_final(refusal reason) {
+    return reason == refusal::key_conflict || reason == refusal::key_unproved ||
+           reason == refusal::key_running || reason == refusal::not_home;
+}
+
+/// The target would refuse again at once, so that this call leaves it out.
+bool is_lasting(const attempt_result& result) {
+    return result.end == attempt_end::not_sent ||
+           (result.outcome == verdict::not_run && result.reason != refusal::none &&
+            result.reason != refusal::wait_limit && result.reason != refusal::no_permit &&
+            result.reason != refusal::duplicate);
+}
+
+} // namespace
+
+call_driver::call_driver(entry_context& context, driver_parts parts) : m_context(context), m_parts(parts) {}
+
+void call_driver::on_call(const call_arrived& event) {
+    if (turned_away(event)) {
+        return;
+    }
+    start(admit(event, *m_context.find_service(event.service)));
+}
+
+bool call_driver::turned_away(const call_arrived& event) {
+    const auto answer = [&](int status, const std::string& reason, duration retry_after) {
+        m_context.emit(m_parts.composer.turn_away(event.call, status, reason, retry_after));
+        return true;
+    };
+    if (event.depth > max_depth) {
+        return answer(status_loop_detected, "calls are nested too deep", {});
+    }
+    if (m_context.view == nullptr || m_context.view->current_plan == nullptr) {
+        return answer(status_unavailable, "no plan is known yet", unplanned_retry_after);
+    }
+    if (m_context.find_service(event.service) == nullptr) {
+        return answer(status_not_found, "unknown service", {});
+    }
+    if (event.deadline && *event.deadline <= duration::zero()) {
+        return answer(status_gateway_timeout, "the deadline has passed", {});
+    }
+    return false;
+}
+
+call_state& call_driver::admit(const call_arrived& event, const service_plan& service) {
+    auto& call = m_parts.calls.add(event, m_context.now());
+    const auto* rule = service.match(event.request.method, event.request.path);
+    call.idempotent = rule != nullptr && rule->idempotent;
+    call.priority = rule == nullptr ? request_class::order : rule->priority;
+
+    call.deadline = call.arrived_at + std::min(event.deadline.value_or(service.deadline), service.deadline);
+    const auto id = m_parts.calls.id_of(call);
+    call.deadline_timer = m_context.timers.call_at(call.deadline, [this, id] { on_deadline(id); });
+    return call;
+}
+
+void call_driver::start(call_state& call) {
+    const auto& service = *m_context.find_service(call.event.service);
+    auto& state = m_parts.services.at(service);
+    state.retries.on_call();
+    m_parts.probes.on_call(service, state);
+
+    if (!begin_attempt(call, attempt_kind::first)) {
+        finish(call, m_parts.composer.finish(call));
+        return;
+    }
+    if (call.idempotent) {
+        state.hedges.on_call();
+        schedule_hedge(call, state);
+    }
+}
+
+bool call_driver::begin_attempt(call_state& call, attempt_kind kind) {
+    auto where = select(call, kind);
+    if (!where) {
+        return false;
+    }
+    attempt_state flags;
+    flags.hedge = kind == attempt_kind::hedge;
+    flags.outer_retry = call.event.outer_retry || kind == attempt_kind::hedge || kind == attempt_kind::retry;
+    if (call.tries < max_conditional_tries) {
+        flags.wait_limit = where->wait_limit;
+    }
+    if (kind == attempt_kind::first || kind == attempt_kind::rechoice) {
+        ++call.tries;
+    }
+    m_parts.dispatcher.begin(call, *where, flags);
+    return true;
+}
+
+std::optional<selection> call_driver::select(const call_state& call, attempt_kind kind) {
+    const auto* service = m_context.find_service(call.event.service);
+    if (service == nullptr) {
+        return std::nullopt;
+    }
+    if (call.is_keyed()) {
+        return target_selector::select_home(*service, *call.event.key);
+    }
+    return m_parts.selector.select(call, m_parts.services.at(*service), kind == attempt_kind::hedge);
+}
+
+void call_driver::on_settled(call_state& call, const attempt_state& attempt, const attempt_result& result) {
+    note_result(call, attempt, result);
+    if (result.outcome == verdict::ran) {
+        finish(call, m_parts.composer.finish(call));
+        return;
+    }
+    if (call.has_open_attempt()) {
+        return;
+    }
+
+    const auto kind = next_kind(call, result);
+    if (!kind || !begin_attempt(call, *kind)) {
+        finish(call, m_parts.composer.finish(call));
+        return;
+    }
+    const metric counted = *kind == attempt_kind::rechoice ? metric::rechoice : metric::retry;
+    m_context.count(counted, call.event.service);
+}
+
+void call_driver::note_result(call_state& call, const attempt_state& attempt, const attempt_result& result) {
+    call.last_result = result;
+    if (result.outcome == verdict::unknown && result.response) {
+        call.failure_response = result.response;
+    }
+    if (is_lasting(result)) {
+        call.avoided.push_back(attempt.target);
+    }
+    auto* service = m_parts.services.find(call.event.service);
+    if (service != nullptr && result.end == attempt_end::answered && result.outcome == verdict::ran) {
+        service->hedges.on_latency(m_context.now() - attempt.sent_at);
+    }
+}
+
+/// @return how the call goes on, or nothing if the result is its last.
+std::optional<call_driver::attempt_kind> call_driver::next_kind(call_state& call,
+                                                                const attempt_result& result) {
+    if (m_context.now() >= call.deadline || is_final(result.reason)) {
+        return std::nullopt;
+    }
+    if (!call.idempotent && call.outcome() != verdict::not_run) {
+        return std::nullopt;
+    }
+    // Only the home may run a keyed request, so that trying again is of use only if it would decide
+    // otherwise.
+    if (call.is_keyed() && is_lasting(result)) {
+        return std::nullopt;
+    }
+    if (is_free(result) && call.tries < max_tries) {
+        return attempt_kind::rechoice;
+    }
+    return take_retry(call) ? std::optional{attempt_kind::retry} : std::nullopt;
+}
+
+bool call_driver::take_retry(call_state& call) {
+    if (call.event.outer_retry || call.retries >= max_retries) {
+        return false;
+    }
+    auto* service = m_parts.services.find(call.event.service);
+    if (service == nullptr || !service->retries.take()) {
+        m_context.record(event_number::retry_budget_exhausted, {{"service", call.event.service.value()}});
+        return false;
+    }
+    ++call.retries;
+    return true;
+}
+
+void call_driver::schedule_hedge(call_state& call, const service_state& service) {
+    const auto delay = service.hedges.delay();
+    if (!m_context.options.hedging || !delay || call.event.outer_retry) {
+        return;
+    }
+    const auto id = m_parts.calls.id_of(call);
+    call.hedge_timer = m_context.timers.call_after(*delay, [this, id] { on_hedge_due(id); });
+}
+
+void call_driver::on_hedge_due(const request_id& request) {
+    auto* call = m_parts.calls.find(request);
+    if (call == nullptr) {
+        return;
+    }
+    call->hedge_timer = 0;
+    auto* service = m_parts.services.find(call->event.service);
+    if (!call->has_open_attempt() || service == nullptr || !service->hedges.take()) {
+        return;
+    }
+    if (begin_attempt(*call, attempt_kind::hedge)) {
+        m_context.count(metric::hedge, call->event.service);
+    }
+}
+
+void call_driver::on_deadline(const request_id& request) {
+    auto* call = m_parts.calls.find(request);
+    if (call == nullptr) {
+        return;
+    }
+    call->deadline_timer = 0;
+    for (const auto& it : call->attempts) {
+        if (it.phase == attempt_phase::sent) {
+            m_parts.health.on_timeout(*call, it);
+        }
+    }
+    finish(*call, m_parts.composer.time_out(*call));
+}
+
+void call_driver::on_abandoned(call_id id) {
+    auto* call = m_parts.calls.find(id);
+    if (call != nullptr) {
+        remove(*call);
+    }
+}
+
+void call_driver::finish(call_state& call, answer_caller answer) {
+    const double latency = static_cast<double>((m_context.now() - call.arrived_at).count());
+    m_context.emit(observe{metric::call_latency, call.event.service, answer.outcome, latency});
+    if (answer.outcome == verdict::unknown) {
+        m_context.record(event_number::verdict_unknown,
+                         {{"service", call.event.service.value()}, {"request", answer.token}});
+    }
+    m_context.emit(std::move(answer));
+    remove(call);
+}
+
+void call_driver::remove(call_state& call) {
+    m_context.timers.cancel(call.deadline_timer);
+    m_context.timers.cancel(call.hedge_timer);
+    m_parts.dispatcher.give_up(call);
+    m_parts.calls.remove(call);
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/call_driver.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "cornelpier/entry/answer_composer.hpp"
+#include "cornelpier/entry/attempt_dispatcher.hpp"
+#include "cornelpier/entry/call_table.hpp"
+#include "cornelpier/entry/entry_context.hpp"
+#include "cornelpier/entry/probe_scheduler.hpp"
+#include "cornelpier/entry/service_table.hpp"
+#include "cornelpier/entry/target_selector.hpp"
+
+#include <optional>
+
+namespace cornelpier {
+
+/// Parts that the driver directs.
+struct driver_parts {
+    call_table& calls;
+    service_table& services;
+    target_selector& selector;
+    attempt_dispatcher& dispatcher;
+    answer_composer& composer;
+    probe_scheduler& probes;
+    health_reporter& health;
+};
+
+/// Takes each call from its arrival to exactly one final answer: which attempts are made, and when the
+/// outcome is certain.
+class call_driver {
+  public:
+    call_driver(entry_context& context, driver_parts parts);
+
+    void on_call(const call_arrived& event);
+    void on_abandoned(call_id call);
+
+    /// Called by the dispatcher for each settled attempt.
+    void on_settled(call_state& call, const attempt_state& attempt, const attempt_result& result);
+
+  private:
+    enum class attempt_kind : std::uint8_t { first, rechoice, retry, hedge };
+
+    /// Answers calls that no target may get.
+    /// @return true if the call was answered.
+    bool turned_away(const call_arrived& event);
+    call_state& admit(const call_arrived& event, const service_plan& service);
+    void start(call_state& call);
+    bool begin_attempt(call_state& call, attempt_kind kind);
+    std::optional<selection> select(const call_state& call, attempt_kind kind);
+    std::optional<attempt_kind> next_kind(call_state& call, const attempt_result& result);
+    bool take_retry(call_state& call);
+    void note_result(call_state& call, const attempt_state& attempt, const attempt_result& result);
+    void schedule_hedge(call_state& call, const service_state& service);
+    void on_hedge_due(const request_id& request);
+    void on_deadline(const request_id& request);
+    void finish(call_state& call, answer_caller answer);
+    void remove(call_state& call);
+
+    entry_context& m_context;
+    driver_parts m_parts;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/entry_manager.cpp
@@ -0,0 +1,218 @@
+#include "cornelpier/entry/entry_manager.hpp"
+
+#include "cornelpier/entry/answer_composer.hpp"
+#include "cornelpier/entry/attempt_dispatcher.hpp"
+#include "cornelpier/entry/call_driver.hpp"
+#include "cornelpier/entry/call_table.hpp"
+#include "cornelpier/entry/fate_desk.hpp"
+#include "cornelpier/entry/health_reporter.hpp"
+#include "cornelpier/entry/link_set.hpp"
+#include "cornelpier/entry/probe_scheduler.hpp"
+#include "cornelpier/entry/service_table.hpp"
+#include "cornelpier/entry/target_selector.hpp"
+
+#include <utility>
+#include <variant>
+
+namespace cornelpier {
+
+/// Wires the parts of the entry and hands each event to those concerned.
+class entry_manager::implementation {
+  public:
+    implementation(const node_identity& identity, timer_service& timers, random_source random,
+                   entry_options options)
+        : context{identity, timers, random, std::move(options), nullptr, nullptr, false}, services(context),
+          distances(identity.data_centre), calls(identity.process), links(context, make_link_callbacks()),
+          reporter(context, health, services), selector(context, readings, distances, health, links),
+          composer(context), probes(context, services, readings, links),
+          dispatcher(context, {calls, readings, distances, reporter, links}, make_settled_callback()),
+          driver(context, {calls, services, selector, dispatcher, composer, probes, reporter}),
+          desk(context, composer, links) {}
+
+    void on_message(link_id link, const traffic_message& message) {
+        const auto* peer = links.on_received(link, message);
+        if (peer == nullptr) {
+            if (const auto* word = std::get_if<answer>(&message)) {
+                discard(target_id{}, *word);
+            }
+            return;
+        }
+        // Handling a message may close the link, which removes the stored name.
+        const target_id target = *peer;
+        std::visit([&](const auto& it) { on(target, it); }, message);
+    }
+
+    void on_fleet(const shared_fleet_view& view) {
+        const bool plan_changed = context.view == nullptr || context.view->current_plan != view->current_plan;
+        context.view = view;
+        if (plan_changed) {
+            services.on_plan_changed();
+            links.on_plan_changed();
+        }
+    }
+
+    void on_pause() {
+        readings.drop_readings();
+        links.reset_all();
+    }
+
+    entry_context context;
+    reading_table readings;
+    health_table health;
+    service_table services;
+    distance_table distances;
+    call_table calls;
+    link_set links;
+    health_reporter reporter;
+    target_selector selector;
+    answer_composer composer;
+    probe_scheduler probes;
+    attempt_dispatcher dispatcher;
+    call_driver driver;
+    fate_desk desk;
+
+  private:
+    link_callbacks make_link_callbacks() {
+        return {
+            [this](const target_id& target) {
+                dispatcher.on_ready(target);
+                desk.on_ready(target);
+            },
+            [this](const target_id& target, link_loss cause) {
+                dispatcher.on_lost(target, cause);
+                desk.on_lost(target, cause);
+            },
+            [this](const target_id& target) { return dispatcher.is_busy(target) || desk.is_busy(target); },
+            [this](const target_id& target, duration round_trip) { on_round_trip(target, round_trip); }};
+    }
+
+    attempt_dispatcher::settled_callback make_settled_callback() {
+        return [this](call_state& call, const attempt_state& attempt, const attempt_result& result) {
+            driver.on_settled(call, attempt, result);
+        };
+    }
+
+    void on_round_trip(const target_id& target, duration round_trip) {
+        if (const auto* planned = context.find_target(target)) {
+            distances.observe(target, planned->data_centre, round_trip);
+        }
+    }
+
+    void on(const target_id& target, const hello& message) {
+        if (message.from != target) {
+            links.reset(target, link_loss::closed);
+            return;
+        }
+        dispatcher.on_hello(target, message.process);
+        desk.on_hello(target, message.process);
+    }
+
+    void on(const target_id& target, const reading& message) {
+        accept(target, message);
+        dispatcher.on_permit(target);
+    }
+
+    void on(const target_id& target, const permit_grant& message) {
+        readings.accept_permit(target, message.leave, context.now());
+        dispatcher.on_permit(target);
+    }
+
+    void on(const target_id& target, const answer& message) {
+        if (message.load) {
+            accept(target, *message.load);
+        } else if (message.reason == refusal::no_permit) {
+            readings.drop_permit(target);
+        }
+        if (!dispatcher.on_answer(target, message) && !desk.expects(message.attempt)) {
+            discard(target, message);
+        }
+        if (message.load) {
+            dispatcher.on_permit(target);
+        }
+    }
+
+    void on(const target_id& target, const fate& message) {
+        if (message.load) {
+            accept(target, *message.load);
+        }
+        dispatcher.on_fate(target, message);
+        desk.on_fate(target, message);
+    }
+
+    /// Requests and `ping` come on accepted links only; `pong` counts as progress and nothing else.
+    template <typename Message>
+    void on(const target_id& /*target*/, const Message& /*message*/) {}
+
+    void accept(const target_id& target, const reading& load) {
+        if (load.target == target) {
+            readings.accept(load, context.now());
+        }
+    }
+
+    void discard(const target_id& target, const answer& message) {
+        const auto* service =
+            context.view == nullptr ? nullptr : context.view->current_plan->service_of(target);
+        context.count(metric::answer_discarded, service == nullptr ? service_id{} : service->id);
+        context.record(event_number::answer_discarded,
+                       {{"target", target.value()},
+                        {"sequence", std::to_string(message.attempt.request.sequence)},
+                        {"attempt", std::to_string(message.attempt.number)}});
+    }
+};
+
+entry_manager::entry_manager(const node_identity& identity, timer_service& timers, random_source random,
+                             entry_options options)
+    : m_implementation(std::make_unique<implementation>(identity, timers, random, std::move(options))) {}
+
+entry_manager::~entry_manager() = default;
+
+void entry_manager::set_output(traffic_actions& actions) {
+    m_implementation->context.output = &actions;
+}
+
+void entry_manager::on_call(const call_arrived& event) {
+    m_implementation->driver.on_call(event);
+}
+
+void entry_manager::on_fate_asked(const call_fate_asked& event) {
+    m_implementation->desk.on_asked(event);
+}
+
+void entry_manager::on_abandoned(const call_abandoned& event) {
+    m_implementation->driver.on_abandoned(event.call);
+    m_implementation->desk.on_abandoned(event.call);
+}
+
+void entry_manager::on_link_opened(link_id link) {
+    m_implementation->links.on_opened(link);
+}
+
+void entry_manager::on_link_closed(link_id link) {
+    m_implementation->links.on_closed(link);
+}
+
+void entry_manager::on_message(link_id link, const traffic_message& message) {
+    m_implementation->on_message(link, message);
+}
+
+void entry_manager::on_fleet(const shared_fleet_view& view) {
+    m_implementation->on_fleet(view);
+}
+
+void entry_manager::on_pause() {
+    m_implementation->on_pause();
+}
+
+void entry_manager::set_draining(bool draining) {
+    m_implementation->context.draining = draining;
+}
+
+std::size_t entry_manager::calls_in_progress() const {
+    return m_implementation->calls.size() + m_implementation->desk.size();
+}
+
+std::size_t entry_manager::open_links() const {
+    return m_implementation->links.size();
+}
+
+} // namespace cornelpier
--- a/src/cornelpier/entry/entry_manager.hpp
+++ b/src/cornelpier/entry/entry_manager.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cornelpier/base/random_source.hpp"
+#include "cornelpier/entry/entry_options.hpp"
 #include "cornelpier/node/node_identity.hpp"
 #include "cornelpier/node/traffic_actions.hpp"
 #include "cornelpier/node/traffic_events.hpp"
@@ -17,7 +18,9 @@
     /// @param identity who the node is.
     /// @param timers outlives the manager; its `now()` is the current time.
     /// @param random seeded generator of its own.
-    entry_manager(const node_identity& identity, timer_service& timers, random_source random);
+    /// @param options replaces parts of the decisions.
+    entry_manager(const node_identity& identity, timer_service& timers, random_source random,
+                  entry_options options = {});
     ~entry_manager();
 
     entry_manager(const entry_manager&) = delete;
--- /dev/null
+++ b/src/cornelpier/entry/entry_options.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "cornelpier/routing/chooser.hpp"
+
+namespace cornelpier {
+
+/// Replaces parts of the entry's decisions, for comparisons between policies.
+struct entry_options {
+    chooser_factory make_chooser;      ///< Empty: the target with the lowest estimate.
+    bool conditional_admission = true; ///< Send wait limits with runs.
+    bool probes = true;                ///< Ask for readings.
+    bool hedging = true;               ///< Send slow lookups a second time.
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/fate_desk.cpp
@@ -0,0 +1,123 @@
+#include "cornelpier/entry/fate_desk.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr duration inquiry_limit = std::chrono::seconds{1};
+constexpr int status_bad_request = 400;
+
+// The token does not say when the permit of the request ended. With a permit that ended long ago, the owner
+// answers from its records only and never records the request as refused.
+constexpr time_point long_ago{-std::chrono::hours{24}};
+
+} // namespace
+
+fate_desk::fate_desk(entry_context& context, answer_composer& composer, link_set& links)
+    : m_context(context), m_composer(composer), m_links(links) {}
+
+void fate_desk::on_asked(const call_fate_asked& event) {
+    const auto token = parse_request_token(event.token);
+    if (!token) {
+        m_context.emit(m_composer.turn_away(event.call, status_bad_request, "malformed token", {}));
+        return;
+    }
+    const auto* owner = m_context.find_target(token->owner);
+    if (owner == nullptr || token->process == incarnation{}) {
+        m_context.emit(m_composer.fate_known(event.call, event.token, fate_outcome::unknown));
+        return;
+    }
+
+    const auto timer = m_context.timers.call_after(
+        inquiry_limit, [this, call = event.call] { answer_one(call, fate_outcome::unknown); });
+    m_inquiries.insert_or_assign(event.call, inquiry{event.token, *token, timer});
+    m_links.open(owner->id, owner->node_address);
+    ask(*token);
+}
+
+void fate_desk::on_abandoned(call_id call) {
+    const auto it = m_inquiries.find(call);
+    if (it != m_inquiries.end()) {
+        m_context.timers.cancel(it->second.timer);
+        m_inquiries.erase(it);
+    }
+}
+
+void fate_desk::on_ready(const target_id& target) {
+    for (const auto call : inquiries_to(target)) {
+        ask(m_inquiries.at(call).token);
+    }
+}
+
+void fate_desk::on_lost(const target_id& target, link_loss cause) {
+    if (cause == link_loss::unreachable) {
+        answer_if(fate_outcome::unknown, [&](const request_token& it) { return it.owner == target; });
+        return;
+    }
+    const auto* planned = m_context.find_target(target);
+    if (planned != nullptr && !inquiries_to(target).empty()) {
+        m_links.open(target, planned->node_address);
+    }
+}
+
+void fate_desk::on_hello(const target_id& target, incarnation process) {
+    answer_if(fate_outcome::unknown,
+              [&](const request_token& it) { return it.owner == target && it.process != process; });
+}
+
+void fate_desk::on_fate(const target_id& target, const fate& word) {
+    answer_if(word.outcome,
+              [&](const request_token& it) { return it.owner == target && it.attempt == word.attempt; });
+}
+
+bool fate_desk::expects(const attempt_id& attempt) const {
+    return std::ranges::any_of(m_inquiries,
+                               [&](const auto& it) { return it.second.token.attempt == attempt; });
+}
+
+bool fate_desk::is_busy(const target_id& target) const {
+    return std::ranges::any_of(m_inquiries, [&](const auto& it) { return it.second.token.owner == target; });
+}
+
+void fate_desk::ask(const request_token& token) {
+    m_links.send(token.owner, fate_query{token.attempt, permit{token.process, long_ago}});
+}
+
+void fate_desk::answer_one(call_id call, fate_outcome outcome) {
+    const auto it = m_inquiries.find(call);
+    if (it == m_inquiries.end()) {
+        return;
+    }
+    m_context.timers.cancel(it->second.timer);
+    m_context.emit(m_composer.fate_known(call, it->second.text, outcome));
+    m_inquiries.erase(it);
+}
+
+void fate_desk::answer_if(fate_outcome outcome, const std::function<bool(const request_token&)>& applies) {
+    std::vector<call_id> calls;
+    for (const auto& [call, it] : m_inquiries) {
+        if (applies(it.token)) {
+            calls.push_back(call);
+        }
+    }
+    std::ranges::sort(calls);
+    for (const auto call : calls) {
+        answer_one(call, outcome);
+    }
+}
+
+std::vector<call_id> fate_desk::inquiries_to(const target_id& target) const {
+    std::vector<call_id> result;
+    for (const auto& [call, it] : m_inquiries) {
+        if (it.token.owner == target) {
+            result.push_back(call);
+        }
+    }
+    std::ranges::sort(result);
+    return result;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/fate_desk.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "cornelpier/entry/answer_composer.hpp"
+#include "cornelpier/entry/entry_context.hpp"
+#include "cornelpier/entry/link_set.hpp"
+#include "cornelpier/entry/request_token.hpp"
+
+#include <unordered_map>
+#include <vector>
+
+namespace cornelpier {
+
+/// Answers callers who ask what became of a request.
+class fate_desk {
+  public:
+    fate_desk(entry_context& context, answer_composer& composer, link_set& links);
+
+    void on_asked(const call_fate_asked& event);
+    void on_abandoned(call_id call);
+    void on_ready(const target_id& target);
+    void on_lost(const target_id& target, link_loss cause);
+    void on_hello(const target_id& target, incarnation process);
+    void on_fate(const target_id& target, const fate& word);
+
+    /// @return true if a caller asked for that attempt.
+    [[nodiscard]] bool expects(const attempt_id& attempt) const;
+
+    /// @return true if a word of the owner is awaited.
+    [[nodiscard]] bool is_busy(const target_id& target) const;
+
+    /// @return callers without an answer.
+    [[nodiscard]] std::size_t size() const { return m_inquiries.size(); }
+
+  private:
+    struct inquiry {
+        std::string text; ///< As the caller wrote it.
+        request_token token;
+        timer_service::timer_id timer = 0;
+    };
+
+    void ask(const request_token& token);
+    void answer_one(call_id call, fate_outcome outcome);
+    void answer_if(fate_outcome outcome, const std::function<bool(const request_token&)>& applies);
+    [[nodiscard]] std::vector<call_id> inquiries_to(const target_id& target) const;
+
+    entry_context& m_context;
+    answer_composer& m_composer;
+    link_set& m_links;
+    std::unordered_map<call_id, inquiry> m_inquiries;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/health_reporter.cpp
@@ -0,0 +1,82 @@
+#include "cornelpier/entry/health_reporter.hpp"
+
+namespace cornelpier {
+
+namespace {
+
+constexpr int first_server_error = 500;
+
+event_number event_for(health_state state) {
+    switch (state) {
+    case health_state::healthy:
+        return event_number::target_recovered;
+    case health_state::ejected:
+        return event_number::target_ejected;
+    case health_state::trial:
+        break;
+    }
+    return event_number::target_trial;
+}
+
+} // namespace
+
+health_reporter::health_reporter(entry_context& context, health_table& health, service_table& services)
+    : m_context(context), m_health(health), m_services(services) {}
+
+void health_reporter::on_answer(const call_state& call, const attempt_state& attempt, const answer& word) {
+    if (const auto outcome = judge(call.event.service, word)) {
+        note(call.event.service, attempt.target, *outcome);
+    }
+}
+
+void health_reporter::on_timeout(const call_state& call, const attempt_state& attempt) {
+    note(call.event.service, attempt.target, health_outcome::failure);
+}
+
+void health_reporter::on_link_lost(const target_id& target, link_loss cause) {
+    if (m_context.view == nullptr || cause == link_loss::reset) {
+        return;
+    }
+    if (const auto* service = m_context.view->current_plan->service_of(target)) {
+        note(service->id, target, health_outcome::failure);
+    }
+}
+
+void health_reporter::trial_sent(const target_id& target) {
+    m_health.at(target, m_context.now()).trial_sent();
+    m_context.record(event_number::target_trial, {{"target", target.value()}});
+}
+
+void health_reporter::trial_ended(const target_id& target) {
+    m_health.at(target, m_context.now()).trial_released();
+}
+
+void health_reporter::note(const service_id& service, const target_id& target, health_outcome outcome) {
+    const auto* state = m_services.find(service);
+    if (state == nullptr) {
+        return;
+    }
+    const auto changed = m_health.on_outcome(target, outcome, state->subset, m_context.now());
+    if (changed) {
+        m_context.record(event_for(*changed), {{"target", target.value()}});
+    }
+}
+
+/// Refusals for lack of capacity say nothing about health; they show in the readings.
+std::optional<health_outcome> health_reporter::judge(const service_id& service, const answer& word) {
+    if (word.reason == refusal::server_down || word.reason == refusal::server_refused) {
+        return health_outcome::fast_failure;
+    }
+    if (word.reason != refusal::none) {
+        return std::nullopt;
+    }
+    if (word.outcome == verdict::ran && (!word.response || word.response->status < first_server_error)) {
+        return health_outcome::success;
+    }
+    const auto* state = m_services.find(service);
+    const auto usual = state == nullptr ? std::nullopt : state->hedges.median();
+    const bool fast = usual && word.served_in < *usual;
+    return fast ? health_outcome::fast_failure : health_outcome::failure;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/link_set.cpp
@@ -0,0 +1,233 @@
+#include "cornelpier/entry/link_set.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr duration silence_limit = std::chrono::milliseconds{250}; // Before the ping, and again after it.
+constexpr duration open_limit = std::chrono::milliseconds{250};    // A new connection takes about 1 ms.
+constexpr duration idle_limit = std::chrono::seconds{60};
+constexpr duration first_backoff = std::chrono::milliseconds{50};
+constexpr std::uint32_t max_backoff_doublings = 4;
+
+duration backoff(std::uint32_t failures, random_source& random) {
+    const auto doublings = std::min(failures - 1, max_backoff_doublings);
+    const double jitter = 0.5 + random.unit();
+    return from_seconds(to_seconds(first_backoff) * static_cast<double>(1U << doublings) * jitter);
+}
+
+} // namespace
+
+link_set::link_set(entry_context& context, link_callbacks callbacks)
+    : m_context(context), m_callbacks(std::move(callbacks)) {}
+
+void link_set::open(const target_id& target, const std::string& address) {
+    auto& state = m_links[target];
+    state.address = address;
+    if (state.current != phase::closed || state.open_timer != 0) {
+        return;
+    }
+    if (state.failures == 0) {
+        start_opening(target);
+        return;
+    }
+    state.open_timer = m_context.timers.call_after(backoff(state.failures, m_context.random),
+                                                   [this, target] { start_opening(target); });
+}
+
+void link_set::start_opening(const target_id& target) {
+    auto& state = m_links[target];
+    state.current = phase::opening;
+    state.link = link_id{++m_last_link};
+    m_targets.emplace(state.link, target);
+
+    m_context.emit(open_link{state.link, target, state.address});
+    state.open_timer = m_context.timers.call_after(
+        open_limit, [this, target] { lose(target, link_loss::unreachable, true); });
+}
+
+bool link_set::is_ready(const target_id& target) const {
+    const auto it = m_links.find(target);
+    return it != m_links.end() && it->second.current == phase::open;
+}
+
+bool link_set::is_backing_off(const target_id& target) const {
+    const auto it = m_links.find(target);
+    return it != m_links.end() && it->second.current != phase::open && it->second.failures > 0;
+}
+
+void link_set::send(const target_id& target, traffic_message message) {
+    const auto it = m_links.find(target);
+    if (it == m_links.end() || it->second.current != phase::open) {
+        return;
+    }
+    auto& state = it->second;
+    state.used_at = m_context.now();
+    if (!awaits_word(target, state)) {
+        state.progress_at = m_context.now();
+    }
+    m_context.emit(send_message{state.link, std::move(message)});
+    if (!state.watched) {
+        watch(target, state, state.progress_at + silence_limit);
+    }
+}
+
+void link_set::on_opened(link_id link) {
+    const auto it = m_targets.find(link);
+    if (it == m_targets.end()) {
+        return;
+    }
+    const target_id target = it->second;
+    auto& state = m_links[target];
+    m_context.timers.cancel(std::exchange(state.open_timer, 0));
+    state.current = phase::open;
+    state.progress_at = m_context.now();
+    state.opened_at = m_context.now();
+    state.idle_timer = m_context.timers.call_after(idle_limit, [this, target] { check_idle(target); });
+
+    const auto version = m_context.view == nullptr ? 0 : m_context.view->current_plan->version;
+    const auto& identity = m_context.identity;
+    send(target, hello{identity.self, identity.process, identity.data_centre, version});
+    state.awaits_hello = true;
+    m_callbacks.on_ready(target);
+}
+
+void link_set::on_closed(link_id link) {
+    const auto it = m_targets.find(link);
+    if (it == m_targets.end()) {
+        return;
+    }
+    const target_id target = it->second;
+    const bool was_open = m_links[target].current == phase::open;
+    lose(target, was_open ? link_loss::closed : link_loss::unreachable, false);
+}
+
+const target_id* link_set::on_received(link_id link, const traffic_message& message) {
+    const auto it = m_targets.find(link);
+    if (it == m_targets.end()) {
+        return nullptr;
+    }
+    auto& state = m_links[it->second];
+    const time_point now = m_context.now();
+    if (std::holds_alternative<hello>(message) && std::exchange(state.awaits_hello, false)) {
+        m_callbacks.on_round_trip(it->second, now - state.opened_at);
+    }
+    if (std::holds_alternative<pong>(message) && state.awaits_pong) {
+        m_callbacks.on_round_trip(it->second, now - state.pinged_at);
+    }
+    state.progress_at = now;
+    state.awaits_pong = false;
+    state.heard = true;
+    state.failures = 0;
+    return &it->second;
+}
+
+void link_set::reset(const target_id& target, link_loss cause) {
+    const auto it = m_links.find(target);
+    if (it != m_links.end() && it->second.current != phase::closed) {
+        lose(target, cause, true);
+    }
+}
+
+/// Releases all links before it tells of the first, so that no retry is sent on a link that is given up next.
+void link_set::reset_all() {
+    std::vector<std::pair<link_id, target_id>> links(m_targets.begin(), m_targets.end());
+    std::ranges::sort(links);
+    for (const auto& [link, target] : links) {
+        m_context.emit(close_link{link});
+        release(m_links[target]);
+    }
+    for (const auto& [link, target] : links) {
+        m_callbacks.on_lost(target, link_loss::reset);
+    }
+}
+
+void link_set::on_plan_changed() {
+    std::vector<std::pair<link_id, target_id>> links(m_targets.begin(), m_targets.end());
+    std::ranges::sort(links);
+    for (const auto& [link, target] : links) {
+        const auto* planned = m_context.find_target(target);
+        const bool moved = planned != nullptr && planned->node_address != m_links[target].address;
+        const bool unused = planned == nullptr && !awaits_word(target, m_links[target]);
+        if (moved || unused) {
+            reset(target, link_loss::reset);
+        }
+    }
+}
+
+bool link_set::awaits_word(const target_id& target, const link_state& state) const {
+    return state.awaits_hello || state.awaits_pong || m_callbacks.is_busy(target);
+}
+
+void link_set::watch(const target_id& target, link_state& state, time_point due) {
+    state.watched = true;
+    state.progress_timer = m_context.timers.call_at(due, [this, target] { check_progress(target); });
+}
+
+void link_set::check_progress(const target_id& target) {
+    auto& state = m_links[target];
+    state.watched = false;
+    if (!awaits_word(target, state)) {
+        return;
+    }
+
+    const time_point now = m_context.now();
+    if (state.awaits_pong && now - state.pinged_at >= silence_limit) {
+        m_context.record(event_number::link_silent, {{"target", target.value()}});
+        lose(target, link_loss::silent, true);
+        return;
+    }
+    if (!state.awaits_pong && now - state.progress_at >= silence_limit) {
+        m_context.emit(send_message{state.link, ping{}});
+        state.awaits_pong = true;
+        state.pinged_at = now;
+    }
+    watch(target, state, (state.awaits_pong ? state.pinged_at : state.progress_at) + silence_limit);
+}
+
+void link_set::check_idle(const target_id& target) {
+    auto& state = m_links[target];
+    const time_point due = state.used_at + idle_limit;
+    if (awaits_word(target, state) || m_context.now() < due) {
+        const time_point next = std::max(due, m_context.now() + silence_limit);
+        state.idle_timer = m_context.timers.call_at(next, [this, target] { check_idle(target); });
+        return;
+    }
+    m_context.emit(close_link{state.link});
+    release(state);
+    state.heard = false;
+}
+
+void link_set::release(link_state& state) {
+    m_context.timers.cancel(std::exchange(state.progress_timer, 0));
+    m_context.timers.cancel(std::exchange(state.idle_timer, 0));
+    m_context.timers.cancel(std::exchange(state.open_timer, 0));
+    m_targets.erase(state.link);
+    state.current = phase::closed;
+    state.watched = false;
+    state.awaits_hello = false;
+    state.awaits_pong = false;
+}
+
+void link_set::lose(const target_id& target, link_loss cause, bool close) {
+    // The caller's reference may point into a container that `release` changes.
+    const target_id peer = target;
+    auto& state = m_links[peer];
+    if (close) {
+        m_context.emit(close_link{state.link});
+    }
+    release(state);
+    if (!std::exchange(state.heard, false)) {
+        ++state.failures;
+    }
+    if (cause == link_loss::closed) {
+        m_context.record(event_number::link_lost, {{"target", peer.value()}});
+    }
+    m_callbacks.on_lost(peer, cause);
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/probe_scheduler.cpp
@@ -0,0 +1,87 @@
+#include "cornelpier/entry/probe_scheduler.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr duration traffic_window = std::chrono::seconds{1};
+constexpr duration least_period = std::chrono::milliseconds{10};
+constexpr duration longest_period = std::chrono::seconds{10};
+
+} // namespace
+
+probe_scheduler::probe_scheduler(entry_context& context, service_table& services,
+                                 const reading_table& readings, link_set& links)
+    : m_context(context), m_services(services), m_readings(readings), m_links(links) {}
+
+void probe_scheduler::on_call(const service_plan& service, service_state& state) {
+    state.last_call_at = m_context.now();
+    if (!m_context.options.probes || state.probe_timer != 0) {
+        return;
+    }
+    const duration period = period_of(service);
+    if (period > duration::zero()) {
+        schedule(service.id, state, period);
+    }
+}
+
+duration probe_scheduler::probe_period(const service_plan& service, std::size_t entries) {
+    const double budget = service.measuring.per_second * service.tail_weight;
+    if (budget <= 0 || service.targets.empty()) {
+        return duration::zero();
+    }
+    const double used = static_cast<double>(std::min(max_subset_size, service.targets.size()));
+    const double users = static_cast<double>(entries) * used / static_cast<double>(service.targets.size());
+    const double seconds = std::max(users, 1.0) / budget;
+    return std::max(least_period, from_seconds(std::min(seconds, to_seconds(longest_period))));
+}
+
+duration probe_scheduler::period_of(const service_plan& service) const {
+    std::size_t entries = 0;
+    for (const auto& it : m_context.view->current_plan->services) {
+        entries += it.targets.size();
+    }
+    return probe_period(service, entries);
+}
+
+void probe_scheduler::schedule(const service_id& service, service_state& state, duration period) {
+    const double jitter = 0.5 + m_context.random.unit();
+    state.probe_timer = m_context.timers.call_after(from_seconds(to_seconds(period) * jitter),
+                                                    [this, service] { on_due(service); });
+}
+
+void probe_scheduler::on_due(const service_id& service) {
+    auto* state = m_services.find(service);
+    state->probe_timer = 0;
+    const auto* planned = m_context.find_service(service);
+    if (planned == nullptr || m_context.now() - state->last_call_at > traffic_window) {
+        return;
+    }
+    const duration period = period_of(*planned);
+    if (period > duration::zero()) {
+        probe_subset(*state, period);
+        schedule(service, *state, period);
+    }
+}
+
+/// Targets that sent a reading lately, with an answer or a refusal, cost no measurement.
+void probe_scheduler::probe_subset(const service_state& state, duration period) {
+    for (std::size_t i = 0; i < state.subset.size(); ++i) {
+        const auto& target = state.subset[i];
+        const auto* load = m_readings.find(target);
+        if (load != nullptr && load->last && m_context.now() - load->received_at < period) {
+            continue;
+        }
+        if (m_links.is_ready(target)) {
+            m_links.send(target, probe{});
+        } else if (!m_links.is_backing_off(target)) {
+            m_links.open(target, state.addresses[i]);
+        }
+    }
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/request_token.cpp
@@ -0,0 +1,62 @@
+#include "cornelpier/entry/request_token.hpp"
+
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <limits>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr int hexadecimal = 16;
+
+std::string to_hexadecimal(std::uint64_t value) {
+    std::array<char, hexadecimal> buf{};
+    const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), value, hexadecimal).ptr;
+    return {buf.data(), end};
+}
+
+/// Removes the last field from the text.
+std::optional<std::uint64_t> take_number(std::string_view& text) {
+    const auto dot = text.rfind('.');
+    if (dot == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view field = text.substr(dot + 1);
+    text = text.substr(0, dot);
+
+    std::uint64_t value = 0;
+    const auto* const end = field.data() + field.size();
+    const auto [position, ec] = std::from_chars(field.data(), end, value, hexadecimal);
+    if (field.empty() || ec != std::errc{} || position != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace
+
+std::string to_string(const request_token& token) {
+    return token.owner.value() + '.' + to_hexadecimal(token.process.value()) + '.' +
+           to_hexadecimal(token.attempt.request.entry.value()) + '.' +
+           to_hexadecimal(token.attempt.request.sequence) + '.' + to_hexadecimal(token.attempt.number);
+}
+
+std::optional<request_token> parse_request_token(std::string_view text) {
+    const auto number = take_number(text);
+    const auto sequence = take_number(text);
+    const auto entry = take_number(text);
+    const auto process = take_number(text);
+    if (!number || !sequence || !entry || !process || text.empty()) {
+        return std::nullopt;
+    }
+    if (*number > std::numeric_limits<std::uint32_t>::max()) {
+        return std::nullopt;
+    }
+    const request_id request{incarnation{*entry}, *sequence};
+    return request_token{target_id{std::string{text}}, incarnation{*process},
+                         attempt_id{request, static_cast<std::uint32_t>(*number)}};
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/service_state.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "cornelpier/base/ids.hpp"
+#include "cornelpier/retry/hedge_policy.hpp"
+#include "cornelpier/retry/retry_budget.hpp"
+#include "cornelpier/routing/chooser.hpp"
+#include "cornelpier/timer/timer_service.hpp"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cornelpier {
+
+/// Retries per call that the budget of a service allows.
+inline constexpr double retry_share = 0.1;
+
+/// Retries that a service may make at once, whatever its rate of calls.
+inline constexpr double retry_reserve = 10;
+
+/// What an entry keeps per service.
+struct service_state {
+    explicit service_state(any_chooser chosen) : policy(std::move(chosen)) {}
+
+    std::vector<target_id> subset;            ///< In the order of the plan.
+    std::vector<data_centre_id> data_centres; ///< Of the targets in `subset`.
+    std::vector<std::string> addresses;       ///< Of their nodes.
+    bool has_lookups = false;                 ///< Some requests are idempotent.
+    any_chooser policy;
+    retry_budget retries{retry_share, retry_reserve};
+    hedge_policy hedges;
+    time_point last_call_at;
+    timer_service::timer_id probe_timer = 0; ///< 0 while no probes are sent.
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/service_table.cpp
@@ -0,0 +1,47 @@
+#include "cornelpier/entry/service_table.hpp"
+
+#include "cornelpier/routing/least_estimate_chooser.hpp"
+
+#include <algorithm>
+
+namespace cornelpier {
+
+service_state& service_table::at(const service_plan& service) {
+    auto& entry = m_services[service.id];
+    if (entry.state == nullptr) {
+        const auto& make = m_context.options.make_chooser;
+        entry.state = std::make_unique<service_state>(make ? make() : any_chooser{least_estimate_chooser{}});
+    }
+    if (!entry.current) {
+        compute_subset(service, *entry.state);
+        entry.current = true;
+    }
+    return *entry.state;
+}
+
+service_state* service_table::find(const service_id& service) {
+    const auto it = m_services.find(service);
+    return it == m_services.end() ? nullptr : it->second.state.get();
+}
+
+void service_table::on_plan_changed() {
+    m_entries = subset_entries(*m_context.view->current_plan);
+    for (auto& [id, it] : m_services) {
+        it.current = false;
+    }
+}
+
+void service_table::compute_subset(const service_plan& service, service_state& state) const {
+    state.subset.clear();
+    state.data_centres.clear();
+    state.addresses.clear();
+    state.has_lookups = std::ranges::any_of(service.rules, &request_rule::idempotent);
+    const auto& identity = m_context.identity;
+    for (const auto i : choose_subset(service, m_entries, identity.self, identity.data_centre)) {
+        state.subset.push_back(service.targets[i].id);
+        state.data_centres.push_back(service.targets[i].data_centre);
+        state.addresses.push_back(service.targets[i].node_address);
+    }
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/service_table.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cornelpier/entry/entry_context.hpp"
+#include "cornelpier/entry/service_state.hpp"
+#include "cornelpier/routing/subset.hpp"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace cornelpier {
+
+/// State per service. Subsets are computed on first use after a change of the plan.
+class service_table {
+  public:
+    explicit service_table(entry_context& context) : m_context(context) {}
+
+    /// @param service of the plan in force.
+    /// @return the state of the service with its subset; stays at its place.
+    service_state& at(const service_plan& service);
+
+    /// @return the state of a service that was used before, or nullptr.
+    service_state* find(const service_id& service);
+
+    /// Computes subsets anew.
+    void on_plan_changed();
+
+  private:
+    struct entry {
+        std::unique_ptr<service_state> state;
+        bool current = false; ///< The subset belongs to the plan in force.
+    };
+
+    void compute_subset(const service_plan& service, service_state& state) const;
+
+    entry_context& m_context;
+    std::vector<subset_entry> m_entries;
+    std::unordered_map<service_id, entry> m_services;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -0,0 +1,201 @@
+#include "cornelpier/entry/target_selector.hpp"
+
+#include "cornelpier/base/hash.hpp"
+#include "cornelpier/health/slow_start.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cornelpier {
+
+namespace {
+
+// A failed attempt costs a retry, or an unknown verdict where no retry is allowed.
+constexpr duration cost_of_failure = std::chrono::milliseconds{100};
+
+// Gossip takes about a second to spread; a reading of that age is no fresher.
+constexpr duration reading_outranks_gossip = std::chrono::seconds{1};
+
+duration failure_penalty(double rate) {
+    return duration{static_cast<duration::rep>(static_cast<double>(cost_of_failure.count()) * rate)};
+}
+
+} // namespace
+
+target_selector::target_selector(entry_context& context, reading_table& readings, distance_table& distances,
+                                 health_table& health, const link_set& links)
+    : m_context(context), m_readings(readings), m_distances(distances), m_health(health), m_links(links) {}
+
+std::optional<selection> target_selector::select(const call_state& call, service_state& service, bool hedge) {
+    if (!hedge) {
+        if (auto trial = select_trial(call, service)) {
+            return trial;
+        }
+    }
+    const auto members = first_group(call, service, hedge);
+    if (members.empty()) {
+        return std::nullopt;
+    }
+
+    const auto scored = score(service, members);
+    std::vector<candidate> candidates(scored.size());
+    std::ranges::transform(scored, candidates.begin(), &scored_candidate::scored);
+
+    const std::size_t chosen = service.policy.choose(candidates, m_context.random);
+    auto result = make_selection(service, scored.at(chosen).index);
+    if (m_context.options.conditional_admission) {
+        result.wait_limit = wait_limit(scored, chosen);
+    }
+    return result;
+}
+
+std::optional<selection> target_selector::select_home(const service_plan& service, const std::string& key) {
+    if (service.targets.empty()) {
+        return std::nullopt;
+    }
+    const std::string placed = service.id.value() + '\n' + key;
+    const auto home = std::ranges::max_element(
+        service.targets, {}, [&](const target_plan& it) { return rendezvous_score(placed, it.id.value()); });
+    return selection{home->id, home->data_centre, home->node_address, std::nullopt, false};
+}
+
+/// A trial request of a failing target may end without a proof, so orders are not used for it.
+std::optional<selection> target_selector::select_trial(const call_state& call, const service_state& service) {
+    if (!call.idempotent && service.has_lookups) {
+        return std::nullopt;
+    }
+    for (std::size_t i = 0; i < service.subset.size(); ++i) {
+        const auto& target = service.subset[i];
+        const bool wanted = m_health.at(target, m_context.now()).wants_trial();
+        if (!wanted || is_leaving(target) || std::ranges::count(call.avoided, target) != 0) {
+            continue;
+        }
+        auto result = make_selection(service, i);
+        result.trial = true;
+        return result;
+    }
+    return std::nullopt;
+}
+
+std::vector<std::size_t> target_selector::first_group(const call_state& call, const service_state& service,
+                                                      bool hedge) {
+    group best = group::excluded;
+    std::vector<std::size_t> result;
+    for (std::size_t i = 0; i < service.subset.size(); ++i) {
+        const group current = group_of(call, service.subset[i]);
+        if (current < best) {
+            best = current;
+            result.clear();
+        }
+        if (current == best && best != group::excluded) {
+            result.push_back(i);
+        }
+    }
+    if (hedge && best > group::cold) {
+        result.clear();
+    }
+    return result;
+}
+
+target_selector::group target_selector::group_of(const call_state& call, const target_id& target) {
+    if (std::ranges::count(call.avoided, target) != 0) {
+        return group::excluded;
+    }
+    if (is_leaving(target)) {
+        return group::leaving;
+    }
+    const auto& health = m_health.at(target, m_context.now());
+    if (health.state() != health_state::healthy || m_links.is_backing_off(target)) {
+        return group::unhealthy;
+    }
+    const bool tried = std::ranges::any_of(call.attempts, [&](const attempt_state& it) {
+        return it.target == target && (it.phase != attempt_phase::settled || it.outcome != verdict::not_run);
+    });
+    if (tried) {
+        return group::tried;
+    }
+    return is_cold(target) ? group::cold : group::regular;
+}
+
+bool target_selector::is_leaving(const target_id& target) const {
+    const auto& view = *m_context.view;
+    const auto vm = view.vm_states.find(target);
+    if (vm != view.vm_states.end() && vm->second == vm_state::leaving) {
+        return true;
+    }
+    const auto* load = m_readings.find(target);
+    if (load != nullptr && load->last) {
+        const bool is_out = load->last->state != node_state::serving;
+        if (is_out || m_context.now() - load->received_at < reading_outranks_gossip) {
+            return is_out;
+        }
+    }
+    const auto node = view.node_states.find(target);
+    return node != view.node_states.end() && node->second != node_state::serving;
+}
+
+/// Draws whether a target in slow start is passed over this time.
+bool target_selector::is_cold(const target_id& target) {
+    double share = 1;
+    const time_point now = m_context.now();
+    if (const auto* load = m_readings.find(target); load != nullptr && load->last) {
+        share = slow_start_share(load->last->uptime + (now - load->received_at));
+    }
+    if (const auto recovered = m_health.at(target, now).recovered_at()) {
+        share = std::min(share, slow_start_share(now - *recovered));
+    }
+    return share < 1 && m_context.random.unit() >= share;
+}
+
+std::vector<target_selector::scored_candidate>
+target_selector::score(const service_state& service, const std::vector<std::size_t>& members) {
+    const time_point now = m_context.now();
+    std::vector<const target_load*> loads(service.subset.size());
+    std::ranges::transform(service.subset, loads.begin(),
+                           [this](const target_id& it) { return m_readings.find(it); });
+    const load_estimate average = average_load(loads);
+
+    std::vector<scored_candidate> result;
+    result.reserve(members.size());
+    for (const std::size_t i : members) {
+        const auto& target = service.subset[i];
+        const auto* load = loads[i];
+        const duration distance = m_distances.distance(target, service.data_centres[i]);
+        const load_estimate estimate = estimate_load(load, average, distance, now);
+        const duration penalty = failure_penalty(m_health.at(target, now).failure_rate());
+
+        scored_candidate it{i, {&target}, estimate.service + penalty};
+        it.scored.wait = estimate.wait;
+        it.scored.estimate = estimate.wait + estimate.service + distance + penalty;
+        if (load != nullptr) {
+            it.scored.own_in_flight = static_cast<std::uint32_t>(load->own_runs.size());
+            it.scored.reported_load = load->last ? load->last->in_flight + load->last->queued : 0;
+        }
+        result.push_back(it);
+    }
+    return result;
+}
+
+/// The second-best target is better if wait and service here take longer than everything there; the
+/// distance of the chosen target is spent in both cases, as the way of the refusal.
+std::optional<duration> target_selector::wait_limit(const std::vector<scored_candidate>& candidates,
+                                                    std::size_t chosen) {
+    std::optional<duration> second;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (i != chosen) {
+            const duration estimate = candidates[i].scored.estimate;
+            second = second ? std::min(*second, estimate) : estimate;
+        }
+    }
+    if (!second) {
+        return std::nullopt;
+    }
+    return std::max(*second - candidates[chosen].hurdle, duration::zero());
+}
+
+selection target_selector::make_selection(const service_state& service, std::size_t index) {
+    return {service.subset.at(index), service.data_centres.at(index), service.addresses.at(index),
+            std::nullopt, false};
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/entry/target_selector.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "cornelpier/entry/call_state.hpp"
+#include "cornelpier/entry/entry_context.hpp"
+#include "cornelpier/entry/link_set.hpp"
+#include "cornelpier/entry/service_state.hpp"
+#include "cornelpier/health/health_table.hpp"
+#include "cornelpier/routing/distance_table.hpp"
+#include "cornelpier/routing/load_estimate.hpp"
+#include "cornelpier/routing/reading_table.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cornelpier {
+
+/// Target of an attempt.
+struct selection {
+    target_id target;
+    data_centre_id data_centre;
+    std::string address;                ///< Of its node.
+    std::optional<duration> wait_limit; ///< A longer wait makes the second-best target the better one.
+    bool trial = false;                 ///< The attempt is the trial request of the target.
+};
+
+/// Chooses targets. Owns nothing.
+class target_selector {
+  public:
+    target_selector(entry_context& context, reading_table& readings, distance_table& distances,
+                    health_table& health, const link_set& links);
+
+    /// Chooses from the subset of the service.
+    /// @param hedge take only a target in good order without an open attempt of the call.
+    /// @return nothing if no target is left.
+    std::optional<selection> select(const call_state& call, service_state& service, bool hedge);
+
+    /// @return the home of a key: the only target its requests may go to. Nothing without targets.
+    [[nodiscard]] static std::optional<selection> select_home(const service_plan& service,
+                                                              const std::string& key);
+
+  private:
+    /// Targets are used in this order; a group counts only if all before it are empty.
+    enum class group : std::uint8_t { regular, cold, tried, unhealthy, leaving, excluded };
+
+    struct scored_candidate {
+        std::size_t index = 0; ///< In the subset.
+        candidate scored;
+        duration hurdle{}; ///< Part of the estimate that does not depend on the wait.
+    };
+
+    std::optional<selection> select_trial(const call_state& call, const service_state& service);
+    std::vector<scored_candidate> score(const service_state& service,
+                                        const std::vector<std::size_t>& members);
+    std::vector<std::size_t> first_group(const call_state& call, const service_state& service, bool hedge);
+    group group_of(const call_state& call, const target_id& target);
+    [[nodiscard]] bool is_leaving(const target_id& target) const;
+    bool is_cold(const target_id& target);
+    static std::optional<duration> wait_limit(const std::vector<scored_candidate>& candidates,
+                                              std::size_t chosen);
+    static selection make_selection(const service_state& service, std::size_t index);
+
+    entry_context& m_context;
+    reading_table& m_readings;
+    distance_table& m_distances;
+    health_table& m_health;
+    const link_set& m_links;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/health/target_health.cpp
@@ -0,0 +1,178 @@
+#include "cornelpier/health/target_health.hpp"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace cornelpier {
+
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::Row;
+
+constexpr std::uint32_t max_consecutive_failures = 5;
+constexpr std::uint32_t max_consecutive_fast_failures = 3; // A target that fails fast attracts traffic.
+constexpr double max_failure_rate = 0.5;
+constexpr std::uint32_t least_samples = 20;
+constexpr double rate_smoothing = 0.1;
+constexpr duration first_ejection = std::chrono::seconds{1};
+constexpr duration longest_ejection = std::chrono::seconds{30};
+constexpr duration forgive_after = std::chrono::seconds{60};
+
+// Events of the machine.
+struct failures_exceeded {};
+struct ejection_over {};
+struct trial_passed {};
+struct trial_failed {};
+
+struct healthy : msm::front::state<> {};
+struct ejected : msm::front::state<> {};
+struct trial : msm::front::state<> {};
+
+struct definition : msm::front::state_machine_def<definition> {
+    using initial_state = healthy;
+    using none = msm::front::none;
+
+    // clang-format off
+    struct transition_table : boost::mpl::vector<
+        Row<healthy, failures_exceeded, ejected, none, none>,
+        Row<ejected, ejection_over,     trial,   none, none>,
+        Row<trial,   trial_passed,      healthy, none, none>,
+        Row<trial,   trial_failed,      ejected, none, none>> {};
+    // clang-format on
+
+    template <typename Machine, typename Event>
+    void no_transition(const Event& /*event*/, Machine& /*machine*/, int /*state*/) {}
+};
+
+} // namespace
+
+class target_health::machine {
+  public:
+    machine() { m_states.start(); }
+
+    void on_outcome(health_outcome outcome, bool may_eject, time_point now) {
+        if (state() == health_state::trial) {
+            finish_trial(outcome, now);
+            return;
+        }
+        if (state() == health_state::ejected) {
+            return;
+        }
+        count(outcome);
+        if (may_eject && exceeded()) {
+            m_states.process_event(failures_exceeded{});
+            eject(now);
+        }
+    }
+
+    void update(time_point now) {
+        if (state() == health_state::ejected && now >= m_ejected_until) {
+            m_states.process_event(ejection_over{});
+            trial_in_progress = false;
+        }
+    }
+
+    [[nodiscard]] health_state state() const {
+        return static_cast<health_state>(m_states.current_state()[0]);
+    }
+
+    bool trial_in_progress = false;
+    std::optional<time_point> recovered_at;
+    double failure_rate = 0;
+
+  private:
+    void count(health_outcome outcome) {
+        const bool failed = outcome != health_outcome::success;
+        m_samples = std::min(m_samples + 1, least_samples);
+        failure_rate += ((failed ? 1.0 : 0.0) - failure_rate) * rate_smoothing;
+        m_failures = failed ? m_failures + 1 : 0;
+        m_fast_failures = outcome == health_outcome::fast_failure ? m_fast_failures + 1 : 0;
+    }
+
+    [[nodiscard]] bool exceeded() const {
+        return m_failures >= max_consecutive_failures || m_fast_failures >= max_consecutive_fast_failures ||
+               (m_samples >= least_samples && failure_rate > max_failure_rate);
+    }
+
+    void finish_trial(health_outcome outcome, time_point now) {
+        trial_in_progress = false;
+        if (outcome != health_outcome::success) {
+            m_states.process_event(trial_failed{});
+            eject(now);
+            return;
+        }
+        m_states.process_event(trial_passed{});
+        recovered_at = now;
+        reset_counts();
+    }
+
+    /// Each ejection lasts twice as long as the one before, unless the target was healthy for long.
+    void eject(time_point now) {
+        const bool forgiven = recovered_at && now - *recovered_at > forgive_after && stayed_healthy();
+        m_length = forgiven || m_length == duration::zero() ? first_ejection
+                                                            : std::min(m_length * 2, longest_ejection);
+        m_ejected_until = now + m_length;
+        reset_counts();
+    }
+
+    [[nodiscard]] bool stayed_healthy() const { return recovered_at >= m_ejected_until; }
+
+    void reset_counts() {
+        m_failures = 0;
+        m_fast_failures = 0;
+        m_samples = 0;
+        failure_rate = 0;
+    }
+
+    // State numbers follow the order in which the transition table first names the states.
+    msm::back::state_machine<definition> m_states;
+    std::uint32_t m_failures = 0;
+    std::uint32_t m_fast_failures = 0;
+    std::uint32_t m_samples = 0;
+    duration m_length{};
+    time_point m_ejected_until;
+};
+
+target_health::target_health() : m_machine(std::make_unique<machine>()) {}
+target_health::~target_health() = default;
+target_health::target_health(target_health&&) noexcept = default;
+target_health& target_health::operator=(target_health&&) noexcept = default;
+
+void target_health::on_outcome(health_outcome outcome, bool may_eject, time_point now) {
+    m_machine->on_outcome(outcome, may_eject, now);
+}
+
+void target_health::update(time_point now) {
+    m_machine->update(now);
+}
+
+health_state target_health::state() const {
+    return m_machine->state();
+}
+
+bool target_health::wants_trial() const {
+    return state() == health_state::trial && !m_machine->trial_in_progress;
+}
+
+void target_health::trial_sent() {
+    m_machine->trial_in_progress = true;
+}
+
+void target_health::trial_released() {
+    m_machine->trial_in_progress = false;
+}
+
+std::optional<time_point> target_health::recovered_at() const {
+    return m_machine->recovered_at;
+}
+
+double target_health::failure_rate() const {
+    return m_machine->failure_rate;
+}
+
+} // namespace cornelpier
--- a/src/cornelpier/node/traffic_core.cpp
+++ b/src/cornelpier/node/traffic_core.cpp
@@ -14,9 +14,10 @@
 /// Routes events to the manager that owns the state concerned.
 class traffic_core::implementation {
   public:
-    implementation(node_identity identity, std::uint64_t seed, time_point start)
+    implementation(node_identity identity, std::uint64_t seed, time_point start, traffic_options options)
         : m_identity(std::move(identity)), m_random(seed), m_timers(start),
-          m_entry(m_identity, m_timers, m_random.split()), m_owner(m_identity, m_timers, m_random.split()) {}
+          m_entry(m_identity, m_timers, m_random.split(), std::move(options.entry)),
+          m_owner(m_identity, m_timers, m_random.split()) {}
 
     void handle(const traffic_event& event, time_point now, traffic_actions& actions) {
         set_output(m_pending);
@@ -169,8 +170,10 @@
     bool m_reported_drained = false;
 };
 
-traffic_core::traffic_core(node_identity identity, std::uint64_t seed, time_point start)
-    : m_implementation(std::make_unique<implementation>(std::move(identity), seed, start)) {}
+traffic_core::traffic_core(node_identity identity, std::uint64_t seed, time_point start,
+                           traffic_options options)
+    : m_implementation(
+          std::make_unique<implementation>(std::move(identity), seed, start, std::move(options))) {}
 
 traffic_core::~traffic_core() = default;
 traffic_core::traffic_core(traffic_core&&) noexcept = default;
--- a/src/cornelpier/node/traffic_core.hpp
+++ b/src/cornelpier/node/traffic_core.hpp
@@ -4,6 +4,7 @@
 #include "cornelpier/node/node_identity.hpp"
 #include "cornelpier/node/traffic_actions.hpp"
 #include "cornelpier/node/traffic_events.hpp"
+#include "cornelpier/node/traffic_options.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -30,7 +31,8 @@
     /// @param identity who the node is.
     /// @param seed seed of the random numbers.
     /// @param start current time on the node's monotonic clock.
-    traffic_core(node_identity identity, std::uint64_t seed, time_point start);
+    /// @param options replaces parts of the decisions.
+    traffic_core(node_identity identity, std::uint64_t seed, time_point start, traffic_options options = {});
     ~traffic_core();
 
     traffic_core(const traffic_core&) = delete;
--- /dev/null
+++ b/src/cornelpier/node/traffic_options.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "cornelpier/entry/entry_options.hpp"
+
+namespace cornelpier {
+
+/// Replaces parts of a node's decisions, for comparisons between policies.
+struct traffic_options {
+    entry_options entry;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/retry/hedge_policy.cpp
@@ -0,0 +1,71 @@
+#include "cornelpier/retry/hedge_policy.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr double hedge_share = 0.05;
+constexpr double hedge_reserve = 5;
+constexpr double hedge_quantile = 0.95;
+constexpr std::uint32_t least_samples = 40;
+constexpr std::uint32_t max_samples = 2000; // Then all counts are halved, so that old answers fade.
+constexpr double buckets_per_doubling = 8;
+
+} // namespace
+
+hedge_policy::hedge_policy() : m_budget(hedge_share, hedge_reserve) {}
+
+std::size_t hedge_policy::bucket_of(duration latency) {
+    const double us = static_cast<double>(std::max<duration::rep>(latency.count(), 1));
+    const auto bucket = static_cast<std::size_t>(std::log2(us) * buckets_per_doubling);
+    return std::min(bucket, bucket_count - 1);
+}
+
+duration hedge_policy::upper_end(std::size_t bucket) {
+    return duration{
+        static_cast<duration::rep>(std::exp2(static_cast<double>(bucket + 1) / buckets_per_doubling))};
+}
+
+void hedge_policy::on_latency(duration latency) {
+    ++m_buckets.at(bucket_of(latency));
+    if (++m_samples >= max_samples) {
+        age();
+    }
+}
+
+void hedge_policy::age() {
+    m_samples = 0;
+    for (auto& it : m_buckets) {
+        it /= 2;
+        m_samples += it;
+    }
+}
+
+std::optional<duration> hedge_policy::delay() const {
+    return quantile(hedge_quantile);
+}
+
+std::optional<duration> hedge_policy::median() const {
+    constexpr double half = 0.5;
+    return quantile(half);
+}
+
+std::optional<duration> hedge_policy::quantile(double share) const {
+    if (m_samples < least_samples) {
+        return std::nullopt;
+    }
+    const auto rank = static_cast<std::uint32_t>(std::ceil(share * m_samples));
+    std::uint32_t seen = 0;
+    for (std::size_t i = 0; i < bucket_count; ++i) {
+        seen += m_buckets.at(i);
+        if (seen >= rank) {
+            return upper_end(i);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/retry/retry_budget.cpp
@@ -0,0 +1,19 @@
+#include "cornelpier/retry/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace cornelpier {
+
+void retry_budget::on_call() {
+    m_tokens = std::min(m_tokens + m_share, m_reserve);
+}
+
+bool retry_budget::take() {
+    if (m_tokens < 1) {
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/routing/load_estimate.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "cornelpier/base/units.hpp"
+#include "cornelpier/routing/reading_table.hpp"
+
+#include <span>
+
+namespace cornelpier {
+
+/// Expected times of a request that is sent to a target now.
+struct load_estimate {
+    duration wait{};    ///< Until the server starts on it.
+    duration service{}; ///< At the server.
+};
+
+/// @param loads entries of a subset; nullptr for targets without one.
+/// @return mean over the targets that have a reading; zero if none has.
+load_estimate average_load(std::span<const target_load* const> loads);
+
+/// Corrects the last reading by what happened since: own runs add to the wait, and with growing age the
+/// reading counts less than the average of the subset.
+/// @param load entry of the target; may be nullptr.
+/// @param average mean of the subset.
+/// @param distance round trip to the target; own runs sent less than that before the reading came in are not
+/// contained in it.
+load_estimate estimate_load(const target_load* load, const load_estimate& average, duration distance,
+                            time_point now);
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/routing/reading_table.cpp
@@ -0,0 +1,78 @@
+#include "cornelpier/routing/reading_table.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cornelpier {
+
+namespace {
+
+// Owners grant permits for 5 s; the margin covers the way of the run to the owner.
+constexpr duration usable_permit_age = std::chrono::milliseconds{4500};
+
+} // namespace
+
+std::uint32_t target_load::own_runs_since(time_point since) const {
+    return static_cast<std::uint32_t>(
+        std::ranges::count_if(own_runs, [since](time_point sent_at) { return sent_at > since; }));
+}
+
+bool reading_table::accept(const reading& load, time_point now) {
+    auto& entry = m_targets[load.target];
+    const bool same_process = entry.last && entry.last->leave.owner == load.leave.owner;
+    if (same_process && entry.last->sequence > load.sequence) {
+        return false;
+    }
+
+    entry.last = load;
+    entry.received_at = now;
+    entry.leave = load.leave;
+    entry.leave_received_at = now;
+    return true;
+}
+
+void reading_table::accept_permit(const target_id& target, const permit& leave, time_point now) {
+    auto& entry = m_targets[target];
+    entry.leave = leave;
+    entry.leave_received_at = now;
+}
+
+std::optional<permit> reading_table::usable_permit(const target_id& target, time_point now) const {
+    const auto* entry = find(target);
+    if (entry == nullptr || now - entry->leave_received_at > usable_permit_age) {
+        return std::nullopt;
+    }
+    return entry->leave;
+}
+
+void reading_table::drop_permit(const target_id& target) {
+    m_targets[target].leave.reset();
+}
+
+void reading_table::run_sent(const target_id& target, time_point sent_at) {
+    m_targets[target].own_runs.push_back(sent_at);
+}
+
+void reading_table::run_ended(const target_id& target, time_point sent_at) {
+    auto& runs = m_targets[target].own_runs;
+    const auto it = std::ranges::find(runs, sent_at);
+    if (it == runs.end()) {
+        return;
+    }
+    *it = runs.back();
+    runs.pop_back();
+}
+
+void reading_table::drop_readings() {
+    for (auto& [target, entry] : m_targets) {
+        entry.last.reset();
+        entry.leave.reset();
+    }
+}
+
+const target_load* reading_table::find(const target_id& target) const {
+    const auto it = m_targets.find(target);
+    return it == m_targets.end() ? nullptr : &it->second;
+}
+
+} // namespace cornelpier
