List nodes with known trouble before silent ones in reports

Cause: with 958 silent nodes the page listed the first 20 by name and left out the one draining node of which something was known (test failed on it).

Result: order is own word, hearsay, nothing known, then by name; the test passes.

--- a/src/daemon/report/fleet_report.cpp
+++ b/src/daemon/report/fleet_report.cpp
@@ -1,6 +1,7 @@
 #include "daemon/report/fleet_report.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace cornelpier {
@@ -128,10 +129,11 @@
         add_to(report.services[line.service], line);
         add_to(report.data_centres[line.data_centre], line);
     }
-    std::ranges::stable_sort(report.lines, [](const node_line& first, const node_line& second) {
-        return std::pair{!needs_attention(first), first.node} <
-               std::pair{!needs_attention(second), second.node};
-    });
+    // Nodes about which something is known come before silent ones, which may be a whole data centre.
+    const auto rank = [](const node_line& line) {
+        return std::tuple{!needs_attention(line), line.source, line.node};
+    };
+    std::ranges::sort(report.lines, {}, rank);
     return report;
 }
 
--- a/src/daemon/report/fleet_report.hpp
+++ b/src/daemon/report/fleet_report.hpp
@@ -61,7 +61,7 @@
     group_totals all;
     std::map<service_id, group_totals> services;
     std::map<data_centre_id, group_totals> data_centres;
-    std::vector<node_line> lines; ///< Nodes in trouble first, then by name.
+    std::vector<node_line> lines; ///< Nodes in trouble first, of these the best known first, then by name.
 };
 
 /// A fact older than this is shown as stale.
