--- /dev/null
+++ b/src/cornelpier/admission/admission_queue.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "cornelpier/base/ids.hpp"
+#include "cornelpier/plan/plan.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace cornelpier {
+
+/// Bounded queue of runs, ordered by request class, then by arrival.
+class admission_queue {
+  public:
+    /// What happened to a run that was offered.
+    struct offer_result {
+        bool accepted = false;
+        std::optional<run_id> shed; ///< A run of a lower class that made room and left the queue.
+    };
+
+    /// Changes the bound. Runs beyond a lower bound stay.
+    void set_capacity(std::size_t capacity) { m_capacity = capacity; }
+
+    /// @return whether a run of the class would be accepted.
+    [[nodiscard]] bool accepts(request_class priority) const;
+
+    /// Queues a run. When the queue is full, the latest run of the lowest class is shed if its class is
+    /// lower than that of the new run; else the new run is not accepted.
+    offer_result offer(run_id id, request_class priority);
+
+    /// @return the next run, which leaves the queue, or nothing.
+    std::optional<run_id> pop();
+
+    /// Takes a run out of the queue.
+    /// @return false if it was not queued.
+    bool remove(run_id id);
+
+    /// @return queued runs that a new run of the class would wait for.
+    [[nodiscard]] std::size_t ahead_of(request_class priority) const;
+
+    [[nodiscard]] std::size_t size() const { return m_order.size(); }
+    [[nodiscard]] bool empty() const { return m_order.empty(); }
+
+  private:
+    using position = std::pair<request_class, std::uint64_t>;
+
+    std::size_t m_capacity = 0;
+    std::uint64_t m_arrivals = 0;
+    std::map<position, run_id> m_order;
+    std::unordered_map<run_id, position> m_positions;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/admission/concurrency_limit.cpp
@@ -0,0 +1,50 @@
+#include "cornelpier/admission/concurrency_limit.hpp"
+
+#include <algorithm>
+
+namespace cornelpier {
+
+namespace {
+
+/// Service times up to this multiple of the baseline are variation, not overload.
+constexpr double tolerance = 2;
+
+/// Lower bound of the gradient; keeps one burst of slow runs from closing the server.
+constexpr double least_gradient = 0.2;
+
+/// Runs that the limit may grow by per update, before smoothing.
+constexpr double headroom = 1;
+
+constexpr double smoothing = 0.2;
+
+} // namespace
+
+concurrency_limit::concurrency_limit(std::uint32_t slots)
+    : m_slots(std::max(slots, 1U)), m_limit(static_cast<double>(m_slots)) {}
+
+void concurrency_limit::set_slots(std::uint32_t slots) {
+    const bool at_bound = value() == m_slots;
+    m_slots = std::max(slots, 1U);
+    m_limit = at_bound ? m_slots : std::min<double>(m_limit, m_slots);
+}
+
+void concurrency_limit::update(duration average, duration baseline, std::uint32_t in_flight) {
+    const double now = std::max<double>(static_cast<double>(average.count()), 1);
+    const double normal = std::max<double>(static_cast<double>(baseline.count()), 1);
+    const double gradient = std::clamp(tolerance * normal / now, least_gradient, 1.0);
+
+    // A server that is not used to its limit says nothing about a higher one.
+    const bool limited = 2 * in_flight >= value();
+    const double target = m_limit * gradient + headroom;
+    if (target > m_limit && !limited) {
+        return;
+    }
+    m_limit += smoothing * (target - m_limit);
+    m_limit = std::clamp<double>(m_limit, 1, m_slots);
+}
+
+std::uint32_t concurrency_limit::value() const {
+    return static_cast<std::uint32_t>(m_limit);
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/admission/load_meter.cpp
@@ -0,0 +1,59 @@
+#include "cornelpier/admission/load_meter.hpp"
+
+#include <algorithm>
+
+namespace cornelpier {
+
+void load_meter::configure(std::uint32_t slots, duration deadline) {
+    m_limit.set_slots(slots);
+    m_failing_wait = deadline / 2;
+}
+
+void load_meter::on_answered(duration took, bool error, std::uint32_t in_flight, time_point now) {
+    if (error) {
+        m_failures.on_error(now);
+    } else {
+        m_failures.on_success(now);
+    }
+    m_service_time.add_completed(took, error);
+
+    // A fast error says nothing about how many runs the server can bear.
+    if (!error) {
+        m_limit.update(m_service_time.average(), m_service_time.baseline(), in_flight);
+    }
+}
+
+void load_meter::on_incomplete(duration age, std::uint32_t in_flight) {
+    if (age <= m_service_time.average()) {
+        return;
+    }
+    m_service_time.add_incomplete(age);
+    m_limit.update(m_service_time.average(), m_service_time.baseline(), in_flight);
+}
+
+duration load_meter::service_time_now(const server_load& load) const {
+    return std::max(m_service_time.average(), load.mean_age);
+}
+
+duration load_meter::expected_wait(const server_load& load, std::size_t ahead) const {
+    const auto runs = static_cast<duration::rep>(load.in_flight + ahead + 1);
+    const auto limit = static_cast<duration::rep>(m_limit.value());
+    if (runs <= limit) {
+        return duration::zero();
+    }
+    return service_time_now(load) * (runs - limit) / limit;
+}
+
+duration load_meter::shown_wait(const server_load& load, std::size_t ahead, time_point now) const {
+    // The square keeps a single error among many good answers from mattering.
+    const double share = m_failures.share(now);
+    const duration failing = from_seconds(to_seconds(m_failing_wait) * share * share);
+    return std::max(expected_wait(load, ahead), failing);
+}
+
+duration load_meter::work_off_time(const server_load& load, std::size_t queued) const {
+    const auto runs = static_cast<duration::rep>(load.in_flight + queued);
+    return service_time_now(load) * runs / static_cast<duration::rep>(m_limit.value());
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/admission/measuring_budget.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "cornelpier/base/units.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+
+namespace cornelpier {
+
+/// Bounds the measurements of one server: in no window of one second are there more than the rate allows.
+/// A rate below one per second allows one measurement in a correspondingly longer window.
+class measuring_budget {
+  public:
+    /// @param start start of the process. The whole first window counts as used, because a predecessor may
+    /// have spent it.
+    explicit measuring_budget(time_point start) : m_start(start) {}
+
+    /// Changes the rate; measurements of the past still count.
+    /// @param limit measurements per second; 0 or less allows none.
+    void set_rate(rate limit);
+
+    /// Takes one measurement from the budget.
+    /// @return false if the budget allows none now.
+    bool try_take(time_point now);
+
+    /// @return when the budget allows the next measurement, or nothing if it never does.
+    [[nodiscard]] std::optional<time_point> next_available(time_point now) const;
+
+    /// @return measurements within the last second.
+    [[nodiscard]] std::size_t taken_last_second(time_point now) const;
+
+  private:
+    void discard_old(time_point now);
+
+    time_point m_start;
+    std::size_t m_per_window = 0;
+    duration m_window{std::chrono::seconds{1}};
+    std::deque<time_point> m_taken;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/drain/drain_machine.cpp
@@ -0,0 +1,128 @@
+#include "cornelpier/drain/drain_machine.hpp"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <array>
+#include <cstddef>
+
+namespace cornelpier {
+
+namespace {
+
+namespace front = boost::msm::front;
+
+struct ready {};
+struct drain {};
+struct resume {};
+struct finished {};
+
+struct starting : front::state<> {};
+struct serving : front::state<> {};
+struct draining : front::state<> {};
+struct stopped : front::state<> {};
+
+/// Transitions only; which causes hold is decided outside.
+struct lifecycle_definition : front::state_machine_def<lifecycle_definition> {
+    using initial_state = starting;
+
+    struct transition_table : boost::mpl::vector<                              //
+                                  front::Row<starting, ready, serving>,        //
+                                  front::Row<starting, drain, draining>,       //
+                                  front::Row<serving, drain, draining>,        //
+                                  front::Row<draining, resume, serving>,       //
+                                  front::Row<draining, finished, stopped>> {}; //
+
+    /// Events without a transition from the current state change nothing.
+    template <typename Machine, typename Event>
+    void no_transition(const Event& /*event*/, Machine& /*machine*/, int /*state*/) {}
+};
+
+using lifecycle = boost::msm::back::state_machine<lifecycle_definition>;
+
+constexpr std::size_t cause_count = 3;
+
+} // namespace
+
+class drain_machine::implementation {
+  public:
+    implementation() { m_machine.start(); }
+
+    /// Drains or resumes according to the causes. Before the first plan only a termination matters.
+    void apply_causes() {
+        const bool terminating = holds(drain_cause::terminate);
+        if (!terminating && !m_ready) {
+            return;
+        }
+        const bool any = terminating || holds(drain_cause::server_draining) || holds(drain_cause::vm_leaving);
+        if (any) {
+            m_machine.process_event(drain{});
+            return;
+        }
+        m_machine.process_event(ready{});
+        m_machine.process_event(resume{});
+    }
+
+    void become_ready() {
+        m_ready = true;
+        apply_causes();
+    }
+
+    void set_cause(drain_cause cause, bool held) {
+        m_causes.at(static_cast<std::size_t>(cause)) = held;
+        apply_causes();
+    }
+
+    void finish() {
+        if (holds(drain_cause::terminate)) {
+            m_machine.process_event(finished{});
+        }
+    }
+
+    [[nodiscard]] bool holds(drain_cause cause) const { return m_causes.at(static_cast<std::size_t>(cause)); }
+
+    [[nodiscard]] node_state state() const {
+        // States are numbered in the order of their appearance in the transition table.
+        constexpr std::array states{node_state::starting, node_state::serving, node_state::draining,
+                                    node_state::stopped};
+        return states.at(static_cast<std::size_t>(*m_machine.current_state()));
+    }
+
+  private:
+    lifecycle m_machine;
+    std::array<bool, cause_count> m_causes{};
+    bool m_ready = false;
+};
+
+drain_machine::drain_machine() : m_implementation(std::make_unique<implementation>()) {}
+
+drain_machine::~drain_machine() = default;
+
+void drain_machine::become_ready() {
+    m_implementation->become_ready();
+}
+
+void drain_machine::add_cause(drain_cause cause) {
+    m_implementation->set_cause(cause, true);
+}
+
+void drain_machine::withdraw_cause(drain_cause cause) {
+    if (cause != drain_cause::terminate) {
+        m_implementation->set_cause(cause, false);
+    }
+}
+
+void drain_machine::finish() {
+    m_implementation->finish();
+}
+
+node_state drain_machine::state() const {
+    return m_implementation->state();
+}
+
+bool drain_machine::has_cause(drain_cause cause) const {
+    return m_implementation->holds(cause);
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/execution/key_home.cpp
@@ -0,0 +1,64 @@
+#include "cornelpier/execution/key_home.hpp"
+
+#include "cornelpier/base/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr std::size_t max_former = 16;
+
+} // namespace
+
+void key_home::update(const service_plan& service, time_point now) {
+    m_key_memory = service.key_memory;
+
+    std::vector<target_id> targets;
+    targets.reserve(service.targets.size());
+    std::ranges::transform(service.targets, std::back_inserter(targets), &target_plan::id);
+    std::ranges::sort(targets);
+    if (targets == m_targets && service.id == m_service) {
+        return;
+    }
+    if (!m_targets.empty()) {
+        m_former.push_back({now, std::move(m_service), std::move(m_targets)});
+    }
+    m_service = service.id;
+    m_targets = std::move(targets);
+    discard_former(now);
+}
+
+void key_home::discard_former(time_point now) {
+    while (!m_former.empty() && m_former.front().replaced_at + m_key_memory < now) {
+        m_former.pop_front();
+    }
+    if (m_former.size() > max_former) {
+        m_all_unproved_until = m_former.front().replaced_at + m_key_memory;
+        m_former.pop_front();
+    }
+}
+
+duration key_home::unproved_for(const std::string& key, time_point now) const {
+    time_point until = std::max(m_start + m_key_memory, m_all_unproved_until);
+    for (const auto& former : m_former) {
+        if (!owned_before(former, key)) {
+            until = std::max(until, former.replaced_at + m_key_memory);
+        }
+    }
+    return std::max(until - now, duration::zero());
+}
+
+bool key_home::owned_before(const former_targets& former, const std::string& key) const {
+    return former.service == m_service && owns(former.targets, key);
+}
+
+bool key_home::owns(const std::vector<target_id>& targets, const std::string& key) const {
+    const auto it = std::ranges::max_element(
+        targets, {}, [&](const target_id& target) { return rendezvous_score(key, target.value()); });
+    return it != targets.end() && *it == m_self;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/execution/key_home.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "cornelpier/base/ids.hpp"
+#include "cornelpier/base/units.hpp"
+#include "cornelpier/plan/plan.hpp"
+
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cornelpier {
+
+/// Places idempotency keys on the targets of a service and remembers for how long keys that the target did
+/// not own before cannot be proved new.
+class key_home {
+  public:
+    /// @param self target of the node.
+    /// @param start start of the process.
+    key_home(target_id self, time_point start) : m_self(std::move(self)), m_start(start) {}
+
+    /// Takes the targets of the own service from a plan that came into force.
+    void update(const service_plan& service, time_point now);
+
+    /// @param key service and key as by `text`.
+    /// @return true if the own target is the home of the key.
+    [[nodiscard]] bool is_home(const std::string& key) const { return owns(m_targets, key); }
+
+    /// @return how long it cannot be proved that the key is new; zero if it is new when it has no record.
+    [[nodiscard]] duration unproved_for(const std::string& key, time_point now) const;
+
+    /// @return the text that is hashed to place a key.
+    static std::string text(const service_id& service, const std::string& key) {
+        return service.value() + "\n" + key;
+    }
+
+  private:
+    struct former_targets {
+        time_point replaced_at;
+        service_id service;
+        std::vector<target_id> targets;
+    };
+
+    [[nodiscard]] bool owns(const std::vector<target_id>& targets, const std::string& key) const;
+    [[nodiscard]] bool owned_before(const former_targets& former, const std::string& key) const;
+    void discard_former(time_point now);
+
+    target_id m_self;
+    time_point m_start;
+    duration m_key_memory = service_plan{}.key_memory;
+    service_id m_service;
+    std::vector<target_id> m_targets;
+    std::deque<former_targets> m_former;
+    time_point m_all_unproved_until; ///< Stands for former targets that are no longer remembered.
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/execution/stored_answer.cpp
@@ -0,0 +1,54 @@
+#include "cornelpier/execution/stored_answer.hpp"
+
+namespace cornelpier {
+
+namespace {
+
+constexpr int status_conflict = 409;
+
+std::size_t size_of(const http_response& response) {
+    std::size_t size = response.body ? response.body->size() : 0;
+    for (const auto& [name, value] : response.fields) {
+        size += name.size() + value.size();
+    }
+    return size;
+}
+
+} // namespace
+
+answer stored_answer::replay(const attempt_id& attempt) const {
+    answer result;
+    result.attempt = attempt;
+    result.outcome = outcome;
+    result.reason = reason;
+    result.response = response;
+    result.served_in = served_in;
+    if (outcome == verdict::ran && !response) {
+        result.response = http_response{status_conflict, {}, make_body()};
+    }
+    return result;
+}
+
+stored_answer answer_storage::keep(const answer& final_answer) {
+    stored_answer stored{final_answer.outcome, final_answer.reason, std::nullopt, final_answer.served_in};
+    if (!final_answer.response) {
+        return stored;
+    }
+    const http_response& response = *final_answer.response;
+    const std::size_t size = size_of(response);
+    const bool too_large = response.body && response.body->size() > max_stored_body;
+    if (too_large || m_used + size > m_capacity) {
+        return stored;
+    }
+    m_used += size;
+    stored.response = response;
+    return stored;
+}
+
+void answer_storage::release(const stored_answer& stored) {
+    if (stored.response) {
+        m_used -= size_of(*stored.response);
+    }
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/fate_responder.cpp
@@ -0,0 +1,51 @@
+#include "cornelpier/owner/fate_responder.hpp"
+
+namespace cornelpier {
+
+void fate_responder::on_query(link_id link, const fate_query& query) {
+    m_state.ledger.expire(m_state.now());
+
+    if (owned_run* entry = m_state.runs.find(query.attempt); entry != nullptr) {
+        // The entry asks on a new link because the old one went silent; the answer goes to the new one.
+        entry->reply_to = link;
+        reply(link, query, fate_outcome::running);
+        return;
+    }
+    if (const stored_answer* stored = m_state.ledger.find(query.attempt); stored != nullptr) {
+        answer_recorded(link, query, *stored);
+        return;
+    }
+    reply(link, query, judge_unseen(query));
+}
+
+void fate_responder::answer_recorded(link_id link, const fate_query& query, const stored_answer& stored) {
+    if (stored.outcome == verdict::not_run) {
+        reply(link, query, fate_outcome::refused);
+        return;
+    }
+    m_state.deliver(link, stored.replay(query.attempt));
+    reply(link, query, stored.outcome == verdict::ran ? fate_outcome::ran : fate_outcome::unknown);
+}
+
+fate_outcome fate_responder::judge_unseen(const fate_query& query) {
+    const permit_status status = m_state.permits.check(query.leave, m_state.now());
+    if (status == permit_status::missing || status == permit_status::foreign) {
+        return fate_outcome::unknown;
+    }
+    if (status == permit_status::expired) {
+        const bool in_time = m_state.now() <= query.leave->expires_at + late_query_time;
+        return in_time ? fate_outcome::refused : fate_outcome::unknown;
+    }
+    // Without a record a late copy could still run, so a full ledger proves nothing.
+    if (!m_state.ledger.refuse(query.attempt, query.leave->expires_at)) {
+        m_state.outbox.record_throttled(event_number::ledger_full, {});
+        return fate_outcome::unknown;
+    }
+    return fate_outcome::refused;
+}
+
+void fate_responder::reply(link_id link, const fate_query& query, fate_outcome outcome) {
+    m_state.outbox.send(link, fate{query.attempt, outcome, m_state.make_reading()});
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/fate_responder.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "cornelpier/owner/owner_state.hpp"
+
+namespace cornelpier {
+
+/// Answers fate queries from the runs in progress and the ledger.
+class fate_responder {
+  public:
+    /// @param state outlives the object.
+    explicit fate_responder(owner_state& state) : m_state(state) {}
+
+    void on_query(link_id link, const fate_query& query);
+
+  private:
+    void answer_recorded(link_id link, const fate_query& query, const stored_answer& stored);
+    [[nodiscard]] fate_outcome judge_unseen(const fate_query& query);
+    void reply(link_id link, const fate_query& query, fate_outcome outcome);
+
+    owner_state& m_state;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/measuring_schedule.cpp
@@ -0,0 +1,60 @@
+#include "cornelpier/owner/measuring_schedule.hpp"
+
+#include <algorithm>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr double report_share = 0.5;
+constexpr double max_reports_per_second = 2;
+
+} // namespace
+
+void measuring_schedule::set_rate(rate limit) {
+    if (limit.per_second == m_per_second) {
+        return;
+    }
+    m_per_second = limit.per_second;
+    m_budget.set_rate(limit);
+    m_report_due = false;
+    m_timer.cancel();
+
+    if (!m_budget.next_available(m_state.now())) {
+        return;
+    }
+    m_period = from_seconds(1 / std::min(max_reports_per_second, report_share * m_per_second));
+    schedule(m_last_report ? std::max(m_state.now(), *m_last_report + m_period) : m_state.now());
+}
+
+void measuring_schedule::schedule(time_point due) {
+    m_timer.call_at(m_state.timers, due, [this] { read_report(); });
+}
+
+void measuring_schedule::read_report() {
+    if (m_state.drain.state() == node_state::stopped) {
+        return;
+    }
+    const time_point now = m_state.now();
+    if (!m_budget.try_take(now)) {
+        m_report_due = true;
+        schedule(*m_budget.next_available(now));
+        return;
+    }
+    m_report_due = false;
+    m_last_report = now;
+    m_state.outbox.count(metric::measurement);
+    m_state.outbox.act(read_server_report{});
+    schedule(now + m_period);
+}
+
+bool measuring_schedule::admit_probe() {
+    if (m_report_due || !m_budget.try_take(m_state.now())) {
+        m_state.outbox.record_throttled(event_number::measuring_budget_exhausted, {});
+        return false;
+    }
+    m_state.outbox.count(metric::measurement);
+    return true;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/measuring_schedule.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "cornelpier/admission/measuring_budget.hpp"
+#include "cornelpier/owner/owner_state.hpp"
+
+namespace cornelpier {
+
+/// Spends the measuring budget: reads the server's report periodically and decides whether probes are
+/// answered.
+class measuring_schedule {
+  public:
+    /// @param state outlives the object.
+    explicit measuring_schedule(owner_state& state) : m_state(state), m_budget(state.now()) {}
+
+    /// Takes the rate from the plan.
+    void set_rate(rate limit);
+
+    /// Takes a measurement for a probe.
+    /// @return false if the probe must stay without an answer.
+    bool admit_probe();
+
+    [[nodiscard]] std::size_t taken_last_second() const { return m_budget.taken_last_second(m_state.now()); }
+
+  private:
+    void read_report();
+    void schedule(time_point due);
+
+    owner_state& m_state;
+    measuring_budget m_budget;
+    double m_per_second = 0;
+    duration m_period{};
+    bool m_report_due = false; ///< A report waits for the budget; probes must not take what it waits for.
+    std::optional<time_point> m_last_report;
+    scoped_timer m_timer;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/owned_run.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "cornelpier/message/traffic_messages.hpp"
+#include "cornelpier/owner/scoped_timer.hpp"
+
+#include <optional>
+#include <string>
+
+namespace cornelpier {
+
+/// A run that the owner accepted and that has no final answer yet.
+struct owned_run {
+    run_id id;
+    attempt_id attempt;
+    http_request request;
+    bool idempotent = false;
+    std::optional<std::string> key; ///< Key in the key ledger; nothing if it has no record there.
+    std::uint32_t depth = 0;
+    bool outer_retry = false;
+    time_point deadline;
+    std::optional<link_id> reply_to; ///< Nothing if nobody waits for the answer.
+    bool at_server = false;
+    time_point handed_over;
+    bool given_up = false; ///< Its deadline has passed; it runs on for the ledger.
+    scoped_timer timer;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/owner_lifecycle.cpp
@@ -0,0 +1,119 @@
+#include "cornelpier/owner/owner_lifecycle.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr duration least_drain_limit = std::chrono::seconds{30};
+
+/// An entry may have sent a run before it heard of the drain. Stopping before the run arrives would leave its
+/// verdict unknown instead of refused.
+constexpr duration announcement_time = std::chrono::milliseconds{500};
+
+} // namespace
+
+template <typename Change>
+void owner_lifecycle::change(Change&& apply) {
+    const node_state before = m_state.drain.state();
+    std::forward<Change>(apply)(m_state.drain);
+    if (m_state.drain.state() != before) {
+        announce(before);
+    }
+}
+
+void owner_lifecycle::on_view() {
+    const auto& states = m_state.view->vm_states;
+    const auto it = states.find(m_state.identity.self);
+    const vm_state vm = it == states.end() ? vm_state::unlisted : it->second;
+
+    // A VM that vanishes from the list after it was leaving is not back.
+    if (vm == vm_state::leaving) {
+        change([](drain_machine& drain) { drain.add_cause(drain_cause::vm_leaving); });
+    } else if (vm == vm_state::live) {
+        change([](drain_machine& drain) { drain.withdraw_cause(drain_cause::vm_leaving); });
+    }
+    change([](drain_machine& drain) { drain.become_ready(); });
+}
+
+void owner_lifecycle::on_terminate() {
+    if (m_state.drain.has_cause(drain_cause::terminate)) {
+        return;
+    }
+    change([](drain_machine& drain) { drain.add_cause(drain_cause::terminate); });
+    m_limit_timer.call_at(m_state.timers, m_state.now() + drain_limit(),
+                          [this] { change([](drain_machine& drain) { drain.finish(); }); });
+}
+
+void owner_lifecycle::on_server_draining(bool draining) {
+    const bool before = m_state.drain.has_cause(drain_cause::server_draining);
+    if (draining && !before) {
+        m_state.outbox.record(event_number::server_draining, {});
+        change([](drain_machine& drain) { drain.add_cause(drain_cause::server_draining); });
+    } else if (!draining && before) {
+        change([](drain_machine& drain) { drain.withdraw_cause(drain_cause::server_draining); });
+    }
+}
+
+void owner_lifecycle::on_server_down() {
+    m_state.outbox.record_throttled(event_number::server_unreachable, {});
+    m_server_down = true;
+    m_state.serving_since.reset();
+}
+
+void owner_lifecycle::on_server_up() {
+    if (std::exchange(m_server_down, false) && m_state.drain.state() == node_state::serving) {
+        m_state.serving_since = m_state.now();
+    }
+}
+
+void owner_lifecycle::check_finished() {
+    const bool terminating = m_state.drain.has_cause(drain_cause::terminate);
+    if (!terminating || !m_state.runs.empty() || m_state.drain.state() != node_state::draining) {
+        return;
+    }
+    const time_point announced = m_drain_began + announcement_time;
+    if (m_state.outbox.has_links() && m_state.now() < announced) {
+        m_announced_timer.call_at(m_state.timers, announced, [this] { check_finished(); });
+        return;
+    }
+    change([](drain_machine& drain) { drain.finish(); });
+}
+
+void owner_lifecycle::announce(node_state before) {
+    const node_state after = m_state.drain.state();
+    if (after == node_state::serving) {
+        m_state.serving_since = m_server_down ? std::nullopt : std::optional{m_state.now()};
+        const bool called_off = before == node_state::draining;
+        m_state.outbox.record(called_off ? event_number::drain_cancelled : event_number::node_serving, {});
+    } else if (after == node_state::draining) {
+        m_drain_began = m_state.now();
+        m_state.serving_since.reset();
+        m_state.outbox.record(event_number::drain_started, {{"cause", cause_name()}});
+    } else {
+        m_limit_timer.cancel();
+        m_state.outbox.record(event_number::node_stopped, {});
+    }
+    m_state.outbox.broadcast(m_state.make_reading());
+}
+
+duration owner_lifecycle::drain_limit() const {
+    duration limit = least_drain_limit;
+    if (m_state.view != nullptr) {
+        for (const auto& service : m_state.view->current_plan->services) {
+            limit = std::max(limit, service.deadline);
+        }
+    }
+    return limit;
+}
+
+const char* owner_lifecycle::cause_name() const {
+    if (m_state.drain.has_cause(drain_cause::terminate)) {
+        return "terminate";
+    }
+    return m_state.drain.has_cause(drain_cause::vm_leaving) ? "vm_leaving" : "server_draining";
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/owner_lifecycle.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cornelpier/owner/owner_state.hpp"
+
+namespace cornelpier {
+
+/// Drives the drain of the owner: causes, announcement to the entries, end.
+class owner_lifecycle {
+  public:
+    /// @param state outlives the object.
+    explicit owner_lifecycle(owner_state& state) : m_state(state) {}
+
+    /// Takes the state of the own VM from a view that came into force.
+    void on_view();
+
+    void on_terminate();
+    void on_server_draining(bool draining);
+
+    /// The server could not be reached.
+    void on_server_down();
+
+    /// The server answered; after it was down its uptime starts again.
+    void on_server_up();
+
+    /// Stops the node if it was told to terminate and no work is left.
+    void check_finished();
+
+  private:
+    template <typename Change>
+    void change(Change&& apply);
+
+    void announce(node_state before);
+    [[nodiscard]] duration drain_limit() const;
+    [[nodiscard]] const char* cause_name() const;
+
+    owner_state& m_state;
+    bool m_server_down = false;
+    time_point m_drain_began;
+    scoped_timer m_limit_timer;
+    scoped_timer m_announced_timer;
+};
+
+} // namespace cornelpier
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -1,117 +1,168 @@
 #include "cornelpier/owner/owner_manager.hpp"
 
-#include <unordered_map>
+#include "cornelpier/owner/fate_responder.hpp"
+#include "cornelpier/owner/measuring_schedule.hpp"
+#include "cornelpier/owner/owner_lifecycle.hpp"
+#include "cornelpier/owner/owner_state.hpp"
+#include "cornelpier/owner/run_executor.hpp"
+#include "cornelpier/owner/run_intake.hpp"
+
 #include <utility>
 #include <variant>
 
 namespace cornelpier {
 
+namespace {
+
+/// Bounds the queue; the deadline check usually refuses long before.
+constexpr std::size_t queued_per_slot = 10;
+
+} // namespace
+
+/// Routes messages and events to the part of the owner that handles them.
 class owner_manager::implementation {
   public:
-    implementation(const node_identity& identity, timer_service& timers)
-        : m_identity(identity), m_timers(timers) {}
-
-    void send(link_id link, traffic_message message) {
-        m_output->emplace_back(send_message{link, std::move(message)});
-    }
+    implementation(const node_identity& identity, timer_service& timers, random_source random)
+        : m_state(identity, timers, random), m_lifecycle(m_state), m_executor(m_state, m_lifecycle),
+          m_intake(m_state, m_executor), m_fates(m_state), m_measuring(m_state) {}
 
-    reading make_reading() {
-        reading load;
-        load.target = m_identity.self;
-        load.in_flight = static_cast<std::uint32_t>(m_runs.size());
-        load.state = m_state;
-        load.leave = {m_identity.process, m_timers.now() + std::chrono::seconds{5}};
-        load.sequence = ++m_sequence;
-        return load;
+    void receive(link_id link, const traffic_message& message) {
+        m_state.outbox.add_link(link);
+        std::visit([&](const auto& it) { on(link, it); }, message);
     }
 
-    void start(link_id link, const run& message) {
-        const run_id id{++m_last_run};
-        m_runs.emplace(id, std::pair{link, message.attempt});
-        m_output->emplace_back(start_run{id, message.request, !message.idempotent, message.remaining,
-                                         message.depth, message.outer_retry});
+    void close_link(link_id link) {
+        m_state.outbox.remove_link(link);
+        m_executor.on_link_closed(link);
     }
 
-    void finish(run_id id, verdict outcome, std::optional<http_response> response) {
-        const auto it = m_runs.find(id);
-        if (it == m_runs.end()) {
+    void take_view(const shared_fleet_view& view) {
+        if (view == nullptr || view->current_plan == nullptr) {
             return;
         }
-        const auto [link, attempt] = it->second;
-        m_runs.erase(it);
-        send(link, answer{attempt, outcome, refusal::none, std::move(response), {}, {}, make_reading()});
+        m_state.set_view(view);
+        const service_plan* service = m_state.service();
+        if (service != nullptr) {
+            m_state.load.configure(service->slots, service->deadline);
+            m_state.queue.set_capacity(queued_per_slot * service->slots);
+            m_state.homes.update(*service, m_state.now());
+        }
+        const rate measuring = service != nullptr ? service->measuring : rate{};
+        m_measuring.set_rate(measuring);
+        if (measuring.per_second <= 0) {
+            // Without reports nothing could withdraw this cause.
+            m_lifecycle.on_server_draining(false);
+        }
+        m_lifecycle.on_view();
+        m_executor.start_queued();
     }
 
-    void receive(link_id link, const traffic_message& message) {
-        if (std::holds_alternative<hello>(message)) {
-            send(link, hello{m_identity.self, m_identity.process, m_identity.data_centre, 0});
-            send(link, make_reading());
-        } else if (std::holds_alternative<ping>(message)) {
-            send(link, pong{});
-        } else if (std::holds_alternative<permit_request>(message)) {
-            send(link, permit_grant{make_reading().leave});
-        } else if (const auto* it = std::get_if<run>(&message); it != nullptr) {
-            start(link, *it);
+    void terminate() {
+        m_lifecycle.on_terminate();
+        m_lifecycle.check_finished();
+    }
+
+    void describe(traffic_snapshot& snapshot) const {
+        const server_load load = m_state.runs.load(m_state.now());
+        snapshot.state = m_state.drain.state();
+        snapshot.runs_at_server = m_state.runs.at_server();
+        snapshot.runs_queued = m_state.queue.size();
+        snapshot.concurrency_limit = m_state.load.limit();
+        snapshot.service_time = m_state.load.service_time_now(load);
+        snapshot.ledger_records = m_state.ledger.size();
+        snapshot.measurements_last_second = static_cast<double>(m_measuring.taken_last_second());
+    }
+
+    owner_state m_state;
+    owner_lifecycle m_lifecycle;
+    run_executor m_executor;
+    run_intake m_intake;
+    fate_responder m_fates;
+    measuring_schedule m_measuring;
+
+  private:
+    void on(link_id link, const hello& /*message*/) {
+        const std::uint64_t version = m_state.view == nullptr ? 0 : m_state.view->current_plan->version;
+        const node_identity& node = m_state.identity;
+        m_state.outbox.send(link, hello{node.self, node.process, node.data_centre, version});
+        m_state.outbox.send(link, m_state.make_reading());
+    }
+
+    void on(link_id link, const probe& /*message*/) {
+        if (m_measuring.admit_probe()) {
+            m_state.outbox.send(link, m_state.make_reading());
         }
     }
 
-    const node_identity& m_identity;
-    timer_service& m_timers;
-    traffic_actions* m_output = nullptr;
-    node_state m_state = node_state::starting;
-    std::unordered_map<run_id, std::pair<link_id, attempt_id>> m_runs;
-    std::uint64_t m_last_run = 0;
-    std::uint64_t m_sequence = 0;
+    void on(link_id link, const permit_request& /*message*/) {
+        m_state.outbox.send(link, permit_grant{m_state.permits.issue(m_state.now())});
+    }
+
+    void on(link_id link, const run& message) { m_intake.on_run(link, message); }
+    void on(link_id /*link*/, const cancel& message) { m_executor.on_cancel(message.attempt); }
+    void on(link_id link, const fate_query& message) { m_fates.on_query(link, message); }
+    void on(link_id link, const ping& /*message*/) { m_state.outbox.send(link, pong{}); }
+
+    /// Messages that only owners send.
+    template <typename Message>
+    void on(link_id /*link*/, const Message& /*message*/) {}
 };
 
-owner_manager::owner_manager(const node_identity& identity, timer_service& timers, random_source /*random*/)
-    : m_implementation(std::make_unique<implementation>(identity, timers)) {}
+owner_manager::owner_manager(const node_identity& identity, timer_service& timers, random_source random)
+    : m_implementation(std::make_unique<implementation>(identity, timers, random)) {}
 
 owner_manager::~owner_manager() = default;
 
 void owner_manager::set_output(traffic_actions& actions) {
-    m_implementation->m_output = &actions;
+    m_implementation->m_state.outbox.set_output(actions);
 }
 
-void owner_manager::on_link_closed(link_id /*link*/) {}
+void owner_manager::on_link_closed(link_id link) {
+    m_implementation->close_link(link);
+}
 
 void owner_manager::on_message(link_id link, const traffic_message& message) {
     m_implementation->receive(link, message);
 }
 
 void owner_manager::on_server_answered(const server_answered& event) {
-    const verdict outcome = event.response.status < 500 ? verdict::ran : verdict::unknown;
-    m_implementation->finish(event.run, outcome, event.response);
+    m_implementation->m_executor.on_answered(event);
 }
 
 void owner_manager::on_server_failed(const server_failed& event) {
-    const bool proved = event.kind == server_failure::connect_failed;
-    m_implementation->finish(event.run, proved ? verdict::not_run : verdict::unknown, std::nullopt);
+    m_implementation->m_executor.on_failed(event);
+}
+
+void owner_manager::on_server_report(const server_report& event) {
+    m_implementation->m_lifecycle.on_server_draining(event.draining);
 }
 
-void owner_manager::on_server_report(const server_report& /*event*/) {}
-void owner_manager::on_server_report_failed() {}
+void owner_manager::on_server_report_failed() {
+    // A report that cannot be read says nothing about the server's state; the causes to drain stay.
+}
 
-void owner_manager::on_fleet(const shared_fleet_view& /*view*/) {
-    m_implementation->m_state = node_state::serving;
+void owner_manager::on_fleet(const shared_fleet_view& view) {
+    m_implementation->take_view(view);
 }
 
 void owner_manager::on_terminate() {
-    m_implementation->m_state = node_state::stopped;
+    m_implementation->terminate();
 }
 
-void owner_manager::on_pause() {}
+void owner_manager::on_pause() {
+    m_implementation->m_executor.refuse_overdue();
+}
 
 node_state owner_manager::state() const {
-    return m_implementation->m_state;
+    return m_implementation->m_state.drain.state();
 }
 
 bool owner_manager::idle() const {
-    return m_implementation->m_runs.empty();
+    return m_implementation->m_state.runs.empty();
 }
 
 void owner_manager::describe(traffic_snapshot& snapshot) const {
-    snapshot.runs_at_server = m_implementation->m_runs.size();
+    m_implementation->describe(snapshot);
 }
 
 } // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/owner_outbox.cpp
@@ -0,0 +1,43 @@
+#include "cornelpier/owner/owner_outbox.hpp"
+
+namespace cornelpier {
+
+namespace {
+
+constexpr duration event_interval = std::chrono::seconds{1};
+
+} // namespace
+
+void owner_outbox::send(link_id link, traffic_message message) {
+    act(send_message{link, std::move(message)});
+}
+
+void owner_outbox::broadcast(const traffic_message& message) {
+    for (const link_id link : m_links) {
+        send(link, message);
+    }
+}
+
+void owner_outbox::act(traffic_action action) {
+    m_output->push_back(std::move(action));
+}
+
+void owner_outbox::record(event_number number, event_fields fields) {
+    act(record_event{{number, std::move(fields)}});
+}
+
+void owner_outbox::record_throttled(event_number number, event_fields fields) {
+    const time_point now = m_timers.now();
+    const auto [it, first] = m_recorded.try_emplace(number, now);
+    if (!first && now < it->second + event_interval) {
+        return;
+    }
+    it->second = now;
+    record(number, std::move(fields));
+}
+
+void owner_outbox::count(metric kind) {
+    act(observe{kind, m_service, verdict::unknown, 1});
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/owner_outbox.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "cornelpier/node/traffic_actions.hpp"
+#include "cornelpier/timer/timer_service.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cornelpier {
+
+/// Appends the owner's actions to the list of the shell and knows the accepted links.
+class owner_outbox {
+  public:
+    using event_fields = std::vector<std::pair<std::string, std::string>>;
+
+    /// @param timers outlives the outbox.
+    /// @param service service named in measurements.
+    owner_outbox(const timer_service& timers, service_id service)
+        : m_timers(timers), m_service(std::move(service)) {}
+
+    void set_output(traffic_actions& actions) { m_output = &actions; }
+
+    void add_link(link_id link) { m_links.insert(link); }
+    void remove_link(link_id link) { m_links.erase(link); }
+    [[nodiscard]] bool has_links() const { return !m_links.empty(); }
+
+    void send(link_id link, traffic_message message);
+
+    /// Sends a message on every accepted link.
+    void broadcast(const traffic_message& message);
+
+    void act(traffic_action action);
+    void record(event_number number, event_fields fields);
+
+    /// Records an event at most once per second.
+    void record_throttled(event_number number, event_fields fields);
+
+    void count(metric kind);
+
+  private:
+    const timer_service& m_timers;
+    service_id m_service;
+    traffic_actions* m_output = nullptr;
+    std::set<link_id> m_links;
+    std::map<event_number, time_point> m_recorded;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -0,0 +1,57 @@
+#include "cornelpier/owner/owner_state.hpp"
+
+#include "cornelpier/owner/refusal_name.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+/// Least width of the interval over which callers are told to return.
+constexpr duration least_spread = std::chrono::seconds{2};
+
+} // namespace
+
+owner_state::owner_state(const node_identity& node, timer_service& timer, random_source generator)
+    : identity(node), timers(timer), random(generator), outbox(timer, node.service), permits(node.process),
+      homes(node.self, timer.now()) {}
+
+void owner_state::set_view(shared_fleet_view next) {
+    view = std::move(next);
+    m_service = view->current_plan->service_of(identity.self);
+}
+
+reading owner_state::make_reading() {
+    const server_load now_at_server = runs.load(now());
+    reading result;
+    result.target = identity.self;
+    result.in_flight = now_at_server.in_flight;
+    result.queued = static_cast<std::uint32_t>(queue.size());
+    result.limit = load.limit();
+    result.service_time = load.service_time_now(now_at_server);
+    result.expected_wait = load.shown_wait(now_at_server, queue.size(), now());
+    result.uptime = serving_since ? now() - *serving_since : duration::zero();
+    result.state = drain.state();
+    result.leave = permits.issue(now());
+    result.sequence = ++last_reading;
+    return result;
+}
+
+duration owner_state::retry_after() {
+    const duration base = load.work_off_time(runs.load(now()), queue.size());
+    const double spread = to_seconds(std::max(base, least_spread));
+    return base + from_seconds(random.unit() * spread);
+}
+
+void owner_state::deliver(link_id link, answer message) {
+    if (message.outcome == verdict::not_run) {
+        outbox.record(event_number::run_refused, {{"reason", std::string{refusal_name(message.reason)}}});
+        outbox.count(metric::run_refused);
+    }
+    message.load = make_reading();
+    outbox.send(link, std::move(message));
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "cornelpier/admission/admission_queue.hpp"
+#include "cornelpier/admission/load_meter.hpp"
+#include "cornelpier/base/random_source.hpp"
+#include "cornelpier/drain/drain_machine.hpp"
+#include "cornelpier/execution/key_home.hpp"
+#include "cornelpier/execution/key_ledger.hpp"
+#include "cornelpier/execution/permit_issuer.hpp"
+#include "cornelpier/execution/request_ledger.hpp"
+#include "cornelpier/fleet/fleet_view.hpp"
+#include "cornelpier/node/node_identity.hpp"
+#include "cornelpier/owner/owner_outbox.hpp"
+#include "cornelpier/owner/run_table.hpp"
+#include "cornelpier/timer/timer_service.hpp"
+
+#include <optional>
+
+namespace cornelpier {
+
+/// What the parts of the owner share. Each part is changed by the class that the comment names.
+struct owner_state {
+    owner_state(const node_identity& node, timer_service& timer, random_source generator);
+
+    /// @return the plan's entry for the own service, or nullptr if the plan does not list the own target.
+    [[nodiscard]] const service_plan* service() const { return m_service; }
+
+    /// Takes a view that came into force.
+    void set_view(shared_fleet_view next);
+
+    /// @return a reading with the next sequence number and a fresh permit.
+    reading make_reading();
+
+    /// @return wait that a caller should keep before it returns, spread at random so that callers do not
+    /// return together.
+    duration retry_after();
+
+    /// Sends an answer with a fresh reading, and counts it if it is a refusal.
+    void deliver(link_id link, answer message);
+
+    [[nodiscard]] time_point now() const { return timers.now(); }
+
+    const node_identity& identity;
+    timer_service& timers;
+    random_source random;
+    shared_fleet_view view; ///< Null before the first one; `set_view`.
+    owner_outbox outbox;
+    permit_issuer permits;
+    request_ledger ledger;                   ///< run_executor, fate_responder.
+    key_ledger keys;                         ///< run_executor.
+    key_home homes;                          ///< owner_manager.
+    run_table runs;                          ///< run_executor.
+    admission_queue queue;                   ///< run_executor.
+    load_meter load;                         ///< run_executor.
+    drain_machine drain;                     ///< owner_lifecycle.
+    std::optional<time_point> serving_since; ///< Nothing while the server is down; owner_lifecycle.
+    std::uint64_t last_reading = 0;
+
+  private:
+    const service_plan* m_service = nullptr;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -0,0 +1,245 @@
+#include "cornelpier/owner/run_executor.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr int first_server_error = 500;
+constexpr int status_too_many_requests = 429;
+
+/// How long after its deadline a non-idempotent run may still bring its result to the ledger. Short enough
+/// for the drain to wait for it.
+constexpr duration late_result_time = std::chrono::seconds{10};
+
+bool is_refusal(const service_plan* service, int status) {
+    return service != nullptr &&
+           std::ranges::find(service->refusal_statuses, status) != service->refusal_statuses.end();
+}
+
+bool carries_retry_advice(refusal reason) {
+    return reason == refusal::overloaded || reason == refusal::deadline || reason == refusal::server_down;
+}
+
+} // namespace
+
+bool run_executor::may_start() const {
+    return m_state.runs.at_server() < m_state.load.limit();
+}
+
+bool run_executor::has_room(request_class priority) const {
+    return (may_start() && m_state.queue.empty()) || m_state.queue.accepts(priority);
+}
+
+duration run_executor::age(const owned_run& entry) const {
+    return m_state.now() - entry.handed_over;
+}
+
+void run_executor::accept(link_id link, const run& message, time_point deadline,
+                          std::optional<std::string> key) {
+    owned_run entry;
+    entry.attempt = message.attempt;
+    entry.request = message.request;
+    entry.idempotent = message.idempotent;
+    entry.key = std::move(key);
+    entry.depth = message.depth;
+    entry.outer_retry = message.outer_retry;
+    entry.deadline = deadline;
+    entry.reply_to = link;
+
+    owned_run& added = m_state.runs.add(std::move(entry));
+    const run_id id = added.id;
+    added.timer.call_at(m_state.timers, deadline, [this, id] { on_deadline(id); });
+
+    if (may_start() && m_state.queue.empty()) {
+        hand_over(added);
+        return;
+    }
+    if (const auto offered = m_state.queue.offer(id, message.priority); offered.shed) {
+        conclude_refused(*offered.shed, refusal::overloaded);
+    }
+}
+
+void run_executor::hand_over(owned_run& entry) {
+    m_state.runs.mark_handed_over(entry, m_state.now());
+
+    start_run action;
+    action.run = entry.id;
+    action.request = std::move(entry.request);
+    action.fresh_connection = !entry.idempotent;
+    action.timeout = entry.deadline - m_state.now();
+    if (!entry.idempotent) {
+        action.timeout += late_result_time;
+    }
+    action.depth = entry.depth;
+    action.outer_retry = entry.outer_retry;
+    m_state.outbox.act(std::move(action));
+}
+
+void run_executor::start_queued() {
+    while (may_start()) {
+        const auto id = m_state.queue.pop();
+        if (!id) {
+            return;
+        }
+        owned_run& entry = *m_state.runs.find(*id);
+        if (entry.deadline <= m_state.now()) {
+            conclude_refused(*id, refusal::deadline);
+            continue;
+        }
+        hand_over(entry);
+    }
+}
+
+void run_executor::refuse_overdue() {
+    for (const run_id id : m_state.runs.overdue_in_queue(m_state.now())) {
+        conclude_refused(id, refusal::deadline);
+    }
+    after_end();
+}
+
+void run_executor::on_answered(const server_answered& event) {
+    const owned_run* entry = m_state.runs.find(event.run);
+    if (entry == nullptr) {
+        m_state.outbox.count(metric::answer_discarded);
+        return;
+    }
+    const int status = event.response.status;
+    const bool error = status >= first_server_error || status == status_too_many_requests ||
+                       is_refusal(m_state.service(), status);
+    const std::uint32_t in_flight = m_state.runs.load(m_state.now()).in_flight;
+    m_state.load.on_answered(age(*entry), error, in_flight, m_state.now());
+    m_lifecycle.on_server_up();
+
+    conclude(event.run, judge(*entry, event.response));
+    after_end();
+}
+
+answer run_executor::judge(const owned_run& entry, const http_response& response) const {
+    answer result;
+    result.response = response;
+    result.served_in = age(entry);
+    if (is_refusal(m_state.service(), response.status)) {
+        result.outcome = verdict::not_run;
+        result.reason = refusal::server_refused;
+    } else if (response.status < first_server_error) {
+        result.outcome = verdict::ran;
+    }
+    return result;
+}
+
+void run_executor::on_failed(const server_failed& event) {
+    const owned_run* entry = m_state.runs.find(event.run);
+    if (entry == nullptr) {
+        return;
+    }
+    if (event.kind == server_failure::connect_failed) {
+        m_state.load.on_unreachable(m_state.now());
+        m_lifecycle.on_server_down();
+        conclude_refused(event.run, refusal::server_down);
+    } else {
+        m_state.load.on_incomplete(age(*entry), m_state.runs.load(m_state.now()).in_flight);
+        m_state.load.on_lost(m_state.now());
+        conclude(event.run, {});
+    }
+    after_end();
+}
+
+void run_executor::on_deadline(run_id id) {
+    owned_run& entry = *m_state.runs.find(id);
+    if (!entry.at_server) {
+        conclude_refused(id, refusal::deadline);
+        after_end();
+        return;
+    }
+    if (entry.idempotent) {
+        cancel_at_server(entry);
+        conclude(id, {});
+        after_end();
+        return;
+    }
+    m_state.load.on_incomplete(age(entry), m_state.runs.load(m_state.now()).in_flight);
+    entry.given_up = true;
+    entry.timer.call_at(m_state.timers, entry.deadline + late_result_time, [this, id] { on_late_limit(id); });
+    if (const auto link = std::exchange(entry.reply_to, std::nullopt); link) {
+        answer unknown;
+        unknown.attempt = entry.attempt;
+        m_state.deliver(*link, std::move(unknown));
+    }
+}
+
+void run_executor::on_late_limit(run_id id) {
+    m_state.outbox.act(cancel_run{id});
+    conclude(id, {});
+    after_end();
+}
+
+void run_executor::cancel_at_server(owned_run& entry) {
+    m_state.load.on_incomplete(age(entry), m_state.runs.load(m_state.now()).in_flight);
+    m_state.outbox.act(cancel_run{entry.id});
+}
+
+void run_executor::on_cancel(const attempt_id& attempt) {
+    if (const owned_run* entry = m_state.runs.find(attempt); entry != nullptr) {
+        abandon(entry->id, true);
+        after_end();
+    }
+}
+
+void run_executor::on_link_closed(link_id link) {
+    for (const run_id id : m_state.runs.waiting_on(link)) {
+        abandon(id, false);
+    }
+    after_end();
+}
+
+void run_executor::abandon(run_id id, bool answer_wanted) {
+    owned_run& entry = *m_state.runs.find(id);
+    if (!entry.at_server) {
+        if (!answer_wanted) {
+            entry.reply_to.reset();
+        }
+        conclude_refused(id, refusal::cancelled);
+        return;
+    }
+    entry.reply_to.reset();
+    if (entry.idempotent) {
+        cancel_at_server(entry);
+        conclude(id, {});
+    }
+}
+
+void run_executor::conclude_refused(run_id id, refusal reason) {
+    answer refused;
+    refused.outcome = verdict::not_run;
+    refused.reason = reason;
+    if (carries_retry_advice(reason)) {
+        refused.retry_after = m_state.retry_after();
+    }
+    conclude(id, std::move(refused));
+}
+
+void run_executor::conclude(run_id id, answer final_answer) {
+    m_state.queue.remove(id);
+    const owned_run entry = m_state.runs.take(id);
+    final_answer.attempt = entry.attempt;
+
+    m_state.ledger.close(entry.attempt, final_answer);
+    if (entry.key) {
+        const service_plan* service = m_state.service();
+        const duration memory = service != nullptr ? service->key_memory : service_plan{}.key_memory;
+        m_state.keys.close(*entry.key, final_answer, m_state.now() + memory);
+    }
+    if (entry.reply_to) {
+        m_state.deliver(*entry.reply_to, std::move(final_answer));
+    }
+}
+
+void run_executor::after_end() {
+    start_queued();
+    m_lifecycle.check_finished();
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "cornelpier/node/traffic_events.hpp"
+#include "cornelpier/owner/owner_lifecycle.hpp"
+#include "cornelpier/owner/owner_state.hpp"
+
+#include <optional>
+
+namespace cornelpier {
+
+/// Takes accepted runs through the queue and the server to their final answer.
+class run_executor {
+  public:
+    /// @param state and
+    /// @param lifecycle outlive the object.
+    run_executor(owner_state& state, owner_lifecycle& lifecycle) : m_state(state), m_lifecycle(lifecycle) {}
+
+    /// @return whether a run of the class could start or be queued now.
+    [[nodiscard]] bool has_room(request_class priority) const;
+
+    /// Records a run and starts or queues it. The checks of `run_intake` have passed.
+    /// @param link where the answer goes.
+    /// @param deadline on the own clock.
+    /// @param key text of the key that the run opens in the key ledger, if any.
+    void accept(link_id link, const run& message, time_point deadline, std::optional<std::string> key);
+
+    void on_answered(const server_answered& event);
+    void on_failed(const server_failed& event);
+    void on_cancel(const attempt_id& attempt);
+    void on_link_closed(link_id link);
+
+    /// Refuses the queued runs whose deadline has passed.
+    void refuse_overdue();
+
+    /// Starts queued runs while the limit allows.
+    void start_queued();
+
+  private:
+    [[nodiscard]] bool may_start() const;
+    [[nodiscard]] duration age(const owned_run& entry) const;
+
+    void hand_over(owned_run& entry);
+    void on_deadline(run_id id);
+    void on_late_limit(run_id id);
+    void cancel_at_server(owned_run& entry);
+    void abandon(run_id id, bool answer_wanted);
+    void conclude(run_id id, answer final_answer);
+    void conclude_refused(run_id id, refusal reason);
+    [[nodiscard]] answer judge(const owned_run& entry, const http_response& response) const;
+
+    /// After a run ended: its place may be used, and the drain may be over.
+    void after_end();
+
+    owner_state& m_state;
+    owner_lifecycle& m_lifecycle;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/run_intake.cpp
@@ -0,0 +1,191 @@
+#include "cornelpier/owner/run_intake.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+answer make_answer(const run& message, verdict outcome, refusal reason, duration retry_after) {
+    answer result;
+    result.attempt = message.attempt;
+    result.outcome = outcome;
+    result.reason = reason;
+    result.retry_after = retry_after;
+    return result;
+}
+
+bool carries_retry_advice(refusal reason) {
+    return reason == refusal::wait_limit || reason == refusal::overloaded || reason == refusal::deadline ||
+           reason == refusal::draining || reason == refusal::ledger_full;
+}
+
+} // namespace
+
+void run_intake::on_run(link_id link, const run& message) {
+    if (!contradicts_plan(message)) {
+        take(link, message);
+        return;
+    }
+    run strict = message;
+    strict.idempotent = false;
+    take(link, strict);
+}
+
+bool run_intake::contradicts_plan(const run& message) const {
+    // An entry with an older plan may take a request for idempotent that no longer is.
+    const service_plan* service = m_state.service();
+    if (!message.idempotent || service == nullptr ||
+        message.plan_version >= m_state.view->current_plan->version) {
+        return false;
+    }
+    const request_rule* rule = service->match(message.request.method, message.request.path);
+    return rule != nullptr && !rule->idempotent;
+}
+
+void run_intake::take(link_id link, const run& message) {
+    m_state.ledger.expire(m_state.now());
+    m_state.keys.expire(m_state.now());
+
+    // A copy must not be refused as not run while another copy runs or has run, so this check is first.
+    if (answer_duplicate(link, message)) {
+        return;
+    }
+    std::optional<std::string> key;
+    if (!message.idempotent && message.key) {
+        key = key_home::text(message.service, *message.key);
+        if (answer_by_key(link, message, *key)) {
+            return;
+        }
+    }
+    if (const refusal reason = check(message); reason != refusal::none) {
+        refuse(link, message, reason);
+        return;
+    }
+    if (!open_records(message, key)) {
+        m_state.outbox.record_throttled(event_number::ledger_full, {});
+        refuse(link, message, refusal::ledger_full);
+        return;
+    }
+    m_executor.accept(link, message, m_state.now() + remaining(message), std::move(key));
+}
+
+bool run_intake::answer_duplicate(link_id link, const run& message) {
+    if (m_state.runs.find(message.attempt) != nullptr) {
+        m_state.outbox.record(event_number::duplicate_run_refused, {});
+        m_state.deliver(link, make_answer(message, verdict::unknown, refusal::duplicate, duration::zero()));
+        return true;
+    }
+    const stored_answer* stored = m_state.ledger.find(message.attempt);
+    if (stored == nullptr) {
+        return false;
+    }
+    m_state.outbox.record(event_number::duplicate_run_refused, {});
+    m_state.deliver(link, stored->replay(message.attempt));
+    return true;
+}
+
+bool run_intake::answer_by_key(link_id link, const run& message, const std::string& key) {
+    if (answer_recorded_key(link, message, key)) {
+        return true;
+    }
+    const service_plan* service = m_state.service();
+    if (m_state.view != nullptr && (service == nullptr || service->id != message.service)) {
+        return false;
+    }
+    if (service != nullptr && !m_state.homes.is_home(key)) {
+        refuse(link, message, refusal::not_home);
+        return true;
+    }
+    const duration rest = m_state.homes.unproved_for(key, m_state.now());
+    if (rest > duration::zero()) {
+        m_state.deliver(link, make_answer(message, verdict::unknown, refusal::key_unproved, rest));
+        return true;
+    }
+    return false;
+}
+
+bool run_intake::answer_recorded_key(link_id link, const run& message, const std::string& key) {
+    const auto found = m_state.keys.lookup(key, fingerprint(message.request));
+    switch (found.state) {
+    case key_ledger::status::absent:
+        return false;
+    case key_ledger::status::conflict:
+        refuse(link, message, refusal::key_conflict);
+        return true;
+    case key_ledger::status::running:
+        m_state.deliver(link,
+                        make_answer(message, verdict::unknown, refusal::key_running, m_state.retry_after()));
+        return true;
+    case key_ledger::status::answered:
+        m_state.deliver(link, found.stored->replay(message.attempt));
+        return true;
+    }
+    return false;
+}
+
+refusal run_intake::check(const run& message) const {
+    if (m_state.drain.state() != node_state::serving) {
+        return refusal::draining;
+    }
+    const service_plan* service = m_state.service();
+    if (service == nullptr || service->id != message.service) {
+        return refusal::unknown_service;
+    }
+    const permit_status leave = m_state.permits.check(message.leave, m_state.now());
+    if (!message.idempotent && leave != permit_status::valid) {
+        return refusal::no_permit;
+    }
+    return check_load(message);
+}
+
+refusal run_intake::check_load(const run& message) const {
+    const duration left = remaining(message);
+    if (left <= duration::zero()) {
+        return refusal::deadline;
+    }
+    const server_load load = m_state.runs.load(m_state.now());
+    const std::size_t ahead = m_state.queue.ahead_of(message.priority);
+    if (message.wait_limit && m_state.load.shown_wait(load, ahead, m_state.now()) > *message.wait_limit) {
+        return refusal::wait_limit;
+    }
+    // An idle server always gets a run: without one, a service time above the deadline could never fall.
+    const bool idle = load.in_flight == 0 && m_state.queue.empty();
+    const duration expected = m_state.load.expected_wait(load, ahead) + m_state.load.service_time_now(load);
+    if (!idle && expected > left) {
+        return refusal::deadline;
+    }
+    return m_executor.has_room(message.priority) ? refusal::none : refusal::overloaded;
+}
+
+bool run_intake::needs_record(const run& message) const {
+    if (!message.idempotent) {
+        return true;
+    }
+    // With a permit, a fate query could prove an unrecorded run as refused.
+    const permit_status leave = m_state.permits.check(message.leave, m_state.now());
+    return leave == permit_status::valid || leave == permit_status::expired;
+}
+
+bool run_intake::open_records(const run& message, const std::optional<std::string>& key) {
+    const bool record = needs_record(message);
+    if ((record && m_state.ledger.full()) || (key && m_state.keys.full())) {
+        return false;
+    }
+    if (record && !m_state.ledger.open(message.attempt, message.leave->expires_at)) {
+        return false;
+    }
+    return !key || m_state.keys.open(*key, fingerprint(message.request));
+}
+
+duration run_intake::remaining(const run& message) const {
+    return std::min(message.remaining, m_state.service()->deadline);
+}
+
+void run_intake::refuse(link_id link, const run& message, refusal reason) {
+    const duration retry_after = carries_retry_advice(reason) ? m_state.retry_after() : duration::zero();
+    m_state.deliver(link, make_answer(message, verdict::not_run, reason, retry_after));
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/run_intake.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "cornelpier/owner/owner_state.hpp"
+#include "cornelpier/owner/run_executor.hpp"
+
+#include <string>
+
+namespace cornelpier {
+
+/// Checks runs that arrive: repeats are answered from the records, the rest is refused at once or accepted.
+class run_intake {
+  public:
+    /// @param state and
+    /// @param executor outlive the object.
+    run_intake(owner_state& state, run_executor& executor) : m_state(state), m_executor(executor) {}
+
+    void on_run(link_id link, const run& message);
+
+  private:
+    void take(link_id link, const run& message);
+    [[nodiscard]] bool contradicts_plan(const run& message) const;
+
+    bool answer_duplicate(link_id link, const run& message);
+    bool answer_by_key(link_id link, const run& message, const std::string& key);
+    bool answer_recorded_key(link_id link, const run& message, const std::string& key);
+
+    [[nodiscard]] refusal check(const run& message) const;
+    [[nodiscard]] refusal check_load(const run& message) const;
+    [[nodiscard]] bool needs_record(const run& message) const;
+    [[nodiscard]] duration remaining(const run& message) const;
+
+    bool open_records(const run& message, const std::optional<std::string>& key);
+    void refuse(link_id link, const run& message, refusal reason);
+
+    owner_state& m_state;
+    run_executor& m_executor;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/run_table.cpp
@@ -0,0 +1,78 @@
+#include "cornelpier/owner/run_table.hpp"
+
+#include <utility>
+
+namespace cornelpier {
+
+owned_run& run_table::add(owned_run entry) {
+    entry.id = run_id{++m_last_id};
+    m_by_attempt.emplace(entry.attempt, entry.id);
+    const run_id id = entry.id;
+    return m_runs.emplace(id, std::move(entry)).first->second;
+}
+
+owned_run run_table::take(run_id id) {
+    const auto it = m_runs.find(id);
+    owned_run entry = std::move(it->second);
+    m_runs.erase(it);
+    m_by_attempt.erase(entry.attempt);
+    if (entry.at_server) {
+        --m_at_server;
+    }
+    return entry;
+}
+
+void run_table::mark_handed_over(owned_run& entry, time_point now) {
+    entry.at_server = true;
+    entry.handed_over = now;
+    ++m_at_server;
+}
+
+owned_run* run_table::find(run_id id) {
+    const auto it = m_runs.find(id);
+    return it == m_runs.end() ? nullptr : &it->second;
+}
+
+owned_run* run_table::find(const attempt_id& attempt) {
+    const auto it = m_by_attempt.find(attempt);
+    return it == m_by_attempt.end() ? nullptr : find(it->second);
+}
+
+std::vector<run_id> run_table::waiting_on(link_id link) const {
+    std::vector<run_id> result;
+    for (const auto& [id, entry] : m_runs) {
+        if (entry.reply_to == link) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+std::vector<run_id> run_table::overdue_in_queue(time_point now) const {
+    std::vector<run_id> result;
+    for (const auto& [id, entry] : m_runs) {
+        if (!entry.at_server && entry.deadline <= now) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+server_load run_table::load(time_point now) const {
+    server_load result;
+    result.in_flight = static_cast<std::uint32_t>(m_at_server);
+    duration ages{};
+    duration::rep counted = 0;
+    for (const auto& [id, entry] : m_runs) {
+        if (entry.at_server && !entry.given_up) {
+            ages += now - entry.handed_over;
+            ++counted;
+        }
+    }
+    if (counted > 0) {
+        result.mean_age = ages / counted;
+    }
+    return result;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/owner/run_table.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "cornelpier/admission/load_meter.hpp"
+#include "cornelpier/owner/owned_run.hpp"
+
+#include <cstddef>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace cornelpier {
+
+/// Runs in progress at the owner, queued or at the server.
+class run_table {
+  public:
+    /// Adds a run and gives it its id.
+    owned_run& add(owned_run entry);
+
+    /// Takes a run out.
+    /// @return the run; the id must be known.
+    owned_run take(run_id id);
+
+    /// Marks a run as handed over to the server.
+    void mark_handed_over(owned_run& entry, time_point now);
+
+    [[nodiscard]] owned_run* find(run_id id);
+    [[nodiscard]] owned_run* find(const attempt_id& attempt);
+
+    /// @return the runs whose answer goes to the link, in order of arrival.
+    [[nodiscard]] std::vector<run_id> waiting_on(link_id link) const;
+
+    /// @return the queued runs whose deadline has passed, in order of arrival.
+    [[nodiscard]] std::vector<run_id> overdue_in_queue(time_point now) const;
+
+    /// @return count and mean age of the runs at the server. Runs that were given up on count, but their age
+    /// does not: a few stuck connections would make the server look slow.
+    [[nodiscard]] server_load load(time_point now) const;
+
+    [[nodiscard]] std::size_t at_server() const { return m_at_server; }
+    [[nodiscard]] bool empty() const { return m_runs.empty(); }
+
+  private:
+    std::uint64_t m_last_id = 0;
+    std::size_t m_at_server = 0;
+    std::map<run_id, owned_run> m_runs;
+    std::unordered_map<attempt_id, run_id> m_by_attempt;
+};
+
+} // namespace cornelpier
