--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -64,6 +64,12 @@
     event_description{server_draining, severity::info, "server_draining",
                       "The server reports that it drains."},
     event_description{bad_request, severity::debug, "bad_request", "A caller's request was malformed."},
+    event_description{link_message_malformed, severity::warning, "link_message_malformed",
+                      "A node link was closed because a message on it could not be read."},
+    event_description{link_queue_full, severity::warning, "link_queue_full",
+                      "A node link was closed because the peer did not read fast enough."},
+    event_description{gossip_malformed, severity::warning, "gossip_malformed",
+                      "A datagram that is no gossip message was dropped."},
     event_description{settings_invalid, severity::error, "settings_invalid", "The settings file is invalid."},
 };
 
--- /dev/null
+++ b/src/daemon/caller/answer_writer.cpp
@@ -0,0 +1,87 @@
+#include "daemon/caller/answer_writer.hpp"
+
+#include "daemon/net/hop_by_hop.hpp"
+
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int lowest_final_status = 200;
+constexpr int highest_status = 999;
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
+
+int valid_status(int status) {
+    constexpr int bad_gateway = 502;
+    return status >= lowest_final_status && status <= highest_status ? status : bad_gateway;
+}
+
+bool has_no_body(int status) {
+    return status == no_content || status == not_modified;
+}
+
+std::string whole_seconds(duration length) {
+    return std::to_string(std::chrono::ceil<std::chrono::seconds>(length).count());
+}
+
+} // namespace
+
+answer_writer::answer_writer(answer_caller answer, bool head_request, bool close)
+    : m_body(answer.response.body), m_close(close || answer.close), m_serializer(m_message) {
+    m_message.version(11);
+    m_message.result(static_cast<unsigned>(valid_status(answer.response.status)));
+    remove_hop_by_hop(answer.response.fields);
+    set_fields(answer);
+    set_body(head_request);
+    m_message.keep_alive(!m_close);
+}
+
+void answer_writer::set_fields(const answer_caller& answer) {
+    for (const auto& [name, value] : answer.response.fields) {
+        const bool replaced = name == "cornelpier-verdict" || name == "cornelpier-request" ||
+                              (name == "retry-after" && answer.retry_after > duration::zero());
+        if (!replaced) {
+            m_message.insert(name, value);
+        }
+    }
+
+    const auto verdict_text = to_string(answer.outcome);
+    m_message.set("Cornelpier-Verdict", boost::beast::string_view{verdict_text.data(), verdict_text.size()});
+    if (!answer.token.empty()) {
+        m_message.set("Cornelpier-Request", answer.token);
+    }
+    if (answer.retry_after > duration::zero()) {
+        m_message.set(http::field::retry_after, whole_seconds(answer.retry_after));
+    }
+}
+
+void answer_writer::set_body(bool head_request) {
+    if (has_no_body(static_cast<int>(m_message.result_int()))) {
+        m_message.erase(http::field::content_length);
+        return;
+    }
+    if (head_request) {
+        // The length that a GET would have is only known to the server.
+        if (m_message.count(http::field::content_length) == 0) {
+            m_message.set(http::field::content_length, std::to_string(m_body->size()));
+        }
+        return;
+    }
+    m_message.body() = boost::beast::span<const char>{m_body->data(), m_body->size()};
+    m_message.set(http::field::content_length, std::to_string(m_body->size()));
+}
+
+answer_caller refusal_answer(int status, std::string_view reason) {
+    answer_caller result;
+    result.response.status = status;
+    result.response.fields = {{"content-type", "text/plain"}};
+    result.response.body = make_body(std::string{reason} + "\n");
+    result.outcome = verdict::not_run;
+    return result;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/caller/answer_writer.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cornelpier/base/verdict.hpp"
+#include "cornelpier/node/traffic_actions.hpp"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/span_body.hpp>
+
+namespace cornelpier {
+
+/// One HTTP answer to a caller while it is being written.
+class answer_writer {
+  public:
+    /// @param answer what to send.
+    /// @param head_request the request was HEAD, so no body is sent.
+    /// @param close the connection ends after this answer.
+    answer_writer(answer_caller answer, bool head_request, bool close);
+
+    /// @return the serializer; it refers to this object.
+    auto& serializer() noexcept { return m_serializer; }
+
+    /// @return whether the connection ends after this answer.
+    [[nodiscard]] bool closes() const noexcept { return m_close; }
+
+  private:
+    using body_type = boost::beast::http::span_body<const char>;
+
+    void set_fields(const answer_caller& answer);
+    void set_body(bool head_request);
+
+    shared_body m_body;
+    bool m_close;
+    boost::beast::http::response<body_type> m_message;
+    boost::beast::http::response_serializer<body_type> m_serializer;
+};
+
+/// @return an answer of the shell itself, with verdict `not_run` and the reason as text.
+answer_caller refusal_answer(int status, std::string_view reason);
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/caller/caller_context.cpp
@@ -0,0 +1,54 @@
+#include "daemon/caller/caller_context.hpp"
+
+#include <utility>
+
+namespace cornelpier {
+
+caller_context::caller_context(caller_options options, caller_event_handler handler, event_sink sink)
+    : m_options(std::move(options)), m_handler(std::move(handler)), m_sink(std::move(sink)) {}
+
+void caller_context::add_session(const std::shared_ptr<caller_session>& session) {
+    const std::lock_guard lock(m_mutex);
+    m_sessions.emplace(session.get(), session);
+}
+
+void caller_context::remove_session(const caller_session* session) {
+    const std::lock_guard lock(m_mutex);
+    m_sessions.erase(session);
+}
+
+std::vector<std::shared_ptr<caller_session>> caller_context::sessions() const {
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::shared_ptr<caller_session>> result;
+    for (const auto& [key, weak] : m_sessions) {
+        if (auto it = weak.lock()) {
+            result.push_back(std::move(it));
+        }
+    }
+    return result;
+}
+
+std::size_t caller_context::session_count() const {
+    const std::lock_guard lock(m_mutex);
+    return m_sessions.size();
+}
+
+call_id caller_context::add_call(const std::shared_ptr<caller_session>& session) {
+    const std::lock_guard lock(m_mutex);
+    const call_id call{++m_last_call};
+    m_calls.emplace(call, session);
+    return call;
+}
+
+std::shared_ptr<caller_session> caller_context::take_call(call_id call) {
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_calls.find(call);
+    if (it == m_calls.end()) {
+        return nullptr;
+    }
+    auto session = it->second.lock();
+    m_calls.erase(it);
+    return session;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/caller/caller_context.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "cornelpier/base/ids.hpp"
+#include "cornelpier/node/traffic_events.hpp"
+
+#include "daemon/log/event_log.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cornelpier {
+
+class caller_session;
+
+/// Limits of the caller side.
+struct caller_options {
+    std::string address; ///< `IP:port` to listen on.
+    std::size_t max_connections = 4096;
+    std::chrono::milliseconds head_limit{5000};  ///< Time until the head is complete.
+    std::chrono::milliseconds body_limit{10000}; ///< Time from the head to the end of the body.
+    std::chrono::milliseconds write_limit{
+        10000};                                  ///< A caller that reads nothing for so long is disconnected.
+    std::chrono::milliseconds idle_limit{60000}; ///< A connection without a request is closed after this.
+};
+
+/// Receives calls and abandonments; callable on any thread.
+using caller_event_handler = std::function<void(traffic_event)>;
+
+/// What the sessions of a server share. Thread-safe.
+class caller_context {
+  public:
+    caller_context(caller_options options, caller_event_handler handler, event_sink sink);
+
+    [[nodiscard]] const caller_options& options() const noexcept { return m_options; }
+
+    /// Hands an event to the decision core.
+    void report(traffic_event event) const { m_handler(std::move(event)); }
+
+    /// Writes a log event.
+    void record(const event_record& record) const { m_sink(record); }
+
+    /// Adds a connection to the count and to `sessions()`.
+    void add_session(const std::shared_ptr<caller_session>& session);
+
+    /// Removes a connection that ends.
+    void remove_session(const caller_session* session);
+
+    /// @return the open connections.
+    [[nodiscard]] std::vector<std::shared_ptr<caller_session>> sessions() const;
+
+    /// @return how many connections are open.
+    [[nodiscard]] std::size_t session_count() const;
+
+    /// @return an id for a call of the session.
+    call_id add_call(const std::shared_ptr<caller_session>& session);
+
+    /// Ends a call.
+    /// @return its session, or nullptr if the call has ended already.
+    std::shared_ptr<caller_session> take_call(call_id call);
+
+    /// From now on no request is handed to the decision core.
+    void stop() { m_stopping = true; }
+
+    /// @return whether `stop` was called.
+    [[nodiscard]] bool stopping() const { return m_stopping; }
+
+  private:
+    caller_options m_options;
+    caller_event_handler m_handler;
+    event_sink m_sink;
+    std::atomic<bool> m_stopping = false;
+
+    mutable std::mutex m_mutex;
+    std::unordered_map<const caller_session*, std::weak_ptr<caller_session>> m_sessions;
+    std::unordered_map<call_id, std::weak_ptr<caller_session>> m_calls;
+    std::uint64_t m_last_call = 0;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/caller/caller_server.cpp
@@ -0,0 +1,167 @@
+#include "daemon/caller/caller_server.hpp"
+
+#include "daemon/caller/caller_session.hpp"
+#include "daemon/net/endpoint.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// Connections above the limit that get an answer; more are closed without one.
+constexpr std::size_t max_rejections = 256;
+
+constexpr std::chrono::milliseconds accept_pause{100};
+constexpr std::chrono::milliseconds stop_poll{5};
+constexpr std::chrono::milliseconds stop_limit{2000};
+
+} // namespace
+
+/// Accepts connections on one strand and finds the session of a call.
+class caller_server::implementation : public std::enable_shared_from_this<implementation> {
+  public:
+    implementation(boost::asio::io_context& context_threads, std::shared_ptr<caller_context> context)
+        : m_threads(context_threads), m_context(std::move(context)), m_strand(make_strand(context_threads)),
+          m_acceptor(m_strand), m_timer(m_strand) {}
+
+    error bind() { return listen_on(m_acceptor, m_context->options().address); }
+
+    void accept() {
+        m_acceptor.async_accept(make_strand(m_threads),
+                                [self = shared_from_this()](error_code ec, tcp::socket socket) {
+                                    self->on_accepted(ec, std::move(socket));
+                                });
+    }
+
+    void answer(answer_caller answer) {
+        if (const auto session = m_context->take_call(answer.call)) {
+            session->answer(std::move(answer));
+        }
+    }
+
+    void shut_down(std::function<void()> on_done) {
+        boost::asio::post(m_strand, [self = shared_from_this(), on_done = std::move(on_done)]() mutable {
+            self->stop(std::move(on_done));
+        });
+    }
+
+    [[nodiscard]] std::size_t connections() const { return m_context->session_count(); }
+
+  private:
+    void on_accepted(error_code ec, tcp::socket socket) {
+        if (!m_acceptor.is_open()) {
+            return;
+        }
+        if (ec) {
+            // Usually no file descriptor is left; accepting again at once would spin.
+            m_timer.expires_after(accept_pause);
+            m_timer.async_wait([self = shared_from_this()](error_code failure) {
+                if (!failure) {
+                    self->accept();
+                }
+            });
+            return;
+        }
+        add(std::move(socket));
+        accept();
+    }
+
+    void add(tcp::socket socket) {
+        error_code ec;
+        socket.set_option(tcp::no_delay(true), ec);
+        const auto count = m_context->session_count();
+        if (count >= m_context->options().max_connections + max_rejections) {
+            return;
+        }
+
+        const auto session = std::make_shared<caller_session>(std::move(socket), m_context);
+        m_context->add_session(session);
+        if (count >= m_context->options().max_connections) {
+            session->reject();
+            return;
+        }
+        session->start();
+    }
+
+    void stop(std::function<void()> on_done) {
+        m_context->stop();
+        m_timer.cancel();
+        accept_backlog();
+        for (const auto& it : m_context->sessions()) {
+            it->shut_down();
+        }
+        m_stop_deadline = std::chrono::steady_clock::now() + stop_limit;
+        wait_for_sessions(std::move(on_done));
+    }
+
+    /// Closing the listener resets connections that the kernel has completed, so they are taken first.
+    void accept_backlog() {
+        error_code ec;
+        m_acceptor.cancel(ec);
+        m_acceptor.non_blocking(true, ec);
+        while (!ec) {
+            tcp::socket socket(make_strand(m_threads));
+            m_acceptor.accept(socket, ec);
+            if (!ec) {
+                add(std::move(socket));
+            }
+        }
+        m_acceptor.close(ec);
+    }
+
+    void wait_for_sessions(std::function<void()> on_done) {
+        if (m_context->session_count() == 0 || std::chrono::steady_clock::now() >= m_stop_deadline) {
+            on_done();
+            return;
+        }
+        m_timer.expires_after(stop_poll);
+        m_timer.async_wait([self = shared_from_this(), on_done = std::move(on_done)](error_code) mutable {
+            self->wait_for_sessions(std::move(on_done));
+        });
+    }
+
+    boost::asio::io_context& m_threads;
+    std::shared_ptr<caller_context> m_context;
+    boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
+    tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_timer;
+    std::chrono::steady_clock::time_point m_stop_deadline;
+};
+
+caller_server::caller_server(boost::asio::io_context& context_threads, caller_options options,
+                             caller_event_handler handler, event_sink sink)
+    : m_implementation(std::make_shared<implementation>(
+          context_threads,
+          std::make_shared<caller_context>(std::move(options), std::move(handler), std::move(sink)))) {}
+
+caller_server::~caller_server() = default;
+
+error caller_server::bind() {
+    return m_implementation->bind();
+}
+
+void caller_server::start() {
+    m_implementation->accept();
+}
+
+void caller_server::answer(answer_caller answer) {
+    m_implementation->answer(std::move(answer));
+}
+
+void caller_server::shut_down(std::function<void()> on_done) {
+    m_implementation->shut_down(std::move(on_done));
+}
+
+std::size_t caller_server::connections() const {
+    return m_implementation->connections();
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/caller/request_check.cpp
@@ -0,0 +1,217 @@
+#include "daemon/caller/request_check.hpp"
+
+#include "daemon/net/hop_by_hop.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+/// Longer deadlines are malformed: no plan allows them.
+constexpr std::uint64_t max_deadline_ms = 24ULL * 3600 * 1000;
+constexpr std::uint64_t max_depth_value = 1000;
+constexpr std::size_t max_key_length = 255;
+
+using problem = std::optional<request_problem>;
+
+problem bad(std::string reason) {
+    return request_problem{400, std::move(reason)};
+}
+
+std::size_t count(const http_fields& fields, std::string_view name) {
+    return static_cast<std::size_t>(std::ranges::count(fields, name, &http_fields::value_type::first));
+}
+
+bool is_digits(std::string_view text) {
+    return !text.empty() && std::ranges::all_of(text, [](char c) { return c >= '0' && c <= '9'; });
+}
+
+problem check_framing(const http_fields& fields) {
+    const auto lengths = count(fields, "content-length");
+    const auto encodings = count(fields, "transfer-encoding");
+    if (lengths > 1) {
+        return bad("more than one Content-Length");
+    }
+    if (lengths == 1 && encodings > 0) {
+        return bad("Content-Length together with Transfer-Encoding");
+    }
+    if (lengths == 1 && !is_digits(*find_field(fields, "content-length"))) {
+        return bad("malformed Content-Length");
+    }
+    if (encodings > 1 ||
+        (encodings == 1 && lower_case(*find_field(fields, "transfer-encoding")) != "chunked")) {
+        return bad("Transfer-Encoding other than chunked");
+    }
+    return std::nullopt;
+}
+
+problem check_path(std::string_view path) {
+    if (path.empty() || path.front() != '/') {
+        return bad("the request target is not in origin form");
+    }
+    const bool plain =
+        std::ranges::all_of(path, [](char c) { return c > ' ' && c < '\x7f' && c != '#' && c != '\\'; });
+    return plain ? std::nullopt : bad("the request target has forbidden characters");
+}
+
+/// Takes a field out of the request.
+/// @return its value, or nothing if it is missing; false if it came twice.
+bool take_single(http_fields& fields, std::string_view name, std::optional<std::string>& value) {
+    if (count(fields, name) > 1) {
+        return false;
+    }
+    if (const auto* it = find_field(fields, name)) {
+        value = *it;
+    }
+    remove_field(fields, name);
+    return true;
+}
+
+bool parse_number(std::string_view text, std::uint64_t limit, std::uint64_t& value) {
+    if (!is_digits(text)) {
+        return false;
+    }
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return ec == std::errc{} && value <= limit;
+}
+
+problem read_host(http_fields& fields, service_id& service) {
+    std::optional<std::string> host;
+    if (!take_single(fields, "host", host)) {
+        return bad("more than one Host");
+    }
+    if (!host || host->empty()) {
+        return bad("missing Host");
+    }
+
+    const std::string_view name = std::string_view{*host}.substr(0, host->rfind(':'));
+    const std::string label = lower_case(name.substr(0, name.find('.')));
+    const bool plain = std::ranges::all_of(label, [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+    });
+    if (label.empty() || !plain) {
+        return bad("malformed Host");
+    }
+    service = service_id{label};
+    return std::nullopt;
+}
+
+problem read_key(http_fields& fields, std::optional<std::string>& key) {
+    // The server may use the key too, so the field stays in the request.
+    if (count(fields, "idempotency-key") > 1) {
+        return bad("more than one Idempotency-Key");
+    }
+    const auto* value = find_field(fields, "idempotency-key");
+    if (value == nullptr) {
+        return std::nullopt;
+    }
+    if (value->empty() || value->size() > max_key_length) {
+        return bad("Idempotency-Key must have 1 to 255 characters");
+    }
+    key = *value;
+    return std::nullopt;
+}
+
+problem read_number(http_fields& fields, std::string_view name, std::uint64_t limit,
+                    std::optional<std::uint64_t>& number) {
+    std::optional<std::string> text;
+    if (!take_single(fields, name, text)) {
+        return bad("more than one " + std::string{name});
+    }
+    if (!text) {
+        return std::nullopt;
+    }
+    std::uint64_t value = 0;
+    if (!parse_number(*text, limit, value)) {
+        return bad("malformed " + std::string{name});
+    }
+    number = value;
+    return std::nullopt;
+}
+
+problem read_project_fields(http_fields& fields, checked_head& result) {
+    std::optional<std::uint64_t> deadline_ms;
+    std::optional<std::uint64_t> depth;
+    std::optional<std::uint64_t> retry;
+    if (auto it = read_number(fields, "cornelpier-deadline-ms", max_deadline_ms, deadline_ms)) {
+        return it;
+    }
+    if (auto it = read_number(fields, "cornelpier-depth", max_depth_value, depth)) {
+        return it;
+    }
+    if (auto it = read_number(fields, "cornelpier-retry", 1, retry)) {
+        return it;
+    }
+
+    if (deadline_ms) {
+        result.deadline = std::chrono::milliseconds{*deadline_ms};
+    }
+    result.depth = static_cast<std::uint32_t>(depth.value_or(0));
+    result.outer_retry = retry.value_or(0) == 1;
+    return std::nullopt;
+}
+
+problem read_expectation(http_fields& fields, bool& expects_continue) {
+    std::optional<std::string> text;
+    if (!take_single(fields, "expect", text)) {
+        return bad("more than one Expect");
+    }
+    if (!text) {
+        return std::nullopt;
+    }
+    if (lower_case(*text) != "100-continue") {
+        return request_problem{417, "unknown expectation"};
+    }
+    expects_continue = true;
+    return std::nullopt;
+}
+
+problem read_fields(http_fields& fields, checked_head& result) {
+    if (auto it = read_host(fields, result.service)) {
+        return it;
+    }
+    if (auto it = read_key(fields, result.key)) {
+        return it;
+    }
+    if (auto it = read_project_fields(fields, result)) {
+        return it;
+    }
+    return read_expectation(fields, result.expects_continue);
+}
+
+void read_fate_token(const raw_head& head, checked_head& result) {
+    if (head.method == "GET" && head.target.starts_with(fate_path)) {
+        result.fate_token = head.target.substr(fate_path.size());
+    }
+}
+
+} // namespace
+
+std::variant<checked_head, request_problem> check_request(raw_head head) {
+    if (auto it = check_framing(head.fields)) {
+        return *std::move(it);
+    }
+    if (auto it = check_path(head.target)) {
+        return *std::move(it);
+    }
+
+    checked_head result;
+    if (auto it = read_fields(head.fields, result)) {
+        return *std::move(it);
+    }
+    read_fate_token(head, result);
+
+    remove_hop_by_hop(head.fields);
+    std::erase_if(head.fields, [](const auto& field) {
+        return field.first == "content-length" || field.first.starts_with("cornelpier-");
+    });
+    result.request.method = std::move(head.method);
+    result.request.path = std::move(head.target);
+    result.request.fields = std::move(head.fields);
+    return result;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/caller/request_check.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "cornelpier/base/ids.hpp"
+#include "cornelpier/base/units.hpp"
+#include "cornelpier/message/http_fields.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace cornelpier {
+
+/// Why a caller's request is answered by the shell, always with verdict `not_run`.
+struct request_problem {
+    int status = 400;
+    std::string reason; ///< One sentence without a full stop; sent as body and logged.
+};
+
+/// Head of a caller's request as it came.
+struct raw_head {
+    std::string method;
+    std::string target;
+    http_fields fields; ///< All fields in order, names in lower case.
+};
+
+/// Head of a well-formed request.
+struct checked_head {
+    http_request request; ///< Without hop-by-hop, framing and Cornelpier fields; the body is still empty.
+    service_id service;
+    std::optional<std::string> key;
+    std::optional<duration> deadline;
+    std::uint32_t depth = 0;
+    bool outer_retry = false;
+    std::optional<std::string> fate_token; ///< The request asks for the fate of another one.
+    bool expects_continue = false;
+};
+
+/// Path below which callers ask for the fate of a request.
+inline constexpr std::string_view fate_path = "/cornelpier/requests/";
+
+/// Checks framing, path, Host and the fields of the project. It is stricter than the HTTP parser, because a
+/// request that two parsers frame differently could run as another caller's.
+/// @return the head, or why the request is refused.
+std::variant<checked_head, request_problem> check_request(raw_head head);
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/link/link_channel.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "cornelpier/message/codec.hpp"
+
+namespace cornelpier {
+
+/// One WebSocket connection, opened or accepted. Callable on any thread.
+class link_channel {
+  public:
+    link_channel() = default;
+    virtual ~link_channel() = default;
+    link_channel(const link_channel&) = delete;
+    link_channel& operator=(const link_channel&) = delete;
+    link_channel(link_channel&&) = delete;
+    link_channel& operator=(link_channel&&) = delete;
+
+    /// Sends a message; messages of one caller leave in order.
+    virtual void send(node_message message) = 0;
+
+    /// Closes the socket without a closing handshake.
+    virtual void close() = 0;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/link/link_manager.cpp
@@ -0,0 +1,345 @@
+#include "daemon/link/link_manager.hpp"
+
+#include "daemon/link/control_links.hpp"
+#include "daemon/link/link_endpoint_config.hpp"
+#include "daemon/link/link_table.hpp"
+#include "daemon/link/websocket_channel.hpp"
+#include "daemon/net/endpoint.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <websocketpp/client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+using accepting_endpoint = websocketpp::server<accepting_link_config>;
+using opening_endpoint = websocketpp::client<opening_link_config>;
+using websocketpp::connection_hdl;
+
+constexpr std::chrono::seconds control_idle_limit{10};
+
+template <typename Endpoint>
+void prepare(Endpoint& endpoint, boost::asio::io_context& context_threads) {
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.init_asio(&context_threads);
+}
+
+template <typename ConnectionPtr>
+void disable_nagle(const ConnectionPtr& connection) {
+    boost::system::error_code ec;
+    connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+}
+
+std::string link_text(link_id link) {
+    return std::to_string(link.value());
+}
+
+} // namespace
+
+/// Holds the two endpoints of websocketpp. Opening happens on one strand, because their resolver is not
+/// thread-safe.
+class link_manager::implementation : public std::enable_shared_from_this<implementation> {
+  public:
+    implementation(boost::asio::io_context& context_threads, link_handlers handlers)
+        : m_handlers(std::move(handlers)), m_strand(make_strand(context_threads)), m_idle_timer(m_strand) {
+        prepare(m_server, context_threads);
+        prepare(m_client, context_threads);
+        m_server.set_reuse_addr(true);
+    }
+
+    error bind(const std::string& text) {
+        const auto address = parse_address(text);
+        if (const auto* problem = std::get_if<error>(&address)) {
+            return *problem;
+        }
+        websocketpp::lib::error_code ec;
+        m_server.set_listen_backlog(boost::asio::socket_base::max_listen_connections);
+        m_server.listen(std::get<socket_address>(address).tcp(), ec);
+        return ec ? error{text, "cannot listen: address not usable or in use"} : error{text, ""};
+    }
+
+    void start() {
+        m_server.set_open_handler([weak = weak_from_this()](connection_hdl handle) {
+            if (const auto self = weak.lock()) {
+                self->on_accepted(handle);
+            }
+        });
+        websocketpp::lib::error_code ec;
+        m_server.start_accept(ec);
+        close_idle_control_links();
+    }
+
+    void open(link_id link, link_use use, const std::string& address) {
+        boost::asio::post(m_strand, [self = shared_from_this(), link, use, address] {
+            self->open_on_strand(link, use, address);
+        });
+    }
+
+    void close(link_id link) {
+        // Posted, so that it comes after an `open` that is still on its way to the strand.
+        boost::asio::post(m_strand, [self = shared_from_this(), link] {
+            if (const auto it = self->m_table.take(link)) {
+                it->channel->close();
+            }
+        });
+    }
+
+    void send(link_id link, node_message message) {
+        if (const auto it = m_table.find(link)) {
+            it->channel->send(std::move(message));
+        }
+    }
+
+    void send_control(const std::string& address, control_message message) {
+        boost::asio::post(m_strand,
+                          [self = shared_from_this(), address, message = std::move(message)]() mutable {
+                              self->send_control_on_strand(address, std::move(message));
+                          });
+    }
+
+    [[nodiscard]] std::size_t links() const { return m_table.size(); }
+
+    void stop() {
+        websocketpp::lib::error_code ec;
+        if (m_server.is_listening()) {
+            m_server.stop_listening(ec);
+        }
+        for (const auto& it : m_table.take_all()) {
+            it.channel->close();
+        }
+    }
+
+  private:
+    void open_on_strand(link_id link, link_use use, const std::string& address) {
+        websocketpp::lib::error_code ec;
+        const auto connection = m_client.get_connection("ws://" + address + "/", ec);
+        if (ec) {
+            report_closed(link, {use, nullptr, false});
+            return;
+        }
+
+        const auto weak = weak_from_this();
+        connection->set_open_handler([weak, link, raw = connection.get()](const connection_hdl&) {
+            disable_nagle(raw);
+            if (const auto self = weak.lock()) {
+                self->on_opened(link, raw);
+            }
+        });
+        connection->set_fail_handler([weak, link](const connection_hdl&) {
+            if (const auto self = weak.lock()) {
+                self->on_closed(link);
+            }
+        });
+        follow(link, use, connection);
+        m_client.connect(connection);
+    }
+
+    void on_accepted(const connection_hdl& handle) {
+        websocketpp::lib::error_code ec;
+        const auto connection = m_server.get_con_from_hdl(handle, ec);
+        if (ec) {
+            return;
+        }
+        disable_nagle(connection);
+        follow(m_table.next_accepted(), link_use::accepted, connection);
+    }
+
+    /// Adds the link to the table and receives its messages.
+    template <typename ConnectionPtr>
+    void follow(link_id link, link_use use, const ConnectionPtr& connection) {
+        const auto weak = weak_from_this();
+        connection->set_close_handler([weak, link, raw = connection.get()](const connection_hdl&) {
+            if (const auto self = weak.lock()) {
+                self->on_websocket_closed(link, raw->get_local_close_code());
+            }
+        });
+        connection->set_message_handler([weak, link](const connection_hdl&, const auto& message) {
+            if (const auto self = weak.lock()) {
+                self->on_frame(link, message->get_opcode(), message->get_payload());
+            }
+        });
+        const auto overflow = [weak, link] {
+            if (const auto self = weak.lock()) {
+                self->drop(link, event_number::link_queue_full, "the peer reads too slowly");
+            }
+        };
+        m_table.add(link,
+                    {use, std::make_shared<websocket_channel<ConnectionPtr>>(connection, overflow), false});
+    }
+
+    template <typename Connection>
+    void on_opened(link_id link, Connection* connection) {
+        const auto it = m_table.find(link);
+        if (!it) {
+            boost::system::error_code ec;
+            connection->get_raw_socket().close(ec);
+            return;
+        }
+        if (it->use == link_use::core) {
+            m_handlers.opened(link);
+            return;
+        }
+        boost::asio::post(m_strand, [self = shared_from_this(), link] {
+            for (auto& message : self->m_control_links.opened(link)) {
+                self->send(link, std::move(message));
+            }
+        });
+    }
+
+    void on_websocket_closed(link_id link, websocketpp::close::status::value code) {
+        if (code == websocketpp::close::status::message_too_big) {
+            record_malformed(link, "a message was larger than 2 MiB");
+        }
+        on_closed(link);
+    }
+
+    void on_closed(link_id link) {
+        if (const auto it = m_table.take(link)) {
+            report_closed(link, *it);
+        }
+    }
+
+    void report_closed(link_id link, const link_table::entry& entry) {
+        if (entry.use == link_use::control) {
+            boost::asio::post(m_strand,
+                              [self = shared_from_this(), link] { self->m_control_links.closed(link); });
+            return;
+        }
+        if (entry.use == link_use::core || entry.carried_traffic) {
+            m_handlers.closed(link);
+        }
+    }
+
+    void on_frame(link_id link, websocketpp::frame::opcode::value opcode, const std::string& payload) {
+        const auto entry = m_table.find(link);
+        if (!entry) {
+            return;
+        }
+        if (opcode != websocketpp::frame::opcode::binary) {
+            drop(link, event_number::link_message_malformed, "not a binary frame");
+            return;
+        }
+
+        auto outcome = decode(payload);
+        if (const auto* problem = std::get_if<error>(&outcome)) {
+            drop(link, event_number::link_message_malformed, problem->reason);
+            return;
+        }
+        deliver(link, *entry, std::get<node_message>(std::move(outcome)));
+    }
+
+    void deliver(link_id link, const link_table::entry& entry, node_message message) {
+        if (auto* control = std::get_if<control_message>(&message)) {
+            m_handlers.control_received(std::move(*control));
+            return;
+        }
+        if (entry.use == link_use::control) {
+            return;
+        }
+        if (entry.use == link_use::accepted && !entry.carried_traffic) {
+            m_table.mark_traffic(link);
+        }
+        m_handlers.received(link, std::get<traffic_message>(std::move(message)));
+    }
+
+    void drop(link_id link, event_number number, const std::string& reason) {
+        const auto it = m_table.take(link);
+        if (!it) {
+            return;
+        }
+        m_handlers.record({number, {{"link", link_text(link)}, {"reason", reason}}});
+        it->channel->close();
+        report_closed(link, *it);
+    }
+
+    void record_malformed(link_id link, const std::string& reason) {
+        m_handlers.record(
+            {event_number::link_message_malformed, {{"link", link_text(link)}, {"reason", reason}}});
+    }
+
+    void send_control_on_strand(const std::string& address, control_message message) {
+        auto* route = m_control_links.find(address);
+        if (route == nullptr) {
+            const link_id link = m_table.next_control();
+            route = &m_control_links.add(address, link);
+            open_on_strand(link, link_use::control, address);
+        }
+
+        route->last_use = control_links::clock::now();
+        if (route->open) {
+            send(route->link, std::move(message));
+            return;
+        }
+        if (route->waiting.size() < max_waiting_control_messages) {
+            route->waiting.push_back(std::move(message));
+        }
+    }
+
+    void close_idle_control_links() {
+        m_idle_timer.expires_after(control_idle_limit);
+        m_idle_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+            const auto self = weak.lock();
+            if (ec || !self) {
+                return;
+            }
+            const auto since = control_links::clock::now() - control_idle_limit;
+            for (const auto link : self->m_control_links.take_idle(since)) {
+                self->close(link);
+            }
+            self->close_idle_control_links();
+        });
+    }
+
+    link_handlers m_handlers;
+    boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
+    boost::asio::steady_timer m_idle_timer;
+    accepting_endpoint m_server;
+    opening_endpoint m_client;
+    link_table m_table;
+    control_links m_control_links;
+};
+
+link_manager::link_manager(boost::asio::io_context& context_threads, link_handlers handlers)
+    : m_implementation(std::make_shared<implementation>(context_threads, std::move(handlers))) {}
+
+link_manager::~link_manager() = default;
+
+error link_manager::bind(const std::string& address) {
+    return m_implementation->bind(address);
+}
+
+void link_manager::start() {
+    m_implementation->start();
+}
+
+void link_manager::open(link_id link, const std::string& address) {
+    m_implementation->open(link, link_use::core, address);
+}
+
+void link_manager::close(link_id link) {
+    m_implementation->close(link);
+}
+
+void link_manager::send(link_id link, traffic_message message) {
+    m_implementation->send(link, std::move(message));
+}
+
+void link_manager::send_control(const std::string& address, control_message message) {
+    m_implementation->send_control(address, std::move(message));
+}
+
+std::size_t link_manager::links() const {
+    return m_implementation->links();
+}
+
+void link_manager::stop() {
+    m_implementation->stop();
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/log/event_formatter.cpp
@@ -0,0 +1,87 @@
+#include "daemon/log/event_formatter.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+std::string wall_text(std::chrono::system_clock::time_point wall) {
+    using namespace std::chrono;
+    const auto micros = duration_cast<microseconds>(wall.time_since_epoch()).count();
+    const std::time_t seconds = system_clock::to_time_t(wall);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+
+    std::array<char, 32> date{};
+    const auto n = std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::array<char, 16> fraction{};
+    std::snprintf(fraction.data(), fraction.size(), ".%06dZ", static_cast<int>(micros % 1'000'000));
+    return std::string(date.data(), n) + fraction.data();
+}
+
+std::string quoted(const std::string& value) {
+    return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string hexadecimal(std::uint64_t value) {
+    std::array<char, 17> buf{};
+    std::snprintf(buf.data(), buf.size(), "%llx", static_cast<unsigned long long>(value));
+    return buf.data();
+}
+
+} // namespace
+
+event_formatter::event_formatter(log_format format, target_id node, incarnation process)
+    : m_format(format), m_node(std::move(node)), m_incarnation(hexadecimal(process.value())) {}
+
+std::string event_formatter::format(const log_entry& entry) const {
+    return m_format == log_format::json ? as_json(entry) : as_text(entry);
+}
+
+std::string event_formatter::as_json(const log_entry& entry) const {
+    const auto& kind = describe(entry.record.number);
+    nlohmann::ordered_json line;
+    line["wall"] = wall_text(entry.wall);
+    line["monotonic_us"] = entry.monotonic.time_since_epoch().count();
+    line["node"] = m_node.value();
+    line["incarnation"] = m_incarnation;
+    line["sequence"] = entry.sequence;
+    line["severity"] = to_string(kind.level);
+    line["number"] = static_cast<int>(kind.number);
+    line["name"] = kind.name;
+
+    auto& fields = line["fields"] = nlohmann::ordered_json::object();
+    for (const auto& [name, value] : entry.record.fields) {
+        fields[name] = value;
+    }
+    if (entry.left_out != 0) {
+        line["left_out"] = entry.left_out;
+    }
+    return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+std::string event_formatter::as_text(const log_entry& entry) const {
+    const auto& kind = describe(entry.record.number);
+    std::string line = wall_text(entry.wall);
+    line += ' ' + std::to_string(entry.monotonic.time_since_epoch().count());
+    line += ' ' + m_node.value() + ' ' + m_incarnation + ' ' + std::to_string(entry.sequence) + ' ';
+    line += to_string(kind.level);
+    line += ' ' + std::to_string(static_cast<int>(kind.number)) + ' ';
+    line += kind.name;
+
+    for (const auto& [name, value] : entry.record.fields) {
+        line += ' ' + name + '=' + quoted(value);
+    }
+    if (entry.left_out != 0) {
+        line += " left_out=" + std::to_string(entry.left_out);
+    }
+    return line;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/log/event_formatter.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "cornelpier/base/event_record.hpp"
+#include "cornelpier/base/ids.hpp"
+#include "cornelpier/base/units.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace cornelpier {
+
+/// Form of a log line.
+enum class log_format : std::uint8_t { json, text };
+
+/// Everything that stands in a log line.
+struct log_entry {
+    std::chrono::system_clock::time_point wall;
+    time_point monotonic;
+    std::uint64_t sequence = 0; ///< Grows by 1 with each line of a process.
+    std::uint64_t left_out = 0; ///< Events of this number that were not written before this one.
+    event_record record;
+};
+
+/// Writes log entries as single lines.
+class event_formatter {
+  public:
+    /// @param node name of the node.
+    /// @param process its incarnation.
+    event_formatter(log_format format, target_id node, incarnation process);
+
+    /// @return the line without a line end. Bytes that are not UTF-8 are replaced.
+    [[nodiscard]] std::string format(const log_entry& entry) const;
+
+  private:
+    [[nodiscard]] std::string as_json(const log_entry& entry) const;
+    [[nodiscard]] std::string as_text(const log_entry& entry) const;
+
+    log_format m_format;
+    target_id m_node;
+    std::string m_incarnation;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/server/connection_pool.cpp
@@ -0,0 +1,46 @@
+#include "daemon/server/connection_pool.hpp"
+
+#include <boost/asio/buffer.hpp>
+
+#include <array>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+/// @return false if the server closed the connection or sent something unasked.
+bool is_quiet(boost::asio::ip::tcp::socket& socket) {
+    std::array<char, 1> byte{};
+    boost::system::error_code ec;
+    socket.receive(boost::asio::buffer(byte), boost::asio::socket_base::message_peek, ec);
+    return ec == boost::asio::error::would_block;
+}
+
+} // namespace
+
+connection_pool::socket_ptr connection_pool::take(bool fresh_only) {
+    const auto now = clock::now();
+    std::erase_if(m_idle, [&](const auto& it) { return now - it.since > max_idle_time; });
+
+    while (!m_idle.empty()) {
+        if (fresh_only && now - m_idle.back().since > fresh_for) {
+            return nullptr;
+        }
+        socket_ptr socket = std::move(m_idle.back().socket);
+        m_idle.pop_back();
+        if (is_quiet(*socket)) {
+            return socket;
+        }
+    }
+    return nullptr;
+}
+
+void connection_pool::put(socket_ptr socket) {
+    if (m_idle.size() == max_idle) {
+        m_idle.erase(m_idle.begin());
+    }
+    m_idle.push_back({std::move(socket), clock::now()});
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/server/connection_pool.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <memory>
+#include <vector>
+
+namespace cornelpier {
+
+/// Connections that wait for their next request. Not thread-safe.
+class connection_pool {
+  public:
+    using clock = std::chrono::steady_clock;
+    using socket_ptr = std::unique_ptr<boost::asio::ip::tcp::socket>;
+
+    /// A connection that completed an answer this recently is as good as a new one: the server has not had
+    /// time to close it for idleness.
+    static constexpr std::chrono::milliseconds fresh_for{100};
+
+    /// Idle connections that are kept.
+    static constexpr std::size_t max_idle = 16;
+
+    /// Time after which an idle connection is not used again.
+    static constexpr std::chrono::seconds max_idle_time{30};
+
+    /// @param fresh_only take only a connection that completed an answer within `fresh_for`.
+    /// @return the connection used last, or nullptr. Connections that the server closed are dropped.
+    socket_ptr take(bool fresh_only);
+
+    /// Keeps a connection that has just completed an answer.
+    void put(socket_ptr socket);
+
+    /// Closes everything.
+    void clear() { m_idle.clear(); }
+
+    /// @return how many connections wait.
+    [[nodiscard]] std::size_t size() const { return m_idle.size(); }
+
+  private:
+    struct idle_connection {
+        socket_ptr socket;
+        clock::time_point since;
+    };
+
+    std::vector<idle_connection> m_idle;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/server/server_exchange.cpp
@@ -0,0 +1,180 @@
+#include "daemon/server/server_exchange.hpp"
+
+#include "daemon/net/hop_by_hop.hpp"
+#include "daemon/server/server_client.hpp"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::uint32_t max_answer_head_bytes = 32 * 1024;
+constexpr int first_final_status = 200;
+constexpr int switching_protocols = 101;
+
+http::request<http::span_body<const char>> make_message(const http_request& request) {
+    http::request<http::span_body<const char>> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.path);
+    for (const auto& [name, value] : request.fields) {
+        message.insert(name, value);
+    }
+    message.body() = boost::beast::span<const char>{request.body->data(), request.body->size()};
+    return message;
+}
+
+template <typename Message>
+http_response copy_response(Message& message, bool keep_length) {
+    http_response result;
+    result.status = static_cast<int>(message.result_int());
+    for (const auto& it : message) {
+        const auto name = it.name_string();
+        result.fields.emplace_back(lower_case({name.data(), name.size()}), std::string{it.value()});
+    }
+    remove_hop_by_hop(result.fields);
+    if (!keep_length) {
+        remove_field(result.fields, "content-length");
+    }
+    result.body = make_body(std::move(message.body()));
+    return result;
+}
+
+} // namespace
+
+struct server_exchange::http_state {
+    explicit http_state(const http_request& request) : message(make_message(request)), serializer(message) {}
+
+    http::request<http::span_body<const char>> message;
+    http::request_serializer<http::span_body<const char>> serializer;
+    boost::beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::string_body>> parser;
+};
+
+server_exchange::server_exchange(const executor& strand, http_request request, callback on_done)
+    : m_strand(strand), m_request(std::move(request)), m_on_done(std::move(on_done)), m_deadline(strand),
+      m_http(std::make_unique<http_state>(m_request)) {}
+
+server_exchange::~server_exchange() = default;
+
+void server_exchange::start(connection_pool::socket_ptr socket, std::chrono::microseconds timeout) {
+    m_socket = std::move(socket);
+    write(timeout);
+}
+
+void server_exchange::start(const tcp::endpoint& server, std::chrono::microseconds timeout) {
+    m_socket = std::make_unique<tcp::socket>(m_strand);
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    m_deadline.set(std::min<std::chrono::steady_clock::duration>(connect_limit, timeout), shared_from_this(),
+                   &server_exchange::on_expired);
+    m_socket->async_connect(
+        server, [self = shared_from_this(), deadline](error_code ec) { self->on_connected(ec, deadline); });
+}
+
+void server_exchange::on_connected(error_code ec, std::chrono::steady_clock::time_point deadline) {
+    if (!m_on_done) {
+        return;
+    }
+    if (!ec) {
+        m_socket->set_option(tcp::no_delay(true), ec);
+    }
+    if (!ec) {
+        m_socket->non_blocking(true, ec);
+    }
+    if (ec) {
+        fail(server_failure::connect_failed);
+        return;
+    }
+    write(deadline - std::chrono::steady_clock::now());
+}
+
+void server_exchange::write(std::chrono::steady_clock::duration remaining) {
+    m_written = true;
+    m_deadline.set(remaining, shared_from_this(), &server_exchange::on_expired);
+    http::async_write(*m_socket, m_http->serializer, [self = shared_from_this()](error_code ec, std::size_t) {
+        if (!self->m_on_done) {
+            return;
+        }
+        if (ec) {
+            self->fail(server_failure::lost);
+            return;
+        }
+        self->read();
+    });
+}
+
+void server_exchange::read() {
+    m_http->parser.emplace();
+    m_http->parser->header_limit(max_answer_head_bytes);
+    m_http->parser->body_limit(max_answer_bytes);
+    m_http->parser->skip(m_request.method == "HEAD");
+    http::async_read(*m_socket, m_http->buffer, *m_http->parser,
+                     [self = shared_from_this()](error_code ec, std::size_t) { self->on_read(ec); });
+}
+
+void server_exchange::on_read(error_code ec) {
+    if (!m_on_done) {
+        return;
+    }
+    auto& parser = *m_http->parser;
+    // The end of an answer without a length looks like a lost connection, so it cannot be trusted.
+    if (ec || parser.need_eof()) {
+        fail(server_failure::lost);
+        return;
+    }
+
+    const auto status = static_cast<int>(parser.get().result_int());
+    if (status == switching_protocols) {
+        fail(server_failure::lost);
+        return;
+    }
+    if (status < first_final_status) {
+        read();
+        return;
+    }
+
+    const bool reusable = parser.keep_alive() && m_http->buffer.size() == 0;
+    auto response = copy_response(parser.get(), m_request.method == "HEAD");
+    finish(std::move(response), reusable ? std::move(m_socket) : nullptr);
+}
+
+void server_exchange::on_expired() {
+    if (m_on_done) {
+        fail(m_written ? server_failure::lost : server_failure::connect_failed);
+    }
+}
+
+void server_exchange::fail(server_failure kind) {
+    finish(kind, nullptr);
+}
+
+void server_exchange::finish(outcome result, connection_pool::socket_ptr reusable) {
+    const auto on_done = std::exchange(m_on_done, nullptr);
+    abandon();
+    on_done(std::move(result), std::move(reusable));
+}
+
+void server_exchange::abandon() {
+    m_on_done = nullptr;
+    m_deadline.stop();
+    if (m_socket) {
+        error_code ec;
+        m_socket->close(ec);
+    }
+}
+
+} // namespace cornelpier
