--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // A failed attempt costs a retry, or an unknown verdict where no retry is allowed.
-constexpr duration cost_of_failure = std::chrono::milliseconds{100};
+constexpr duration cost_of_failure = std::chrono::milliseconds{50};
 
 // Gossip takes about a second to spread; a reading of that age is no fresher.
 constexpr duration reading_outranks_gossip = std::chrono::seconds{1};
@@ -162,7 +162,7 @@
         const auto* load = loads[i];
         const duration distance = m_distances.distance(target, service.data_centres[i]);
         const load_estimate estimate = estimate_load(load, average, distance, now);
-        const duration penalty = failure_penalty(m_health.at(target, now).failure_rate());
+        const duration penalty = failure_penalty(m_health.at(target, now).failure_rate(now));
 
         scored_candidate it{i, {&target}, estimate.service + penalty};
         it.scored.wait = estimate.wait;
--- a/src/cornelpier/health/target_health.cpp
+++ b/src/cornelpier/health/target_health.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace cornelpier {
 
@@ -19,6 +20,7 @@
 constexpr double max_failure_rate = 0.5;
 constexpr std::uint32_t least_samples = 20;
 constexpr double rate_smoothing = 0.1;
+constexpr duration rate_relevance = std::chrono::seconds{1};
 constexpr duration first_ejection = std::chrono::seconds{1};
 constexpr duration longest_ejection = std::chrono::seconds{30};
 constexpr duration forgive_after = std::chrono::seconds{60};
@@ -63,7 +65,7 @@
         if (state() == health_state::ejected) {
             return;
         }
-        count(outcome);
+        count(outcome, now);
         if (may_eject && exceeded()) {
             m_states.process_event(failures_exceeded{});
             eject(now);
@@ -83,20 +85,24 @@
 
     bool trial_in_progress = false;
     std::optional<time_point> recovered_at;
-    double failure_rate = 0;
+
+    [[nodiscard]] double failure_rate(time_point now) const {
+        return m_failure_rate * std::exp(-to_seconds(now - m_counted_at) / to_seconds(rate_relevance));
+    }
 
   private:
-    void count(health_outcome outcome) {
+    void count(health_outcome outcome, time_point now) {
         const bool failed = outcome != health_outcome::success;
         m_samples = std::min(m_samples + 1, least_samples);
-        failure_rate += ((failed ? 1.0 : 0.0) - failure_rate) * rate_smoothing;
+        m_failure_rate += ((failed ? 1.0 : 0.0) - m_failure_rate) * rate_smoothing;
+        m_counted_at = now;
         m_failures = failed ? m_failures + 1 : 0;
         m_fast_failures = outcome == health_outcome::fast_failure ? m_fast_failures + 1 : 0;
     }
 
     [[nodiscard]] bool exceeded() const {
         return m_failures >= max_consecutive_failures || m_fast_failures >= max_consecutive_fast_failures ||
-               (m_samples >= least_samples && failure_rate > max_failure_rate);
+               (m_samples >= least_samples && m_failure_rate > max_failure_rate);
     }
 
     void finish_trial(health_outcome outcome, time_point now) {
@@ -126,11 +132,13 @@
         m_failures = 0;
         m_fast_failures = 0;
         m_samples = 0;
-        failure_rate = 0;
+        m_failure_rate = 0;
     }
 
     // State numbers follow the order in which the transition table first names the states.
     msm::back::state_machine<definition> m_states;
+    double m_failure_rate = 0;
+    time_point m_counted_at;
     std::uint32_t m_failures = 0;
     std::uint32_t m_fast_failures = 0;
     std::uint32_t m_samples = 0;
@@ -171,8 +179,8 @@
     return m_machine->recovered_at;
 }
 
-double target_health::failure_rate() const {
-    return m_machine->failure_rate;
+double target_health::failure_rate(time_point now) const {
+    return m_machine->failure_rate(now);
 }
 
 } // namespace cornelpier
--- a/src/cornelpier/health/target_health.hpp
+++ b/src/cornelpier/health/target_health.hpp
@@ -55,8 +55,9 @@
     /// @return when the target came back from ejection, if it was ever ejected.
     [[nodiscard]] std::optional<time_point> recovered_at() const;
 
-    /// @return share of failures among the latest attempts, in [0, 1].
-    [[nodiscard]] double failure_rate() const;
+    /// @return share of failures among the latest attempts, in [0, 1]. It fades while nothing is heard, so
+    /// that a target that is not chosen for it is chosen again some time.
+    [[nodiscard]] double failure_rate(time_point now) const;
 
   private:
     class machine;
--- a/src/cornelpier/routing/load_estimate.cpp
+++ b/src/cornelpier/routing/load_estimate.cpp
@@ -58,9 +58,10 @@
 
 load_estimate estimate_load(const target_load* load, const load_estimate& average, duration distance,
                             time_point now) {
+    // An unknown target is taken for idle: its answer or refusal brings a reading for the price of a hop.
     if (load == nullptr || !load->last) {
         const auto own_runs = load == nullptr ? 0 : static_cast<std::int64_t>(load->own_runs.size());
-        return {average.wait + scale(average.service, crowding_weight) * own_runs, average.service};
+        return {scale(average.service, crowding_weight) * own_runs, average.service};
     }
 
     const reading& last = *load->last;
--- a/src/cornelpier/routing/load_estimate.hpp
+++ b/src/cornelpier/routing/load_estimate.hpp
@@ -18,7 +18,7 @@
 load_estimate average_load(std::span<const target_load* const> loads);
 
 /// Corrects the last reading by what happened since: own runs add to the wait, and with growing age the
-/// reading counts less than the average of the subset.
+/// reading counts less than the average of the subset. A target without a reading is taken for idle.
 /// @param load entry of the target; may be nullptr.
 /// @param average mean of the subset.
 /// @param distance round trip to the target; own runs sent less than that before the reading came in are not
--- /dev/null
+++ b/tests/entry/link_test.cpp
@@ -0,0 +1,134 @@
+#include "tests/entry/entry_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cornelpier::test {
+
+// A connection can go silent for ever while new ones to the same peer work.
+TEST_CASE("a silent link is pinged, then replaced", "[entry][link]") {
+    entry_fixture it{1};
+    const auto first = it.order_at_owner();
+    it.advance(milliseconds{249});
+    CHECK(it.sent<ping>().empty());
+    it.advance(milliseconds{1});
+    CHECK(it.sent<ping>().size() == 1);
+    it.advance(milliseconds{249});
+    CHECK(it.take<close_link>().empty());
+    it.advance(milliseconds{1});
+    CHECK(it.take<close_link>().at(0).link == first.first);
+
+    it.open_links();
+    CHECK(it.sent<fate_query>().at(0).second.attempt == first.second.attempt);
+}
+
+// A server may work on a request for longer than the silence limit.
+TEST_CASE("a slow answer does not replace a link that answers pings", "[entry][link]") {
+    entry_fixture it{1};
+    const auto first = it.order_at_owner();
+    for (int i = 0; i < 5; ++i) {
+        it.advance(milliseconds{250});
+        REQUIRE(it.sent<ping>().size() == 1);
+        it.entry.on_message(first.first, pong{});
+    }
+    CHECK(it.take<close_link>().empty());
+    it.answer_run(first, verdict::ran, refusal::none, 201);
+    CHECK(it.take<answer_caller>().size() == 1);
+}
+
+TEST_CASE("a link is not pinged while nothing is outstanding", "[entry][link]") {
+    entry_fixture it{1};
+    const auto first = it.order_at_owner();
+    it.answer_run(first, verdict::ran, refusal::none, 201);
+    it.advance(std::chrono::seconds{5});
+    CHECK(it.sent<ping>().empty());
+
+    // The silence before the next request must not count against it.
+    it.call("POST");
+    CHECK(it.sent<run>().empty()); // The permit is too old.
+    it.advance(milliseconds{100});
+    CHECK(it.sent<ping>().empty());
+}
+
+TEST_CASE("an idle link is closed after a minute and opened again on use", "[entry][link]") {
+    entry_fixture it{1};
+    it.answer_run(it.order_at_owner(), verdict::ran, refusal::none, 201);
+    it.advance(std::chrono::seconds{59});
+    CHECK(it.entry.open_links() == 1);
+    it.advance(std::chrono::seconds{2});
+    CHECK(it.take<close_link>().size() == 1);
+    CHECK(it.entry.open_links() == 0);
+    it.call("GET");
+    CHECK(it.take<open_link>().at(0).link == link_id{2});
+}
+
+TEST_CASE("a link that does not open in time counts as lost", "[entry][link]") {
+    entry_fixture it{1};
+    it.call("POST");
+    it.take<open_link>();
+    it.advance(milliseconds{250});
+    CHECK(it.take<close_link>().size() == 1);
+    const auto answers = it.take<answer_caller>();
+    CHECK(answers.at(0).outcome == verdict::not_run);
+    CHECK(answers.at(0).retry_after > duration::zero());
+}
+
+// An address may have been given to another node.
+TEST_CASE("a link to a node with another name is closed", "[entry][link]") {
+    entry_fixture it{1};
+    it.call("POST");
+    const auto opened = it.take<open_link>().at(0);
+    it.entry.on_link_opened(opened.link);
+    it.entry.on_message(opened.link, hello{target_id{"other-1"}, incarnation{1}, {}, 3});
+    CHECK(it.take<close_link>().size() == 1);
+    CHECK(it.sent<run>().empty());
+}
+
+TEST_CASE("a link follows its target to a new address", "[entry][link]") {
+    entry_fixture it{1};
+    const auto first = it.order_at_owner();
+    it.sheet = make_plan(1);
+    it.sheet->services[0].targets[0].node_address = "127.0.0.1:7999";
+    it.publish();
+    CHECK(it.take<close_link>().at(0).link == first.first);
+    CHECK(it.take<open_link>().at(0).address == "127.0.0.1:7999");
+}
+
+// An answer given to another caller would break the promise that every caller gets its own.
+TEST_CASE("late, duplicate and foreign answers are dropped and counted", "[entry][link]") {
+    entry_fixture it{2};
+    const auto first = it.order_at_owner();
+    it.count(metric::answer_discarded);
+
+    SECTION("duplicate") {
+        it.answer_run(first, verdict::ran, refusal::none, 201);
+        it.answer_run(first, verdict::ran, refusal::none, 201);
+        CHECK(it.take<answer_caller>().size() == 1);
+    }
+    SECTION("of a link that was replaced") {
+        it.entry.on_link_closed(first.first);
+        it.answer_run(first, verdict::ran, refusal::none, 201);
+        CHECK(it.take<answer_caller>().empty());
+    }
+    SECTION("of an attempt that was not made") {
+        auto other = first;
+        other.second.attempt.number = 2;
+        it.answer_run(other, verdict::ran, refusal::none, 201);
+        CHECK(it.take<answer_caller>().empty());
+    }
+    SECTION("of another entry's request") {
+        auto other = first;
+        other.second.attempt.request.entry = incarnation{0xe2};
+        it.answer_run(other, verdict::ran, refusal::none, 201);
+        CHECK(it.take<answer_caller>().empty());
+    }
+    SECTION("of a call whose caller is gone") {
+        it.entry.on_abandoned({call_id{it.last_call}});
+        CHECK(it.sent<cancel>().empty()); // Orders finish.
+        it.answer_run(first, verdict::ran, refusal::none, 201);
+        CHECK(it.take<answer_caller>().empty());
+        CHECK(it.entry.calls_in_progress() == 0);
+    }
+    CHECK(it.count(metric::answer_discarded) == 1);
+}
+
+} // namespace cornelpier::test
--- /dev/null
+++ b/tests/entry/retry_test.cpp
@@ -0,0 +1,230 @@
+#include "cornelpier/routing/baseline_choosers.hpp"
+
+#include "tests/entry/entry_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+namespace cornelpier::test {
+
+namespace {
+
+std::pair<link_id, run> lookup_at_owner(entry_fixture& it) {
+    it.call("GET");
+    it.open_links();
+    return it.sent<run>().at(0);
+}
+
+/// @return the run that follows a refusal, if there is one.
+std::optional<std::pair<link_id, run>> next_run(entry_fixture& it) {
+    it.open_links();
+    const auto runs = it.sent<run>();
+    return runs.empty() ? std::nullopt : std::optional{runs[0]};
+}
+
+} // namespace
+
+TEST_CASE("at most three tries are conditional and the fourth may queue", "[entry][retry]") {
+    entry_fixture it{3};
+    it.call("GET");
+    it.open_links();
+    auto current = it.sent<run>().at(0);
+    for (int i = 0; i < 3; ++i) {
+        CHECK(current.second.wait_limit);
+        it.answer_run(current, verdict::not_run, refusal::wait_limit);
+        const auto next = next_run(it);
+        REQUIRE(next);
+        CHECK_FALSE(next->second.outer_retry);
+        current = *next;
+    }
+    CHECK_FALSE(current.second.wait_limit);
+    CHECK(it.count(metric::rechoice) == 3);
+}
+
+TEST_CASE("a refusal with a longer wait moves the choice to the other target", "[entry][retry]") {
+    entry_fixture it{2};
+    const auto first = lookup_at_owner(it);
+    answer word{first.second.attempt, verdict::not_run, refusal::wait_limit, {}, {}, {}, {}};
+    word.load = it.load_of(it.peers[first.first]);
+    word.load->expected_wait = milliseconds{50};
+    it.entry.on_message(first.first, word);
+    const auto next = next_run(it);
+    REQUIRE(next);
+    CHECK(it.peers[next->first] != it.peers[first.first]);
+}
+
+TEST_CASE("a lookup whose link was lost is sent to another target as a retry", "[entry][retry]") {
+    entry_fixture it{2};
+    const auto first = lookup_at_owner(it);
+    it.entry.on_link_closed(first.first);
+    const auto next = next_run(it);
+    REQUIRE(next);
+    CHECK(next->second.outer_retry);
+    CHECK(it.peers[next->first] != it.peers[first.first]);
+    CHECK(it.count(metric::retry) == 1);
+}
+
+// Eight levels that retry on their own would multiply the load on the innermost service.
+TEST_CASE("a call that is a retry at an outer level is not retried", "[entry][retry]") {
+    entry_fixture it{2};
+    it.outer_retry = true;
+    const auto first = lookup_at_owner(it);
+    CHECK(first.second.outer_retry);
+    it.answer_run(first, verdict::unknown, refusal::none, 500);
+    CHECK_FALSE(next_run(it));
+    CHECK(it.take<answer_caller>().at(0).response.status == 500);
+}
+
+TEST_CASE("retries stop when the budget of the service is empty", "[entry][retry]") {
+    entry_fixture it{2};
+    std::size_t retries = 0;
+    for (int i = 0; i < 30; ++i) {
+        auto current = std::optional{lookup_at_owner(it)};
+        while (current) {
+            it.answer_run(*current, verdict::not_run, refusal::server_refused, 503);
+            current = next_run(it);
+            retries += current ? 1 : 0;
+        }
+    }
+    // Ten in reserve and a tenth of the calls.
+    CHECK(retries <= 13);
+    CHECK(it.take<answer_caller>().size() == 30);
+}
+
+TEST_CASE("the verdict covers all attempts", "[entry][retry]") {
+    entry_fixture it{3};
+    const auto first = lookup_at_owner(it);
+
+    SECTION("one attempt without proof makes it unknown") {
+        it.entry.on_link_closed(first.first);
+        it.answer_run(*next_run(it), verdict::not_run, refusal::overloaded);
+        it.answer_run(*next_run(it), verdict::not_run, refusal::overloaded);
+        const auto answers = it.take<answer_caller>();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].outcome == verdict::unknown);
+        CHECK(answers[0].token.ends_with(".1"));
+    }
+    SECTION("not run if every attempt was refused") {
+        it.answer_run(first, verdict::not_run, refusal::overloaded);
+        it.answer_run(*next_run(it), verdict::not_run, refusal::overloaded);
+        it.answer_run(*next_run(it), verdict::not_run, refusal::overloaded);
+        const auto answers = it.take<answer_caller>();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].outcome == verdict::not_run);
+        CHECK(answers[0].response.status == 503);
+    }
+    SECTION("not run at the deadline if nothing was sent") {
+        it.answer_run(first, verdict::not_run, refusal::overloaded);
+        it.advance(std::chrono::seconds{2});
+        const auto answers = it.take<answer_caller>();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].outcome == verdict::not_run);
+    }
+}
+
+// Callers that come back at the same moment overload the service again.
+TEST_CASE("advice on when to come back is spread, and the answer is not delayed", "[entry][retry]") {
+    entry_fixture it{1};
+    std::set<duration> advice;
+    for (int i = 0; i < 20; ++i) {
+        const auto current = lookup_at_owner(it);
+        it.answer_run(current, verdict::not_run, refusal::overloaded);
+        const auto answers = it.take<answer_caller>();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].retry_after >= std::chrono::seconds{1});
+        CHECK(answers[0].retry_after <= std::chrono::seconds{2});
+        advice.insert(answers[0].retry_after);
+    }
+    CHECK(advice.size() > 15);
+}
+
+TEST_CASE("a slow lookup is sent twice and the loser is cancelled", "[entry][hedge]") {
+    entry_fixture it{2};
+    for (int i = 0; i < 60; ++i) {
+        const auto current = lookup_at_owner(it);
+        it.advance(milliseconds{1});
+        it.answer_run(current, verdict::ran, refusal::none, 200);
+    }
+    it.take<answer_caller>();
+
+    const auto slow = lookup_at_owner(it);
+    it.advance(milliseconds{5});
+    const auto hedge = next_run(it);
+    REQUIRE(hedge);
+    CHECK(it.peers[hedge->first] != it.peers[slow.first]);
+    CHECK(hedge->second.attempt.request == slow.second.attempt.request);
+
+    it.answer_run(*hedge, verdict::ran, refusal::none, 200);
+    CHECK(it.sent<cancel>().at(0).second.attempt == slow.second.attempt);
+    it.answer_run(slow, verdict::ran, refusal::none, 200);
+    CHECK(it.take<answer_caller>().size() == 1);
+}
+
+TEST_CASE("hedges stay within their share and orders are never hedged", "[entry][hedge]") {
+    entry_fixture it{2};
+    for (int i = 0; i < 60; ++i) {
+        const auto current = lookup_at_owner(it);
+        it.advance(milliseconds{1});
+        it.answer_run(current, verdict::ran, refusal::none, 200);
+    }
+    it.call("POST");
+    it.advance(milliseconds{20});
+    CHECK(it.sent<run>().size() == 1);
+
+    it.count(metric::hedge);
+    for (int i = 0; i < 100; ++i) {
+        it.call("GET");
+        it.open_links();
+        it.advance(milliseconds{5});
+        for (const auto& current : it.sent<run>()) {
+            it.answer_run(current, verdict::ran, refusal::none, 200);
+        }
+    }
+    CHECK(it.count(metric::hedge) <= 10); // Five in reserve and a twentieth of the calls.
+}
+
+// A leaving or draining target gets no new work, but the service must not stop for a wrong hint.
+TEST_CASE("leaving targets are used only if nothing else is left", "[entry][retry]") {
+    entry_fixture it{2};
+    it.vm_states[target_id{"shop-1"}] = vm_state::leaving;
+    it.publish();
+    for (int i = 0; i < 10; ++i) {
+        CHECK(it.peers[lookup_at_owner(it).first] == target_id{"shop-2"});
+    }
+    it.vm_states[target_id{"shop-2"}] = vm_state::leaving;
+    it.publish();
+    it.call("GET");
+    it.open_links();
+    CHECK(it.sent<run>().size() == 1);
+}
+
+// Without ejection, a server that fails fast looks idle and attracts all traffic.
+TEST_CASE("a target that fails fast is ejected and tried again later", "[entry][health]") {
+    entry_options options;
+    options.make_chooser = [] { return any_chooser{round_robin_chooser{}}; };
+    entry_fixture it{3, options};
+    const target_id bad{"shop-1"};
+    const auto serve = [&](int n) {
+        std::size_t sent_to_bad = 0;
+        for (int i = 0; i < n; ++i) {
+            it.call("GET");
+            it.open_links();
+            for (auto runs = it.sent<run>(); !runs.empty(); runs = it.sent<run>()) {
+                const bool fails = it.peers[runs[0].first] == bad;
+                sent_to_bad += fails ? 1 : 0;
+                it.answer_run(runs[0], fails ? verdict::not_run : verdict::ran,
+                              fails ? refusal::server_down : refusal::none, fails ? 0 : 200);
+                it.open_links();
+            }
+        }
+        return sent_to_bad;
+    };
+    CHECK(serve(100) <= 5);
+    it.advance(milliseconds{900});
+    CHECK(serve(20) == 0);
+    it.advance(milliseconds{200});
+    CHECK(serve(20) == 1); // One trial request, which fails.
+}
+
+} // namespace cornelpier::test
