--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -64,7 +64,7 @@
   local dir=$1 base=$2 build=${BUILD_DIR:-build} number=0 service n
   fleet_write_plan "$dir" "$base" 1
   "$build/tests/standins/cornelpier-standin-platform" --listen "127.0.0.1:$((base + 400))" --plan "$dir/plan.json" \
-    2> "$dir/platform.log" &
+    > "$dir/platform.log" 2>&1 &
   fleet_pids+=($!)
 
   for service in "${fleet_services[@]}"; do
@@ -72,9 +72,9 @@
       number=$((number + 1))
       fleet_write_settings "$dir" "$base" "$service" "$n" "$number"
       "$build/tests/standins/cornelpier-standin-server" --listen "127.0.0.1:$((base + 300 + number))" \
-        --name "$service-$n" --seed "$number" 2> "$dir/server-$service-$n.log" &
+        --name "$service-$n" --seed "$number" > "$dir/server-$service-$n.log" 2>&1 &
       fleet_pids+=($!)
-      "$build/src/programs/cornelpier-node" --settings "$dir/$service-$n.json" 2> "$dir/$service-$n.log" &
+      "$build/src/programs/cornelpier-node" --settings "$dir/$service-$n.json" > "$dir/$service-$n.log" 2>&1 &
       fleet_pids+=($!)
     done
   done
