Add the plan parser, the acceptance rules and cornelpier-plan

Cause: a plan is applied unattended, so it has to be checked completely before it is accepted, and operators need the same check before they publish it.

The sheet is checked against the committed schema, then for unique services, targets and addresses, IP and port, and path prefixes. A sheet above the limit is refused before it is parsed; refused contents are remembered by hash, so that a stale source does not cost a parse at every read.

Excluded: keeping the version of an unparsed sheet, because only a valid sheet may count as older or as a conflict.

Conclusion: acceptance depends on size, validity and version alone, whoever hands on the sheet.

--- /dev/null
+++ b/src/cornelpier/plan/plan_manager.cpp
@@ -0,0 +1,143 @@
+#include "cornelpier/plan/plan_manager.hpp"
+
+#include "cornelpier/base/hash.hpp"
+#include "cornelpier/plan/plan_parser.hpp"
+
+#include <string>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+/// Contents that are remembered as refused or as conflicts. A faulty source repeats a few contents.
+constexpr std::size_t max_remembered = 16;
+
+checked_result<shared_plan> read_with_parser(std::string_view sheet) {
+    auto outcome = parse_plan(sheet);
+    if (auto* mistakes = std::get_if<std::vector<error>>(&outcome)) {
+        return std::move(*mistakes);
+    }
+    return std::make_shared<const plan>(std::get<plan>(std::move(outcome)));
+}
+
+std::string hex(std::uint64_t value) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text(16, '0');
+    for (auto it = text.rbegin(); it != text.rend(); ++it, value >>= 4U) {
+        *it = digits[value & 0xfU];
+    }
+    return text;
+}
+
+event_record accepted_event(const plan& accepted, std::string_view source) {
+    return {event_number::plan_accepted,
+            {{"version", std::to_string(accepted.version)},
+             {"content", hex(accepted.content_hash)},
+             {"source", std::string{source}}}};
+}
+
+event_record too_large_event(std::size_t size, std::string_view source) {
+    return {event_number::plan_refused_too_large,
+            {{"bytes", std::to_string(size)},
+             {"limit", std::to_string(max_plan_bytes)},
+             {"source", std::string{source}}}};
+}
+
+event_record invalid_event(const std::vector<error>& mistakes, std::string_view source) {
+    return {event_number::plan_refused_invalid,
+            {{"place", mistakes.front().place},
+             {"reason", mistakes.front().reason},
+             {"mistakes", std::to_string(mistakes.size())},
+             {"source", std::string{source}}}};
+}
+
+event_record older_event(std::uint64_t version, std::uint64_t in_force, std::string_view source) {
+    return {event_number::plan_refused_older,
+            {{"version", std::to_string(version)},
+             {"in_force", std::to_string(in_force)},
+             {"source", std::string{source}}}};
+}
+
+} // namespace
+
+plan_manager::plan_manager(plan_reader reader) : m_reader(std::move(reader)) {
+    if (!m_reader) {
+        m_reader = read_with_parser;
+    }
+}
+
+plan_digest plan_manager::digest() const {
+    return m_current ? plan_digest{m_current->version, m_current->content_hash} : plan_digest{};
+}
+
+plan_decision plan_manager::offer(std::string_view sheet, std::string_view source) {
+    if (sheet.size() > max_plan_bytes) {
+        return {plan_outcome::too_large, too_large_event(sheet.size(), source)};
+    }
+
+    const std::uint64_t content_hash = stable_hash(sheet);
+    if (m_current && m_current->content_hash == content_hash && m_current->sheet == sheet) {
+        return {plan_outcome::unchanged, std::nullopt};
+    }
+    if (const auto it = m_refused.find(content_hash); it != m_refused.end()) {
+        if (it->second.outcome == plan_outcome::conflict) {
+            return {plan_outcome::conflict, std::nullopt};
+        }
+        return {it->second.outcome, it->second.event};
+    }
+
+    const auto parsed = m_reader(sheet);
+    if (const auto* mistakes = std::get_if<std::vector<error>>(&parsed)) {
+        return refuse(content_hash, {plan_outcome::invalid, invalid_event(*mistakes, source)});
+    }
+    return judge(std::get<shared_plan>(parsed), source);
+}
+
+plan_decision plan_manager::judge(const shared_plan& candidate, std::string_view source) {
+    const std::uint64_t in_force = digest().version;
+    if (candidate->version < in_force) {
+        return refuse(candidate->content_hash,
+                      {plan_outcome::older, older_event(candidate->version, in_force, source)});
+    }
+    if (m_current && candidate->version == in_force) {
+        auto event = note_conflict({candidate->version, candidate->content_hash}, source);
+        refuse(candidate->content_hash, {plan_outcome::conflict, {}});
+        return {plan_outcome::conflict, std::move(event)};
+    }
+
+    m_current = candidate;
+    m_conflicts.clear();
+    m_refused.clear();
+    return {plan_outcome::accepted, accepted_event(*candidate, source)};
+}
+
+plan_decision plan_manager::refuse(std::uint64_t content_hash, refusal_record refusal) {
+    if (m_refused.size() == max_remembered) {
+        m_refused.clear();
+    }
+    plan_decision decision{refusal.outcome, refusal.event};
+    m_refused.insert_or_assign(content_hash, std::move(refusal));
+    return decision;
+}
+
+std::optional<event_record> plan_manager::compare(const plan_digest& digest, std::string_view source) {
+    if (!m_current || digest.version != m_current->version ||
+        digest.content_hash == m_current->content_hash) {
+        return std::nullopt;
+    }
+    return note_conflict(digest, source);
+}
+
+std::optional<event_record> plan_manager::note_conflict(const plan_digest& digest, std::string_view source) {
+    if (m_conflicts.size() == max_remembered || !m_conflicts.insert(digest.content_hash).second) {
+        return std::nullopt;
+    }
+    return event_record{event_number::plan_refused_conflict,
+                        {{"version", std::to_string(digest.version)},
+                         {"content", hex(digest.content_hash)},
+                         {"in_force", hex(m_current->content_hash)},
+                         {"source", std::string{source}}}};
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/plan/plan_manager.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "cornelpier/base/event_record.hpp"
+#include "cornelpier/base/result.hpp"
+#include "cornelpier/message/control_messages.hpp"
+#include "cornelpier/plan/plan.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace cornelpier {
+
+using shared_plan = std::shared_ptr<const plan>;
+
+/// Turns a sheet into a plan. A program that runs several cores in one process may share parsed plans.
+using plan_reader = std::function<checked_result<shared_plan>(std::string_view)>;
+
+/// What became of a sheet.
+enum class plan_outcome : std::uint8_t { accepted, unchanged, older, conflict, invalid, too_large };
+
+/// Outcome of an offered sheet, with the event to record if there is one.
+struct plan_decision {
+    plan_outcome outcome = plan_outcome::unchanged;
+    std::optional<event_record> event;
+};
+
+/// Owns the plan in force. A plan is replaced only by a valid one of a higher version.
+class plan_manager {
+  public:
+    /// @param reader parses sheets; empty for `parse_plan`.
+    explicit plan_manager(plan_reader reader = {});
+
+    /// Accepts a sheet or refuses it.
+    /// @param sheet text from any source.
+    /// @param source names the source in events.
+    plan_decision offer(std::string_view sheet, std::string_view source);
+
+    /// Compares the plan in force with a peer's.
+    /// @return the event of a conflict that is seen for the first time.
+    std::optional<event_record> compare(const plan_digest& digest, std::string_view source);
+
+    /// @return the plan in force, or nullptr.
+    [[nodiscard]] const shared_plan& current() const { return m_current; }
+
+    /// @return the digest of the plan in force; version 0 if there is none.
+    [[nodiscard]] plan_digest digest() const;
+
+    /// @return true if another content of the version in force was seen.
+    [[nodiscard]] bool conflict() const { return !m_conflicts.empty(); }
+
+  private:
+    struct refusal_record {
+        plan_outcome outcome = plan_outcome::invalid;
+        event_record event;
+    };
+
+    plan_decision judge(const shared_plan& candidate, std::string_view source);
+    plan_decision refuse(std::uint64_t content_hash, refusal_record refusal);
+    std::optional<event_record> note_conflict(const plan_digest& digest, std::string_view source);
+
+    plan_reader m_reader;
+    shared_plan m_current;
+    std::unordered_set<std::uint64_t> m_conflicts;               ///< Content hashes.
+    std::unordered_map<std::uint64_t, refusal_record> m_refused; ///< By content hash; spares parsing again.
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/plan/plan_parser.cpp
@@ -0,0 +1,142 @@
+#include "cornelpier/plan/plan_parser.hpp"
+
+#include "cornelpier/base/hash.hpp"
+#include "cornelpier/plan/plan_schema.hpp"
+#include "cornelpier/sheet/ip_address.hpp"
+#include "cornelpier/sheet/sheet_checker.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <string>
+#include <unordered_set>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+using nlohmann::json;
+
+request_class read_class(const std::string& name) {
+    if (name == "urgent_lookup") {
+        return request_class::urgent_lookup;
+    }
+    return name == "patient_lookup" ? request_class::patient_lookup : request_class::order;
+}
+
+request_rule read_rule(const json& item) {
+    return {item.at("method").get<std::string>(), item.at("path_prefix").get<std::string>(),
+            item.at("idempotent").get<bool>(), read_class(item.at("class").get<std::string>())};
+}
+
+target_plan read_target(const json& item) {
+    return {target_id{item.at("id").get<std::string>()}, vm_id{item.at("vm").get<std::string>()},
+            data_centre_id{item.at("data_centre").get<std::string>()}, item.at("node").get<std::string>()};
+}
+
+service_plan read_service(const json& item) {
+    service_plan service;
+    service.id = service_id{item.at("id").get<std::string>()};
+    service.slots = item.at("slots").get<std::uint32_t>();
+    service.tail_weight = item.value("tail_weight", service.tail_weight);
+    service.measuring.per_second = item.value("measuring_per_second", service.measuring.per_second);
+    service.refusal_statuses = item.value("refusal_statuses", service.refusal_statuses);
+    if (item.contains("deadline_ms")) {
+        service.deadline = std::chrono::milliseconds{item.at("deadline_ms").get<std::int64_t>()};
+    }
+    if (item.contains("key_memory_s")) {
+        service.key_memory = std::chrono::seconds{item.at("key_memory_s").get<std::int64_t>()};
+    }
+
+    for (const auto& it : item.value("rules", json::array())) {
+        service.rules.push_back(read_rule(it));
+    }
+    service.targets.reserve(item.at("targets").size());
+    for (const auto& it : item.at("targets")) {
+        service.targets.push_back(read_target(it));
+    }
+    return service;
+}
+
+plan read_plan_document(const json& document, std::string_view sheet) {
+    plan result;
+    result.version = document.at("version").get<std::uint64_t>();
+    result.deployment = document.at("deployment").get<std::string>();
+    for (const auto& it : document.at("services")) {
+        result.services.push_back(read_service(it));
+    }
+    result.sheet = sheet;
+    result.content_hash = stable_hash(sheet);
+    return result;
+}
+
+/// Rules that the schema cannot say.
+class plan_rules {
+  public:
+    std::vector<error> check(const plan& checked) {
+        for (std::size_t n = 0; n < checked.services.size(); ++n) {
+            check_service(checked.services[n], "/services/" + std::to_string(n));
+        }
+        return std::move(m_mistakes);
+    }
+
+  private:
+    void check_service(const service_plan& service, const std::string& place) {
+        if (!m_services.insert(service.id).second) {
+            add(place + "/id", "this service is listed twice");
+        }
+        for (std::size_t n = 0; n < service.rules.size(); ++n) {
+            if (!service.rules[n].path_prefix.starts_with('/')) {
+                add(place + "/rules/" + std::to_string(n) + "/path_prefix", "must start with /");
+            }
+        }
+        for (std::size_t n = 0; n < service.targets.size(); ++n) {
+            check_target(service.targets[n], place + "/targets/" + std::to_string(n));
+        }
+    }
+
+    void check_target(const target_plan& target, const std::string& place) {
+        if (!m_targets.insert(target.id).second) {
+            add(place + "/id", "this target is listed twice; a target belongs to one service");
+        }
+        if (!is_ip_and_port(target.node_address)) {
+            add(place + "/node", "expected IP:port");
+        } else if (!m_addresses.insert(target.node_address).second) {
+            add(place + "/node", "another target has this address");
+        }
+    }
+
+    void add(std::string place, std::string reason) {
+        m_mistakes.push_back({std::move(place), std::move(reason)});
+    }
+
+    std::vector<error> m_mistakes;
+    std::unordered_set<service_id> m_services;
+    std::unordered_set<target_id> m_targets;
+    std::unordered_set<std::string> m_addresses;
+};
+
+} // namespace
+
+checked_result<plan> parse_plan(std::string_view sheet) {
+    const auto parsed = parse_sheet(sheet);
+    if (const auto* problem = std::get_if<error>(&parsed)) {
+        return std::vector{*problem};
+    }
+
+    const auto& document = std::get<json>(parsed);
+    auto mistakes = check_sheet(document, plan_schema());
+    if (!mistakes.empty()) {
+        return mistakes;
+    }
+
+    plan result = read_plan_document(document, sheet);
+    mistakes = plan_rules{}.check(result);
+    if (!mistakes.empty()) {
+        return mistakes;
+    }
+    return result;
+}
+
+} // namespace cornelpier
--- a/src/cornelpier/sheet/sheet_checker.cpp
+++ b/src/cornelpier/sheet/sheet_checker.cpp
@@ -192,6 +192,8 @@
         return json::parse(text.begin(), text.end());
     } catch (const json::parse_error& problem) {
         return error{line_and_column(text, problem.byte), "not valid JSON"};
+    } catch (const json::out_of_range&) {
+        return error{"", "a number is out of range"};
     }
 }
 
--- /dev/null
+++ b/src/programs/cornelpier_plan.cpp
@@ -0,0 +1,98 @@
+#include "cornelpier/plan/plan_parser.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr int exit_failure = 1;
+constexpr int exit_invalid = 2;
+
+/// @return the file's text, or nothing if it cannot be read. At most one byte above the limit is read.
+std::optional<std::string> read_file(const std::string& path) {
+    std::ifstream file{path, std::ios::binary};
+    std::string text(max_plan_bytes + 1, '\0');
+    file.read(text.data(), static_cast<std::streamsize>(text.size()));
+    if (file.bad() || (file.fail() && !file.eof())) {
+        return std::nullopt;
+    }
+    text.resize(static_cast<std::size_t>(file.gcount()));
+    return text;
+}
+
+/// Lines stay under 40 columns where the names allow it, for small screens.
+void print_summary(const plan& checked) {
+    std::cout << "plan " << checked.version << " of " << checked.deployment << ": valid\n"
+              << checked.sheet.size() << " of " << max_plan_bytes << " bytes\n";
+
+    for (const auto& service : checked.services) {
+        std::set<std::string> data_centres;
+        for (const auto& it : service.targets) {
+            data_centres.insert(it.data_centre.value());
+        }
+        std::cout << service.id.value() << "\n  targets " << service.targets.size() << " in "
+                  << data_centres.size() << " data centres\n  slots " << service.slots << ", deadline "
+                  << service.deadline.count() / 1000 << " ms\n  measuring " << service.measuring.per_second
+                  << "/s, tail weight " << service.tail_weight << "\n";
+    }
+}
+
+int check_file(const std::string& path) {
+    const auto text = read_file(path);
+    if (!text) {
+        std::cerr << path << ": cannot be read\n";
+        return exit_failure;
+    }
+    if (text->size() > max_plan_bytes) {
+        std::cerr << path << ": larger than " << max_plan_bytes << " bytes\n";
+        return exit_invalid;
+    }
+
+    const auto outcome = parse_plan(*text);
+    if (const auto* mistakes = std::get_if<std::vector<error>>(&outcome)) {
+        for (const auto& it : *mistakes) {
+            std::cerr << (it.place.empty() ? "/" : it.place) << ": " << it.reason << "\n";
+        }
+        std::cerr << mistakes->size() << (mistakes->size() == 1 ? " mistake\n" : " mistakes\n");
+        return exit_invalid;
+    }
+    print_summary(std::get<plan>(outcome));
+    return EXIT_SUCCESS;
+}
+
+int run_program(int argc, const char* const* argv) {
+    CLI::App app{"Checks a plan sheet and prints a summary or every mistake.", "cornelpier-plan"};
+    std::string path;
+    app.add_option("sheet", path, "Plan sheet (JSON)")->required();
+    app.set_version_flag("--version", std::string{"cornelpier-plan "} + CORNELPIER_VERSION);
+
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& problem) {
+        return app.exit(problem) == EXIT_SUCCESS ? EXIT_SUCCESS : exit_invalid;
+    }
+    return check_file(path);
+}
+
+} // namespace
+
+} // namespace cornelpier
+
+int main(int argc, char** argv) {
+    try {
+        return cornelpier::run_program(argc, argv);
+    } catch (const std::exception& problem) {
+        std::cerr << "cornelpier-plan: " << problem.what() << "\n";
+        return cornelpier::exit_failure;
+    }
+}
