Count calls, latencies and measurements with Boost.Histogram

Cause: operators need latency by service and verdict and the cost of measuring against its budget.

Excluded: one histogram for both uses; the text format wants few wide buckets, the quantiles of the last minute want narrow ones (12% wide).

Result: Prometheus text format and a window of one minute in slices of 10 s; tests for cumulative buckets, label escaping and the window.

--- /dev/null
+++ b/src/daemon/metrics/latency_window.cpp
@@ -0,0 +1,108 @@
+#include "daemon/metrics/latency_window.hpp"
+
+#include <boost/histogram.hpp>
+
+#include <array>
+#include <cmath>
+#include <optional>
+
+namespace cornelpier {
+
+namespace {
+
+namespace hist = boost::histogram;
+
+constexpr duration slice_length = std::chrono::seconds{10};
+constexpr std::size_t slice_count = 6;
+
+// 20 buckets per decade from 100 µs to 100 s: neighbouring edges differ by 12%.
+constexpr unsigned bucket_count = 120;
+constexpr double lowest_seconds = 1e-4;
+constexpr double highest_seconds = 100;
+
+using latency_axis = hist::axis::regular<double, hist::axis::transform::log>;
+
+auto make_latency_histogram() {
+    return hist::make_histogram(latency_axis{bucket_count, lowest_seconds, highest_seconds, "seconds"});
+}
+
+using latency_histogram = decltype(make_latency_histogram());
+
+duration quantile(const latency_histogram& histogram, double share) {
+    const double total = hist::algorithm::sum(histogram);
+    if (total <= 0) {
+        return duration::zero();
+    }
+
+    double seen = 0;
+    for (auto&& cell : hist::indexed(histogram, hist::coverage::all)) {
+        seen += *cell;
+        if (seen >= share * total) {
+            const double edge = cell.bin(0).upper();
+            return from_seconds(std::isfinite(edge) ? edge : highest_seconds);
+        }
+    }
+    return from_seconds(highest_seconds);
+}
+
+} // namespace
+
+struct latency_window::slice {
+    std::int64_t number = -1; ///< Index since the start of the clock.
+    std::array<std::uint64_t, 3> counts{};
+    latency_histogram latencies = make_latency_histogram();
+};
+
+/// Ring of slices.
+class latency_window::implementation {
+  public:
+    slice& slice_for(time_point now) {
+        const std::int64_t number = now.time_since_epoch() / slice_length;
+        slice& current = m_slices.at(static_cast<std::size_t>(number) % slice_count);
+        if (current.number != number) {
+            current.number = number;
+            current.counts = {};
+            current.latencies.reset();
+        }
+        return current;
+    }
+
+    [[nodiscard]] summary sum_up(time_point now) const {
+        const std::int64_t newest = now.time_since_epoch() / slice_length;
+        latency_histogram all = make_latency_histogram();
+        std::array<std::uint64_t, 3> counts{};
+        for (const auto& it : m_slices) {
+            if (it.number < 0 || it.number + static_cast<std::int64_t>(slice_count) <= newest) {
+                continue;
+            }
+            all += it.latencies;
+            for (std::size_t n = 0; n < counts.size(); ++n) {
+                counts.at(n) += it.counts.at(n);
+            }
+        }
+        constexpr double median = 0.5;
+        constexpr double tail = 0.99;
+        return {counts[0], counts[1], counts[2], quantile(all, median), quantile(all, tail)};
+    }
+
+  private:
+    std::array<slice, slice_count> m_slices;
+};
+
+latency_window::latency_window() : m_implementation(std::make_unique<implementation>()) {}
+
+latency_window::~latency_window() = default;
+latency_window::latency_window(latency_window&&) noexcept = default;
+latency_window& latency_window::operator=(latency_window&&) noexcept = default;
+
+void latency_window::add(verdict outcome, duration latency, time_point now) {
+    slice& current = m_implementation->slice_for(now);
+    ++current.counts.at(static_cast<std::size_t>(outcome));
+    current.latencies(to_seconds(latency));
+}
+
+latency_window::summary latency_window::last_minute(time_point now) const {
+    return m_implementation->sum_up(now);
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/metrics/metrics.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "cornelpier/base/units.hpp"
+#include "cornelpier/node/control_core.hpp"
+#include "cornelpier/node/traffic_actions.hpp"
+#include "cornelpier/node/traffic_core.hpp"
+
+#include "daemon/metrics/latency_window.hpp"
+
+#include <memory>
+#include <string>
+
+namespace cornelpier {
+
+/// Values that are read at the time of the exposition.
+struct metrics_gauges {
+    traffic_snapshot traffic;
+    control_snapshot control;
+    double measuring_budget = 0; ///< Measurements per second that the plan allows at the server.
+};
+
+/// Counters and histograms of a node. Thread-safe.
+class metrics {
+  public:
+    metrics();
+    ~metrics();
+
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+    metrics(metrics&&) = delete;
+    metrics& operator=(metrics&&) = delete;
+
+    /// Adds an observation of the decision core.
+    /// @param now current time on the node's monotonic clock.
+    void add(const observe& observation, time_point now);
+
+    /// @return all metrics in the Prometheus text format 0.0.4; times in seconds.
+    [[nodiscard]] std::string exposition(const metrics_gauges& gauges) const;
+
+    /// @return calls of the last minute.
+    [[nodiscard]] latency_window::summary last_minute(time_point now) const;
+
+  private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/tests/daemon/metrics_test.cpp
@@ -0,0 +1,51 @@
+#include "daemon/metrics/metrics.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cornelpier {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+observe latency(duration value, verdict outcome = verdict::ran) {
+    return {metric::call_latency, service_id{"comenzi"}, outcome, static_cast<double>(value.count())};
+}
+
+} // namespace
+
+TEST_CASE("buckets are cumulative and end with the count", "[metrics]") {
+    metrics values;
+    values.add(latency(3ms), time_point{1s});
+    values.add(latency(40s), time_point{1s});
+
+    const std::string text = values.exposition({});
+    CHECK(text.find(R"(_bucket{service="comenzi",verdict="ran",le="0.002"} 0)") != std::string::npos);
+    CHECK(text.find(R"(_bucket{service="comenzi",verdict="ran",le="0.005"} 1)") != std::string::npos);
+    CHECK(text.find(R"(_bucket{service="comenzi",verdict="ran",le="+Inf"} 2)") != std::string::npos);
+    CHECK(text.find(R"(_count{service="comenzi",verdict="ran"} 2)") != std::string::npos);
+}
+
+TEST_CASE("service names cannot break the text format", "[metrics]") {
+    metrics values;
+    values.add({metric::retry, service_id{"a\"b\\c\nd"}, verdict::ran, 1}, time_point{1s});
+    CHECK(values.exposition({}).find(R"(cornelpier_retries_total{service="a\"b\\c\nd"} 1)") !=
+          std::string::npos);
+}
+
+TEST_CASE("the last minute forgets older calls and bounds its quantiles", "[metrics]") {
+    metrics values;
+    values.add(latency(1s, verdict::unknown), time_point{1s});
+    for (int n = 0; n < 100; ++n) {
+        values.add(latency(20ms), time_point{65s});
+    }
+
+    const auto summary = values.last_minute(time_point{70s});
+    CHECK(summary.unknown == 0);
+    CHECK(summary.ran == 100);
+    CHECK(summary.p99 >= 20ms);
+    CHECK(summary.p99 <= 23ms);
+    CHECK(values.last_minute(time_point{200s}).ran == 0);
+}
+
+} // namespace cornelpier
