Add membership, reader election and the control core

Cause: plans and member facts have to reach every node without shared state and without each node reading the platform's services.

The control core asks seeds before it believes the service, spreads digests, pulls sheets from one peer at a time, and elects three readers per data centre among six members that watch each other. After a pause it asks peers again and drops what waited meanwhile. Gossip requests name the sender's oldest records, and replies bring fresher ones.

--- /dev/null
+++ b/src/cornelpier/base/event_limiter.cpp
@@ -0,0 +1,40 @@
+#include "cornelpier/base/event_limiter.hpp"
+
+#include "cornelpier/base/hash.hpp"
+
+#include <string>
+
+namespace cornelpier {
+
+namespace {
+
+/// Above this size, entries whose period is over are removed.
+constexpr std::size_t cleanup_size = 256;
+
+std::uint64_t key_of(const event_record& record) {
+    std::string text = std::to_string(static_cast<unsigned>(record.number));
+    for (const auto& [name, value] : record.fields) {
+        text.append(1, '\n').append(name).append(1, '=').append(value);
+    }
+    return stable_hash(text);
+}
+
+} // namespace
+
+bool event_limiter::allow(const event_record& record, time_point now) {
+    if (m_last.size() >= cleanup_size) {
+        std::erase_if(m_last, [&](const auto& it) { return now - it.second >= period; });
+    }
+
+    const auto [it, inserted] = m_last.try_emplace(key_of(record), now);
+    if (inserted) {
+        return true;
+    }
+    if (now - it->second < period) {
+        return false;
+    }
+    it->second = now;
+    return true;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/membership/member.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "cornelpier/base/ids.hpp"
+#include "cornelpier/base/units.hpp"
+#include "cornelpier/message/control_messages.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace cornelpier {
+
+/// Age of a fact that nobody reported; larger ages are cut to it.
+inline constexpr duration unknown_age = std::chrono::hours{24};
+
+/// A member that nobody heard of for this long is reported as stale.
+inline constexpr duration stale_age = std::chrono::seconds{30};
+
+/// What this node knows about a target's node. Ages are kept as the time at which the fact was new.
+struct member {
+    target_id id;
+    std::string address; ///< `IP:port`; empty if unknown.
+    vm_id vm;
+    data_centre_id data_centre;
+
+    incarnation process;  ///< 0 as long as the node was not heard of.
+    incarnation replaced; ///< The incarnation before; late messages of it are ignored.
+    node_state state = node_state::serving;
+    time_point heard_at;
+
+    vm_state vm_fact = vm_state::unlisted;
+    time_point vm_seen_at;
+    time_point vm_since; ///< When the target was placed on this VM; older facts concern another VM.
+
+    time_point added_at; ///< When the member became known; a new member counts as alive for a while.
+    bool in_plan = false;
+    time_point left_at;        ///< When it left the plan, or was heard without being in it.
+    duration asked_age{};      ///< Age at which peers were asked for a fresher record.
+    std::uint32_t message = 0; ///< Number of the last message that carried the record.
+    std::uint8_t news = 0;     ///< Messages that still carry the latest change with priority.
+
+    /// @return true if the node was heard of.
+    [[nodiscard]] bool known() const { return process != incarnation{}; }
+
+    /// @return age of the record, or the time since the member was added if the node was not heard of.
+    [[nodiscard]] duration age(time_point now) const { return now - (known() ? heard_at : added_at); }
+
+    /// @return the record as peers receive it.
+    [[nodiscard]] member_record record(time_point now) const {
+        const auto cut = [&](time_point since) { return std::min<duration>(now - since, unknown_age); };
+        return {id, process, state, known() ? cut(heard_at) : unknown_age, vm_fact, cut(vm_seen_at)};
+    }
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/membership/member_manager.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "cornelpier/base/event_record.hpp"
+#include "cornelpier/base/random_source.hpp"
+#include "cornelpier/membership/member.hpp"
+#include "cornelpier/node/node_identity.hpp"
+#include "cornelpier/plan/plan.hpp"
+
+#include <cstddef>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace cornelpier {
+
+/// Owns what this node knows about the others: member records and VM facts with their ages. All of it is a
+/// hint. Times are those of the caller's clock, which must also advance while the process does not run.
+class member_manager {
+  public:
+    /// Members that left the plan are forgotten after this time.
+    static constexpr duration forget_after = std::chrono::seconds{60};
+
+    /// @param identity who the node is; seeds are members until there is a plan.
+    /// @param now current time.
+    member_manager(const node_identity& identity, time_point now);
+
+    /// Adds the plan's targets and marks members that are not in it.
+    void apply_plan(const plan& current, time_point now);
+
+    /// Takes over what a message says about its sender.
+    /// @param direct record of the sender; its age is that of the message.
+    void hear_directly(const member_record& direct, time_point now);
+
+    /// Takes over a record from a third node if it is fresher than the own one.
+    void hear_of(const member_record& record, time_point now);
+
+    /// Takes over the platform's list; VMs that it does not name are unlisted.
+    /// @return targets whose VM changed its state.
+    std::vector<target_id> apply_vm_list(const std::vector<std::pair<vm_id, vm_state>>& vms, time_point now);
+
+    /// @param state state of the own node.
+    void set_own_state(node_state state);
+
+    /// Forgets members that left the plan long ago.
+    void forget_old(time_point now);
+
+    /// Refreshes the own record and gives it to the caller.
+    member_record own_record(time_point now);
+
+    /// @return all members, the own one first.
+    [[nodiscard]] std::span<const member> members() const { return m_members; }
+
+    /// @return members for the selection of records, which notes what it sent.
+    [[nodiscard]] std::span<member> members() { return m_members; }
+
+    /// @return the member, or nullptr.
+    [[nodiscard]] const member* find(const target_id& id) const;
+
+    /// @return true if a state changed that the traffic side sees, since the last call.
+    bool take_changed() { return std::exchange(m_changed, false); }
+
+    /// @return true if a node or VM began or ceased to leave, since the last call.
+    bool take_leaving_changed() { return std::exchange(m_leaving_changed, false); }
+
+    /// @return events since the last call.
+    std::vector<event_record> take_events() { return std::exchange(m_events, {}); }
+
+  private:
+    member& add(const target_id& id, time_point now);
+    member* find_or_add(const target_id& id, time_point now);
+    static void place(member& held, const target_plan& target, time_point now);
+    void replace(member& held, const member_record& record, time_point heard_at, time_point now);
+    void take_vm_fact(member& held, const member_record& record, time_point now);
+    void set_vm_fact(member& held, vm_state fact);
+
+    time_point m_start;
+    bool m_has_plan = false;
+    bool m_has_former = false; ///< Some members are not in the plan.
+    bool m_changed = false;
+    bool m_leaving_changed = false;
+    std::vector<member> m_members;
+    std::unordered_map<target_id, std::size_t> m_index;
+    std::vector<event_record> m_events;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/membership/record_list.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "cornelpier/message/control_messages.hpp"
+
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+namespace cornelpier {
+
+/// Records of one gossip message, as many as fit a datagram.
+class record_list {
+  public:
+    /// Largest datagram, in bytes.
+    static constexpr std::size_t max_datagram = 1400;
+
+    /// @param sender its name is part of the message.
+    explicit record_list(const target_id& sender)
+        : m_room(max_datagram - header_size - sender.value().size()) {
+        m_records.reserve(usual_count);
+    }
+
+    /// Adds a record if there is room.
+    /// @return false if there is no room for it.
+    bool add(const member_record& record) {
+        const std::size_t size = encoded_size(record);
+        if (size > m_room) {
+            return false;
+        }
+        m_room -= size;
+        m_records.push_back(record);
+        return true;
+    }
+
+    /// @return the records; the list is empty afterwards.
+    std::vector<member_record> take() { return std::move(m_records); }
+
+  private:
+    static constexpr std::size_t usual_count = 40;
+
+    /// Upper bound for a message without records and without the sender's name.
+    static constexpr std::size_t header_size = 64;
+
+    /// @return bytes of an unsigned integer in CBOR.
+    static constexpr std::size_t integer_size(std::uint64_t value) {
+        if (value < 24) {
+            return 1;
+        }
+        if (value < 0x100) {
+            return 2;
+        }
+        if (value < 0x10000) {
+            return 3;
+        }
+        return value < 0x100000000 ? 5 : 9;
+    }
+
+    static std::size_t encoded_size(const member_record& record) {
+        constexpr std::size_t array_and_states = 3;
+        const std::size_t length = record.target.value().size();
+        return array_and_states + integer_size(length) + length + integer_size(record.process.value()) +
+               integer_size(static_cast<std::uint64_t>(record.age.count())) +
+               integer_size(static_cast<std::uint64_t>(record.vm_age.count()));
+    }
+
+    std::size_t m_room;
+    std::vector<member_record> m_records;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/membership/record_selector.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "cornelpier/base/random_source.hpp"
+#include "cornelpier/membership/member.hpp"
+#include "cornelpier/membership/record_list.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace cornelpier {
+
+/// Chooses which records a gossip message carries: changes first, then old records (to which the peer answers
+/// with fresher ones if it has them), then fresh records.
+class record_selector {
+  public:
+    /// @param own_data_centre records of the own data centre are kept fresher; readers are elected from them.
+    explicit record_selector(data_centre_id own_data_centre) : m_data_centre(std::move(own_data_centre)) {}
+
+    /// Fills a message that starts an exchange.
+    /// @param records receives records as far as there is room.
+    void add_for_request(std::span<member> members, time_point now, random_source& random,
+                         record_list& records);
+
+    /// Fills a reply.
+    /// @param request records of the request.
+    /// @param find maps a target to one of the members or nullptr.
+    template <typename Find>
+    void add_for_reply(const std::vector<member_record>& request, Find find, std::span<member> members,
+                       time_point now, random_source& random, record_list& records) {
+        begin(members, now);
+        for (const auto& it : request) {
+            const member* held = find(it.target);
+            if (held != nullptr && held->known() && held->age(now) + min_gain <= it.age) {
+                add(members[static_cast<std::size_t>(held - members.data())], now, records);
+            }
+        }
+        add_news(members, now, random, records);
+        add_fresh(members, now, random, records);
+    }
+
+  private:
+    using ranked_index = std::pair<duration, std::size_t>;
+
+    /// A record that is less fresh by only this much is not worth its bytes.
+    static constexpr duration min_gain = std::chrono::milliseconds{500};
+
+    void begin(std::span<member> members, time_point now);
+    bool add(member& chosen, time_point now, record_list& records) const;
+    void prepare(std::span<const member> members, time_point now);
+    void rank(std::span<const member> members, time_point now);
+    void add_news(std::span<member> members, time_point now, random_source& random, record_list& records);
+    void add_old(std::span<member> members, time_point now, record_list& records);
+    void add_fresh(std::span<member> members, time_point now, random_source& random, record_list& records);
+
+    data_centre_id m_data_centre;
+    std::uint32_t m_message = 0; ///< Number of the message in work.
+
+    // One pass over all members serves the messages of a short time.
+    time_point m_prepared_at;
+    std::size_t m_prepared_for = 0;
+    std::vector<std::size_t> m_news;
+    std::vector<ranked_index> m_old; ///< Oldest last.
+    std::vector<ranked_index> m_fresh;
+};
+
+} // namespace cornelpier
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -159,6 +159,7 @@
     visit(it.confirmed_age);
     visit(it.members);
     visit(it.wants_reply);
+    visit(it.exchange);
 }
 
 template <typename Message, typename Visitor>
--- /dev/null
+++ b/src/cornelpier/node/control_core.cpp
@@ -0,0 +1,450 @@
+#include "cornelpier/node/control_core.hpp"
+
+#include "cornelpier/base/event_limiter.hpp"
+#include "cornelpier/base/random_source.hpp"
+#include "cornelpier/membership/gossip_composer.hpp"
+#include "cornelpier/membership/member_manager.hpp"
+#include "cornelpier/membership/peer_selector.hpp"
+#include "cornelpier/membership/reader_election.hpp"
+#include "cornelpier/node/peer_query.hpp"
+#include "cornelpier/node/service_reader.hpp"
+#include "cornelpier/node/view_publisher.hpp"
+#include "cornelpier/plan/plan_freshness.hpp"
+#include "cornelpier/plan/plan_manager.hpp"
+#include "cornelpier/plan/plan_puller.hpp"
+#include "cornelpier/timer/timer_service.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace cornelpier {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration gossip_period = seconds{1};
+constexpr duration vm_list_period = seconds{2};
+constexpr duration lost_vm_list_limit = seconds{10};
+
+/// Period of everything that waits for a deadline: reads, pulls and the next view.
+constexpr duration check_period = milliseconds{250};
+
+constexpr std::size_t peers_per_round = 3;
+constexpr std::size_t peers_per_query = 3;
+constexpr std::size_t peers_per_new_plan = 4;
+
+} // namespace
+
+/// Routes events to the owners of plan and members and decides when to exchange, read and publish.
+class control_core::implementation {
+  public:
+    implementation(node_identity identity, std::uint64_t seed, time_point start, plan_reader reader)
+        : m_identity(std::move(identity)), m_random(seed), m_timers(start), m_last_call(start),
+          m_plans(std::move(reader)), m_members(m_identity, start),
+          m_composer(m_identity, m_members, m_random.split()),
+          m_election(m_identity.self, m_identity.data_centre), m_service(m_random.split()),
+          m_freshness(start) {
+        m_query.start(start);
+        m_timers.call_at(start, [this] { start_query(false); });
+        m_timers.call_every(check_period, [this] { check(); });
+        // Nodes that start together spread their rounds over the period.
+        const duration phase{static_cast<std::int64_t>(m_random.below(gossip_period.count()))};
+        m_timers.call_after(phase, [this] {
+            gossip_round();
+            m_timers.call_every(gossip_period, [this] { gossip_round(); });
+        });
+    }
+
+    void handle(const control_event& event, time_point now, control_actions& actions) {
+        m_actions = &actions;
+        m_timers.set_now(now);
+        std::visit([this](const auto& it) { on(it); }, event);
+        finish(now);
+    }
+
+    void advance(time_point now, control_actions& actions) {
+        m_actions = &actions;
+        finish(now);
+    }
+
+    [[nodiscard]] std::optional<time_point> next_due() const { return m_timers.next_due(); }
+
+    [[nodiscard]] control_snapshot snapshot(time_point now) const {
+        const time_point at = now + m_missed;
+        control_snapshot result;
+        result.digest = m_plans.digest();
+        result.plan_age = m_plans.current() ? m_freshness.in_force_age(at) : duration::zero();
+        result.plan_confirmed_age = m_freshness.confirmed_age(at);
+        result.reader = m_election.is_reader();
+        result.conflict = m_plans.conflict();
+        for (const auto& it : m_members.members()) {
+            result.members.push_back(it.record(at));
+            const bool own = it.id == m_identity.self;
+            if (own) {
+                result.members.back().age = duration::zero();
+            } else if (it.in_plan && it.age(at) >= stale_age) {
+                result.stale_members.push_back(it.id);
+            }
+        }
+        return result;
+    }
+
+  private:
+    /// @return current time, including the time that the monotonic clock did not count during pauses.
+    [[nodiscard]] time_point clock() const { return m_timers.now() + m_missed; }
+
+    void finish(time_point now) {
+        m_timers.advance(now);
+        m_last_call = std::max(m_last_call, now);
+        if (m_query.take_finished(clock())) {
+            m_views.request_now();
+            read_services();
+        }
+        for (auto& it : m_members.take_events()) {
+            record(std::move(it));
+        }
+        publish();
+        m_actions = nullptr;
+    }
+
+    void record(event_record event) {
+        if (m_limiter.allow(event, clock())) {
+            m_actions->emplace_back(record_event{std::move(event)});
+        }
+    }
+
+    void send(const peer& to, control_message message) {
+        m_actions->emplace_back(send_control{to.id, to.address, std::move(message)});
+    }
+
+    [[nodiscard]] plan_summary summary() const {
+        return {m_plans.digest(), m_freshness.confirmed_age(clock())};
+    }
+
+    /// @return where an answer reaches the sender, or nothing.
+    [[nodiscard]] std::optional<peer> sender(const target_id& from, const std::string& address) const {
+        if (!address.empty()) {
+            return peer{from, address};
+        }
+        const member* held = m_members.find(from);
+        if (held == nullptr || held->address.empty()) {
+            return std::nullopt;
+        }
+        return peer{from, held->address};
+    }
+
+    /// Asks peers for their plan. At the start the sheet itself is wanted; after a pause the digests of peers
+    /// tell whether the plan in force is still theirs.
+    void start_query(bool after_pause) {
+        m_query.start(clock());
+        m_timers.call_after(peer_query::limit, [] {}); // Wakes the core for the end of the round.
+        m_first_trusted_exchange = m_composer.last_exchange() + 1;
+        for (const auto& it : m_peers.pick(std::as_const(m_members).members(), peers_per_query, m_random)) {
+            m_query.ask(it.id);
+            if (after_pause && m_plans.current()) {
+                send(it, m_composer.brief_request(summary(), clock()));
+            } else {
+                send(it, plan_pull{m_identity.self});
+            }
+        }
+    }
+
+    void gossip_round() {
+        if (m_query.active()) {
+            return;
+        }
+        m_members.forget_old(clock());
+        m_election.update(std::as_const(m_members).members(), clock());
+
+        for (const auto& it :
+             m_peers.pick_with_neighbour(std::as_const(m_members).members(), peers_per_round, m_random)) {
+            send(it, m_composer.request(summary(), clock()));
+        }
+        for (const auto& it : m_election.watched()) {
+            send({it, m_members.find(it)->address}, m_composer.brief_request(summary(), clock()));
+        }
+    }
+
+    void check() {
+        if (m_query.active()) {
+            return;
+        }
+        if (const auto next = m_puller.poll(clock())) {
+            send(*next, plan_pull{m_identity.self});
+        }
+        read_services();
+    }
+
+    [[nodiscard]] reading_role role() const {
+        if (!m_plans.current()) {
+            return reading_role::bootstrap;
+        }
+        if (m_election.is_reader()) {
+            return reading_role::reader;
+        }
+        const bool fresh = m_freshness.unconfirmed_for(clock()) < service_reader::confirmation_limit;
+        return fresh ? reading_role::none : reading_role::fallback;
+    }
+
+    void read_services() {
+        if (m_query.active()) {
+            return;
+        }
+        const auto reason = role();
+        if (const auto read = m_service.poll(reason, m_plans.digest().version, clock())) {
+            m_actions->emplace_back(*read);
+        }
+        if (reason == reading_role::reader && clock() >= m_next_vm_list) {
+            m_next_vm_list = clock() + lost_vm_list_limit;
+            m_actions->emplace_back(read_vm_list{});
+        }
+    }
+
+    /// @return what became of the sheet.
+    plan_outcome offer(const std::string& sheet, std::string_view source) {
+        auto decision = m_plans.offer(sheet, source);
+        if (decision.event) {
+            record(std::move(*decision.event));
+        }
+        if (decision.outcome == plan_outcome::accepted) {
+            accepted();
+        }
+        return decision.outcome;
+    }
+
+    void accepted() {
+        m_freshness.accepted(clock());
+        m_puller.reached(m_plans.digest().version);
+        m_members.apply_plan(*m_plans.current(), clock());
+        m_views.request_now();
+        if (m_query.active()) {
+            return;
+        }
+        for (const auto& it :
+             m_peers.pick(std::as_const(m_members).members(), peers_per_new_plan, m_random)) {
+            send(it, m_composer.brief(summary(), clock()));
+        }
+    }
+
+    void publish() {
+        if (!m_plans.current() || m_query.active()) {
+            return;
+        }
+        if (m_members.take_leaving_changed()) {
+            m_views.request_soon();
+        }
+        if (m_members.take_changed()) {
+            m_views.request_later();
+        }
+        if (auto view = m_views.take_due(m_plans.current(), std::as_const(m_members).members(), clock())) {
+            m_actions->emplace_back(publish_view{std::move(view)});
+        }
+    }
+
+    void on(const control_received& event) {
+        std::visit(
+            [&](const auto& it) {
+                if (it.from != m_identity.self) {
+                    on_message(it, event.address);
+                }
+            },
+            event.message);
+    }
+
+    void on_message(const plan_pull& message, const std::string& address) {
+        const auto from = sender(message.from, address);
+        if (!from) {
+            return;
+        }
+        if (m_plans.current()) {
+            send(*from, plan_push{m_identity.self, m_plans.current()->sheet});
+        } else {
+            // Tells the peer that there is nothing to wait for.
+            send(*from, m_composer.brief(summary(), clock()));
+        }
+    }
+
+    void on_message(const plan_push& message, const std::string& /*address*/) {
+        offer(message.sheet, message.from.value());
+        m_query.answered(message.from);
+    }
+
+    void on_message(const gossip& message, const std::string& address) {
+        // During a query, a message may have waited through the pause, and its ages would be too low.
+        const bool trusted_reply = !message.wants_reply && message.exchange >= m_first_trusted_exchange;
+        if (m_query.active() && !trusted_reply && m_plans.current()) {
+            return;
+        }
+        hear(message);
+
+        const auto from = sender(message.from, address);
+        const bool pulls = compare_plans(message, from);
+        if (m_query.waits_for(message.from) && !message.wants_reply && !pulls) {
+            m_query.answered(message.from);
+        }
+        if (message.wants_reply && from) {
+            send(*from, m_composer.reply(message, summary(), clock()));
+        }
+    }
+
+    void hear(const gossip& message) {
+        member_record direct;
+        direct.target = message.from;
+        direct.vm_age = unknown_age;
+        for (const auto& it : message.members) {
+            if (it.target == message.from) {
+                direct = it;
+            } else {
+                m_members.hear_of(it, clock());
+            }
+        }
+        direct.process = message.process;
+        m_members.hear_directly(direct, clock());
+    }
+
+    /// @return true if the sender's plan is pulled.
+    bool compare_plans(const gossip& message, const std::optional<peer>& from) {
+        const plan_digest own = m_plans.digest();
+        if (message.digest == own && own.version != 0) {
+            m_freshness.confirm_by_peer(message.confirmed_age, clock());
+            return false;
+        }
+        if (auto event = m_plans.compare(message.digest, message.from.value())) {
+            record(std::move(*event));
+        }
+        if (!from) {
+            return false;
+        }
+
+        if (message.digest.version > own.version && !m_plans.refused(message.digest.content_hash)) {
+            if (const auto next = m_puller.offer(message.digest, *from, clock())) {
+                send(*next, plan_pull{m_identity.self});
+            }
+            return true;
+        }
+        if (message.digest.version < own.version && !message.wants_reply) {
+            send(*from, m_composer.brief(summary(), clock()));
+        }
+        return false;
+    }
+
+    void on(const plan_read& event) {
+        if (m_query.active()) {
+            // The sheet may have been read before the pause.
+            m_service.finish(read_outcome::refused, clock());
+            return;
+        }
+        const auto outcome = offer(event.sheet, "configuration service");
+        const bool current = outcome == plan_outcome::accepted || outcome == plan_outcome::unchanged;
+        if (current) {
+            m_freshness.confirm(clock());
+        }
+        m_service.finish(current ? read_outcome::progress : read_outcome::refused, clock());
+        read_services();
+    }
+
+    void on(const plan_unchanged& /*event*/) {
+        const bool current = m_plans.current() && m_service.watched_version() == m_plans.digest().version;
+        if (current && !m_query.active()) {
+            m_freshness.confirm(clock());
+        }
+        m_service.finish(read_outcome::progress, clock());
+        read_services();
+    }
+
+    void on(const plan_read_failed& /*event*/) {
+        record({event_number::configuration_unreachable, {}});
+        m_service.finish(read_outcome::failed, clock());
+    }
+
+    void on(const vm_list_read& event) {
+        m_next_vm_list = clock() + vm_list_period;
+        if (m_query.active()) {
+            return;
+        }
+        // The node on the VM has to hear of it before the periodic exchange would tell it.
+        for (const auto& it : m_members.apply_vm_list(event.vms, clock())) {
+            const member* held = m_members.find(it);
+            if (held->address.empty() || it == m_identity.self) {
+                continue;
+            }
+            gossip message = m_composer.brief(summary(), clock());
+            message.members.push_back(held->record(clock()));
+            send({it, held->address}, std::move(message));
+        }
+    }
+
+    void on(const vm_list_failed& /*event*/) {
+        m_next_vm_list = clock() + vm_list_period;
+        record({event_number::vm_list_unreachable, {}});
+    }
+
+    void on(const own_state_changed& event) {
+        m_members.set_own_state(event.state);
+        if (m_query.active()) {
+            return;
+        }
+        for (const auto& it : m_peers.pick(std::as_const(m_members).members(), peers_per_round, m_random)) {
+            send(it, m_composer.brief(summary(), clock()));
+        }
+    }
+
+    void on(const clock_gap& event) {
+        // The monotonic clock may have counted the gap, wholly or in part.
+        const duration counted = m_timers.now() - m_last_call;
+        m_missed += std::max(event.length - counted, duration::zero());
+        m_election.reset();
+        start_query(true);
+    }
+
+    node_identity m_identity;
+    random_source m_random;
+    timer_service m_timers;
+    time_point m_last_call;
+    duration m_missed{}; ///< Time that passed without the monotonic clock.
+    control_actions* m_actions = nullptr;
+
+    plan_manager m_plans;
+    member_manager m_members;
+    gossip_composer m_composer;
+    peer_selector m_peers;
+    reader_election m_election;
+    service_reader m_service;
+    plan_puller m_puller;
+    peer_query m_query;
+    event_limiter m_limiter;
+    plan_freshness m_freshness;
+    view_publisher m_views;
+
+    std::uint64_t m_first_trusted_exchange = 0;
+    time_point m_next_vm_list;
+};
+
+control_core::control_core(node_identity identity, std::uint64_t seed, time_point start, plan_reader reader)
+    : m_implementation(
+          std::make_unique<implementation>(std::move(identity), seed, start, std::move(reader))) {}
+
+control_core::~control_core() = default;
+control_core::control_core(control_core&&) noexcept = default;
+control_core& control_core::operator=(control_core&&) noexcept = default;
+
+void control_core::handle(const control_event& event, time_point now, control_actions& actions) {
+    m_implementation->handle(event, now, actions);
+}
+
+void control_core::advance(time_point now, control_actions& actions) {
+    m_implementation->advance(now, actions);
+}
+
+std::optional<time_point> control_core::next_due() const {
+    return m_implementation->next_due();
+}
+
+control_snapshot control_core::snapshot(time_point now) const {
+    return m_implementation->snapshot(now);
+}
+
+} // namespace cornelpier
--- a/src/cornelpier/node/control_core.hpp
+++ b/src/cornelpier/node/control_core.hpp
@@ -3,6 +3,7 @@
 #include "cornelpier/base/units.hpp"
 #include "cornelpier/node/control_events.hpp"
 #include "cornelpier/node/node_identity.hpp"
+#include "cornelpier/plan/plan_manager.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -19,13 +20,15 @@
     bool reader = false;
     bool conflict = false; ///< Another content of the same version was seen.
     std::vector<member_record> members;
+    std::vector<target_id> stale_members; ///< In the plan, but not heard of for `stale_age`.
 };
 
 /// Plan and membership of one node without I/O. Not thread-safe: the control thread drives it.
 class control_core {
   public:
     /// @copydoc traffic_core::traffic_core
-    control_core(node_identity identity, std::uint64_t seed, time_point start);
+    /// @param reader parses plan sheets; empty for `parse_plan`.
+    control_core(node_identity identity, std::uint64_t seed, time_point start, plan_reader reader = {});
     ~control_core();
 
     control_core(const control_core&) = delete;
@@ -34,6 +37,7 @@
     control_core& operator=(control_core&&) noexcept;
 
     /// @copydoc traffic_core::handle
+    /// After a pause, `clock_gap` comes before the messages that waited meanwhile.
     void handle(const control_event& event, time_point now, control_actions& actions);
 
     /// Handles everything that is due.
--- a/src/cornelpier/node/control_events.hpp
+++ b/src/cornelpier/node/control_events.hpp
@@ -19,6 +19,7 @@
 /// A control message arrived.
 struct control_received {
     control_message message;
+    std::string address; ///< `IP:port` of the sender's node; empty if the shell does not know it.
 };
 
 /// The configuration service returned a sheet, which may be old.
@@ -57,7 +58,8 @@
 
 /// Reads the plan. Ends in `plan_read`, `plan_unchanged` or `plan_read_failed`.
 struct read_plan {
-    std::optional<std::uint64_t> newer_than; ///< Watch: wait until the version differs, at most 30 s.
+    std::optional<std::uint64_t> newer_than; ///< Watch: wait until the version differs.
+    duration wait{std::chrono::seconds{30}}; ///< Longest wait of a watch, in whole seconds, at most 30 s.
 };
 
 /// Reads the VM list. Ends in `vm_list_read` or `vm_list_failed`.
--- a/src/cornelpier/plan/plan_manager.hpp
+++ b/src/cornelpier/plan/plan_manager.hpp
@@ -54,6 +54,9 @@
     /// @return true if another content of the version in force was seen.
     [[nodiscard]] bool conflict() const { return !m_conflicts.empty(); }
 
+    /// @return true if a sheet of this content was refused since the plan came into force.
+    [[nodiscard]] bool refused(std::uint64_t content_hash) const { return m_refused.contains(content_hash); }
+
   private:
     struct refusal_record {
         plan_outcome outcome = plan_outcome::invalid;
