--- /dev/null
+++ b/src/daemon/operator/operator_server.cpp
@@ -0,0 +1,127 @@
+#include "daemon/operator/operator_server.hpp"
+
+#include "daemon/net/endpoint.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+constexpr std::chrono::seconds session_limit{10};
+constexpr std::size_t max_sessions = 32;
+constexpr std::uint32_t max_head_bytes = 8 * 1024;
+
+/// One request and its answer.
+class session : public std::enable_shared_from_this<session> {
+  public:
+    session(asio::ip::tcp::socket socket, const operator_server::page_source& source,
+            std::shared_ptr<void> slot)
+        : m_stream(std::move(socket)), m_source(source), m_slot(std::move(slot)) {
+        m_parser.header_limit(max_head_bytes);
+        m_parser.body_limit(0);
+    }
+
+    void run() {
+        m_stream.expires_after(session_limit);
+        http::async_read(m_stream, m_buffer, m_parser,
+                         [self = shared_from_this()](error_code ec, std::size_t) {
+                             if (!ec) {
+                                 self->handle();
+                             }
+                         });
+    }
+
+  private:
+    void handle() {
+        const auto& request = m_parser.get();
+        if (request.method() != http::verb::get && request.method() != http::verb::head) {
+            write({405, "text/plain; charset=utf-8", "only GET and HEAD\n"});
+            return;
+        }
+        const std::string target{request.target()};
+        m_source(target.substr(0, target.find('?')), [self = shared_from_this()](operator_page page) {
+            asio::post(self->m_stream.get_executor(),
+                       [self, page = std::move(page)]() mutable { self->write(std::move(page)); });
+        });
+    }
+
+    void write(operator_page page) {
+        m_response.version(11);
+        m_response.result(static_cast<unsigned>(page.status));
+        m_response.set(http::field::content_type, page.content_type);
+        m_response.set(http::field::cache_control, "no-store");
+        m_response.keep_alive(false);
+        m_response.content_length(page.body.size());
+        if (m_parser.get().method() != http::verb::head) {
+            m_response.body() = std::move(page.body);
+        }
+        m_serializer.emplace(m_response);
+        http::async_write(m_stream, *m_serializer, [self = shared_from_this()](error_code ec, std::size_t) {
+            self->m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+        });
+    }
+
+    beast::tcp_stream m_stream;
+    const operator_server::page_source& m_source;
+    std::shared_ptr<void> m_slot; ///< Counts the session while it lives.
+    beast::flat_buffer m_buffer;
+    http::request_parser<http::empty_body> m_parser;
+    http::response<http::string_body> m_response;
+    boost::optional<http::response_serializer<http::string_body>> m_serializer;
+};
+
+} // namespace
+
+/// Acceptor of the operators' connections.
+class operator_server::implementation {
+  public:
+    implementation(asio::io_context& context, page_source source)
+        : m_acceptor(context), m_source(std::move(source)) {}
+
+    error bind(const std::string& address) { return listen_on(m_acceptor, address); }
+
+    void accept() {
+        m_acceptor.async_accept([this](error_code ec, asio::ip::tcp::socket socket) {
+            if (ec == asio::error::operation_aborted) {
+                return;
+            }
+            if (!ec && m_sessions.use_count() <= static_cast<long>(max_sessions)) {
+                std::make_shared<session>(std::move(socket), m_source, m_sessions)->run();
+            }
+            accept();
+        });
+    }
+
+  private:
+    asio::ip::tcp::acceptor m_acceptor;
+    page_source m_source;
+    std::shared_ptr<int> m_sessions = std::make_shared<int>(0);
+};
+
+operator_server::operator_server(asio::io_context& context, page_source source)
+    : m_implementation(std::make_shared<implementation>(context, std::move(source))) {}
+
+operator_server::~operator_server() = default;
+
+error operator_server::bind(const std::string& address) {
+    return m_implementation->bind(address);
+}
+
+void operator_server::start() {
+    m_implementation->accept();
+}
+
+} // namespace cornelpier
