Add platform reader, node wiring and tests of the daemon's slices

Cause: the decision core needs a shell that carries out its actions.

Excluded: a body limit by Beast alone. Beast 1.74 ignores the limit if head and body arrive in one packet and are parsed in one step; answers are therefore read in two steps (a test had shown a 1 MiB + 1 answer passed on as complete).

--- a/src/daemon/log/event_formatter.hpp
+++ b/src/daemon/log/event_formatter.hpp
@@ -4,15 +4,14 @@
 #include "cornelpier/base/ids.hpp"
 #include "cornelpier/base/units.hpp"
 
+#include "daemon/settings/node_settings.hpp"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
 
 namespace cornelpier {
 
-/// Form of a log line.
-enum class log_format : std::uint8_t { json, text };
-
 /// Everything that stands in a log line.
 struct log_entry {
     std::chrono::system_clock::time_point wall;
--- a/src/daemon/log/event_log.hpp
+++ b/src/daemon/log/event_log.hpp
@@ -21,7 +21,7 @@
     incarnation process;
 };
 
-/// Writes numbered events to standard output as JSON lines or text. Thread-safe. A thread of its own does
+/// Writes numbered events to standard error as JSON lines or text. Thread-safe. A thread of its own does
 /// the writing, so that a blocked reader of the output delays no decision; lines above the bound of its queue
 /// are dropped.
 class event_log {
--- /dev/null
+++ b/src/daemon/node/control_runner.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "cornelpier/node/control_core.hpp"
+
+#include "daemon/gossip/gossip_socket.hpp"
+#include "daemon/link/link_manager.hpp"
+#include "daemon/log/event_log.hpp"
+#include "daemon/platform/platform_reader.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <optional>
+
+namespace cornelpier {
+
+/// Who carries out the actions of the control core.
+struct control_outputs {
+    gossip_socket& gossip_messages;
+    link_manager& links;
+    platform_reader& platform;
+    event_sink record;
+    std::function<void(shared_fleet_view)> publish;
+};
+
+/// Drives the control core on the control thread.
+class control_runner {
+  public:
+    /// @param context run by one thread.
+    /// @param identity who the node is.
+    /// @param seed seed of the core's random numbers.
+    /// @param outputs must stay valid until the thread has ended.
+    control_runner(boost::asio::io_context& context, node_identity identity, std::uint64_t seed,
+                   control_outputs outputs);
+
+    /// Hands the core an event. Callable on any thread.
+    void post(control_event event);
+
+    /// Starts the core's timers.
+    void start();
+
+    /// Takes a snapshot on the control thread. Callable on any thread.
+    void snapshot(std::function<void(control_snapshot)> on_taken);
+
+  private:
+    void handle(const control_event& event);
+    void advance();
+    void carry_out();
+    void arm_timer();
+
+    void execute(send_control& action);
+    void execute(const read_plan& action) { m_outputs.platform.read_plan(action.newer_than); }
+    void execute(const read_vm_list& /*action*/) { m_outputs.platform.read_vm_list(); }
+    void execute(publish_view& action) { m_outputs.publish(std::move(action.view)); }
+    void execute(const record_event& action) { m_outputs.record(action.record); }
+
+    boost::asio::io_context& m_context;
+    boost::asio::steady_timer m_timer;
+    control_outputs m_outputs;
+    control_core m_core;
+    control_actions m_actions;
+    std::optional<time_point> m_armed;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/node/node_daemon.cpp
@@ -0,0 +1,248 @@
+#include "daemon/node/node_daemon.hpp"
+
+#include "cornelpier/pause/pause_detector.hpp"
+
+#include "daemon/net/clock.hpp"
+#include "daemon/node/control_runner.hpp"
+#include "daemon/node/traffic_runner.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <sys/resource.h>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace cornelpier {
+
+namespace {
+
+using boost::system::error_code;
+
+constexpr std::chrono::seconds omission_period{1};
+
+/// Answers to other nodes that were just handed to their links reach the kernel within this time.
+constexpr std::chrono::milliseconds flush_time{100};
+
+std::uint64_t random_number() {
+    std::random_device device;
+    constexpr unsigned bits = 32;
+    return (std::uint64_t{device()} << bits) | device();
+}
+
+node_identity make_identity(const node_settings& settings) {
+    return {settings.target,  incarnation{random_number()},
+            settings.vm,      settings.data_centre,
+            settings.service, settings.seeds};
+}
+
+/// The usual soft limit of 1024 is below the number of caller connections.
+void raise_descriptor_limit() {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+/// Calls a function at a fixed period on the control thread.
+class periodic_timer {
+  public:
+    periodic_timer(boost::asio::io_context& context, duration period, std::function<void()> on_tick)
+        : m_timer(context), m_period(period), m_on_tick(std::move(on_tick)) {}
+
+    void start() {
+        m_timer.expires_after(m_period);
+        m_timer.async_wait([this](error_code ec) {
+            if (!ec) {
+                m_on_tick();
+                start();
+            }
+        });
+    }
+
+  private:
+    boost::asio::steady_timer m_timer;
+    duration m_period;
+    std::function<void()> m_on_tick;
+};
+
+} // namespace
+
+/// Wiring of the parts. Members that post to others are declared after them.
+class node_daemon::implementation {
+  public:
+    explicit implementation(node_settings settings)
+        : m_settings(std::move(settings)), m_identity(make_identity(m_settings)),
+          m_log({m_settings.format, m_settings.level, m_identity.self, m_identity.process}),
+          m_callers(m_traffic_context, caller_settings(), traffic_sink(), log_sink()),
+          m_links(m_traffic_context, link_sinks()),
+          m_server(m_traffic_context,
+                   {m_settings.server_address, m_settings.server_report_path, m_settings.service},
+                   traffic_sink()),
+          m_gossip(
+              m_control_context,
+              [this](control_message message) { m_control.post(control_received{std::move(message)}); },
+              log_sink()),
+          m_platform(m_control_context,
+                     {m_settings.configuration_address, m_settings.configuration_path,
+                      m_settings.vm_list_address, m_settings.vm_list_path},
+                     [this](control_event event) { m_control.post(std::move(event)); }),
+          m_traffic(m_traffic_context, m_identity, random_number(), traffic_sinks()),
+          m_control(m_control_context, m_identity, random_number(), control_sinks()),
+          m_signals(m_control_context, SIGTERM, SIGINT), m_flush_timer(m_control_context),
+          m_pause_timer(m_control_context, pause_tick, [this] { check_pause(); }),
+          m_omission_timer(m_control_context, omission_period, [this] { m_log.write_omissions(); }) {}
+
+    int run() {
+        std::signal(SIGPIPE, SIG_IGN);
+        raise_descriptor_limit();
+        if (!bind()) {
+            return 1;
+        }
+
+        m_log.write({event_number::node_started,
+                     {{"callers", m_settings.caller_address}, {"node", m_settings.node_address}}});
+        start();
+        const auto traffic_work = boost::asio::make_work_guard(m_traffic_context);
+        const auto control_work = boost::asio::make_work_guard(m_control_context);
+        std::vector<std::thread> threads;
+        for (std::uint32_t n = 0; n < m_settings.traffic_threads; ++n) {
+            threads.emplace_back([this] { m_traffic_context.run(); });
+        }
+        m_control_context.run();
+
+        for (auto& it : threads) {
+            it.join();
+        }
+        return 0;
+    }
+
+  private:
+    /// @return false after a message if an address cannot be used.
+    bool bind() {
+        for (const auto& problem : {m_callers.bind(), m_links.bind(m_settings.node_address),
+                                    m_gossip.bind(m_settings.node_address)}) {
+            if (!problem.reason.empty()) {
+                std::cerr << "cornelpier-node: " << problem.place << ": " << problem.reason << '\n';
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void start() {
+        m_signals.async_wait([this](error_code ec, int) {
+            if (!ec) {
+                m_traffic.post(terminate_requested{});
+            }
+        });
+        m_links.start();
+        m_gossip.start();
+        m_control.start();
+        m_traffic.start();
+        m_pause_timer.start();
+        m_omission_timer.start();
+        m_callers.start();
+    }
+
+    /// Callers first: their last answers are still being written. The links follow after a short while.
+    void on_drained() {
+        m_callers.shut_down([this] {
+            boost::asio::post(m_control_context, [this] {
+                m_flush_timer.expires_after(flush_time);
+                m_flush_timer.async_wait([this](error_code) { stop(); });
+            });
+        });
+    }
+
+    void stop() {
+        m_gossip.stop();
+        m_links.stop();
+        m_server.stop();
+        m_traffic_context.stop();
+        m_control_context.stop();
+    }
+
+    void check_pause() {
+        const auto gap = m_pause.tick(monotonic_now().time_since_epoch(), boot_now().time_since_epoch());
+        if (gap) {
+            m_traffic.post(clock_gap{*gap});
+            m_control.post(clock_gap{*gap});
+        }
+    }
+
+    caller_options caller_settings() const {
+        caller_options options;
+        options.address = m_settings.caller_address;
+        return options;
+    }
+
+    std::function<void(traffic_event)> traffic_sink() {
+        return [this](traffic_event event) { m_traffic.post(std::move(event)); };
+    }
+
+    event_sink log_sink() {
+        return [this](const event_record& record) { m_log.write(record); };
+    }
+
+    link_handlers link_sinks() {
+        return {[this](link_id link) { m_traffic.post(link_opened{link}); },
+                [this](link_id link) { m_traffic.post(link_closed{link}); },
+                [this](link_id link, traffic_message message) {
+                    m_traffic.post(message_received{link, std::move(message)});
+                },
+                [this](control_message message) { m_control.post(control_received{std::move(message)}); },
+                log_sink()};
+    }
+
+    traffic_outputs traffic_sinks() {
+        return {m_callers,
+                m_links,
+                m_server,
+                log_sink(),
+                [](const observe&) {},
+                [this](node_state state) { m_control.post(own_state_changed{state}); },
+                [this] { on_drained(); }};
+    }
+
+    control_outputs control_sinks() {
+        return {m_gossip, m_links, m_platform, log_sink(),
+                [this](shared_fleet_view view) { m_traffic.post(fleet_changed{std::move(view)}); }};
+    }
+
+    node_settings m_settings;
+    node_identity m_identity;
+    event_log m_log;
+    boost::asio::io_context m_control_context{1};
+    boost::asio::io_context m_traffic_context;
+    pause_detector m_pause;
+
+    caller_server m_callers;
+    link_manager m_links;
+    server_client m_server;
+    gossip_socket m_gossip;
+    platform_reader m_platform;
+    traffic_runner m_traffic;
+    control_runner m_control;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_flush_timer;
+    periodic_timer m_pause_timer;
+    periodic_timer m_omission_timer;
+};
+
+node_daemon::node_daemon(node_settings settings)
+    : m_implementation(std::make_unique<implementation>(std::move(settings))) {}
+
+node_daemon::~node_daemon() = default;
+
+int node_daemon::run() {
+    return m_implementation->run();
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/node/traffic_runner.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "cornelpier/node/traffic_core.hpp"
+
+#include "daemon/caller/caller_server.hpp"
+#include "daemon/link/link_manager.hpp"
+#include "daemon/log/event_log.hpp"
+#include "daemon/server/server_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <functional>
+#include <optional>
+
+namespace cornelpier {
+
+/// Who carries out the actions of the traffic core.
+struct traffic_outputs {
+    caller_server& callers;
+    link_manager& links;
+    server_client& server;
+    event_sink record;
+    std::function<void(const observe&)> measure;
+    std::function<void(node_state)> state_changed;
+    std::function<void()> drained;
+};
+
+/// Drives the traffic core on one strand: hands it events and the time, and carries out its actions.
+class traffic_runner {
+  public:
+    /// @param context_threads runs the strand.
+    /// @param identity who the node is.
+    /// @param seed seed of the core's random numbers.
+    /// @param outputs callable on any thread; must stay valid until the threads have ended.
+    traffic_runner(boost::asio::io_context& context_threads, node_identity identity, std::uint64_t seed,
+                   traffic_outputs outputs);
+
+    /// Hands the core an event. Callable on any thread; events of one thread are handled in order.
+    void post(traffic_event event);
+
+    /// Starts the core's timers.
+    void start();
+
+    /// Takes a snapshot on the strand. Callable on any thread.
+    void snapshot(std::function<void(traffic_snapshot)> on_taken);
+
+  private:
+    void handle(const traffic_event& event);
+    void advance();
+    void carry_out();
+    void report_state();
+    void arm_timer();
+
+    void execute(open_link& action) { m_outputs.links.open(action.link, action.address); }
+    void execute(const close_link& action) { m_outputs.links.close(action.link); }
+    void execute(send_message& action) { m_outputs.links.send(action.link, std::move(action.message)); }
+    void execute(answer_caller& action) { m_outputs.callers.answer(std::move(action)); }
+    void execute(start_run& action) { m_outputs.server.start(std::move(action)); }
+    void execute(const cancel_run& action) { m_outputs.server.cancel(action.run); }
+    void execute(const read_server_report& /*action*/) { m_outputs.server.read_report(); }
+    void execute(const record_event& action) { m_outputs.record(action.record); }
+    void execute(const observe& action) { m_outputs.measure(action); }
+    void execute(const drained& /*action*/) { m_outputs.drained(); }
+
+    boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
+    boost::asio::steady_timer m_timer;
+    traffic_outputs m_outputs;
+    traffic_core m_core;
+    traffic_actions m_actions;
+    std::optional<time_point> m_armed;
+    node_state m_state = node_state::starting;
+};
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/platform/http_get.cpp
@@ -0,0 +1,100 @@
+#include "daemon/platform/http_get.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// One request on one connection. The stream's own time limit covers all of it.
+class get_operation : public std::enable_shared_from_this<get_operation> {
+  public:
+    get_operation(boost::asio::io_context& context, http_get_target target,
+                  std::function<void(http_get_outcome)> on_done)
+        : m_stream(context), m_target(std::move(target)), m_on_done(std::move(on_done)) {
+        m_request.version(11);
+        m_request.method(http::verb::get);
+        m_request.target(m_target.path);
+        m_request.set(http::field::host, m_target.host);
+        m_request.set(http::field::connection, "close");
+        m_parser.body_limit(m_target.max_body);
+    }
+
+    void start() {
+        m_stream.expires_after(m_target.limit);
+        m_stream.async_connect(m_target.server, [self = shared_from_this()](error_code ec) {
+            if (ec) {
+                self->m_on_done({});
+                return;
+            }
+            self->write();
+        });
+    }
+
+  private:
+    void write() {
+        error_code ignored;
+        m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        http::async_write(m_stream, m_request, [self = shared_from_this()](error_code ec, std::size_t) {
+            if (ec) {
+                self->m_on_done({});
+                return;
+            }
+            self->read();
+        });
+    }
+
+    void read() {
+        // Beast 1.74 ignores the body limit when head and body are parsed in one step.
+        http::async_read_header(m_stream, m_buffer, m_parser,
+                                [self = shared_from_this()](error_code ec, std::size_t) {
+                                    if (ec) {
+                                        self->m_on_done({});
+                                        return;
+                                    }
+                                    self->read_body();
+                                });
+    }
+
+    void read_body() {
+        http::async_read(m_stream, m_buffer, m_parser,
+                         [self = shared_from_this()](error_code ec, std::size_t) { self->on_read(ec); });
+    }
+
+    void on_read(error_code ec) {
+        // The end of a body without a length cannot be told from a lost connection.
+        if (ec || m_parser.need_eof()) {
+            m_on_done({});
+            return;
+        }
+        m_on_done({static_cast<int>(m_parser.get().result_int()), std::move(m_parser.get().body())});
+    }
+
+    boost::beast::tcp_stream m_stream;
+    http_get_target m_target;
+    std::function<void(http_get_outcome)> m_on_done;
+    http::request<http::empty_body> m_request;
+    boost::beast::flat_buffer m_buffer;
+    http::response_parser<http::string_body> m_parser;
+};
+
+} // namespace
+
+void http_get(boost::asio::io_context& context, http_get_target target,
+              std::function<void(http_get_outcome)> on_done) {
+    std::make_shared<get_operation>(context, std::move(target), std::move(on_done))->start();
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/platform/platform_reader.cpp
@@ -0,0 +1,124 @@
+#include "daemon/platform/platform_reader.hpp"
+
+#include "daemon/net/endpoint.hpp"
+#include "daemon/platform/http_get.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+constexpr std::chrono::seconds read_limit{5};
+constexpr int watch_seconds = 30;
+
+/// A watch that is over is answered within a few seconds, or the connection is silent.
+constexpr std::chrono::seconds watch_limit{watch_seconds + 5};
+
+/// Above the largest valid sheet, so that the core can report a sheet that is too large.
+constexpr std::size_t max_sheet_bytes = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t max_vm_list_bytes = std::size_t{1} * 1024 * 1024;
+constexpr int status_ok = 200;
+constexpr int status_not_modified = 304;
+
+std::string watch_path(const std::string& path, std::uint64_t version) {
+    const char separator = path.find('?') == std::string::npos ? '?' : '&';
+    return path + separator + "newer_than=" + std::to_string(version) +
+           "&wait_s=" + std::to_string(watch_seconds);
+}
+
+control_event plan_event(http_get_outcome outcome) {
+    if (outcome.status == status_ok) {
+        return plan_read{std::move(outcome.body)};
+    }
+    if (outcome.status == status_not_modified) {
+        return plan_unchanged{};
+    }
+    return plan_read_failed{};
+}
+
+/// @return false if the item is no VM of the list.
+bool read_vm(const nlohmann::json& item, std::pair<vm_id, vm_state>& vm) {
+    if (!item.is_object()) {
+        return false;
+    }
+    const auto id = item.find("id");
+    const auto state = item.find("state");
+    if (id == item.end() || state == item.end() || !id->is_string() || !state->is_string()) {
+        return false;
+    }
+
+    vm.first = vm_id{id->get<std::string>()};
+    const auto text = state->get<std::string>();
+    vm.second = text == "leaving" ? vm_state::leaving : vm_state::live;
+    return text == "live" || text == "leaving";
+}
+
+} // namespace
+
+control_event parse_vm_list(const std::string& text) {
+    const auto list = nlohmann::json::parse(text, nullptr, false);
+    if (!list.is_object() || !list.contains("vms") || !list["vms"].is_array()) {
+        return vm_list_failed{};
+    }
+
+    vm_list_read result;
+    for (const auto& it : list["vms"]) {
+        if (!read_vm(it, result.vms.emplace_back())) {
+            return vm_list_failed{};
+        }
+    }
+    return result;
+}
+
+/// Builds the requests.
+class platform_reader::implementation {
+  public:
+    implementation(boost::asio::io_context& context, platform_options options, handler on_event)
+        : m_context(context), m_options(std::move(options)), m_on_event(std::move(on_event)) {}
+
+    void read_plan(std::optional<std::uint64_t> newer_than) {
+        const auto& path = m_options.configuration_path;
+        http_get_target target =
+            make_target(m_options.configuration_address, newer_than ? watch_path(path, *newer_than) : path);
+        target.limit = newer_than ? watch_limit : read_limit;
+        target.max_body = max_sheet_bytes;
+        http_get(m_context, std::move(target),
+                 [this](http_get_outcome outcome) { m_on_event(plan_event(std::move(outcome))); });
+    }
+
+    void read_vm_list() {
+        http_get_target target = make_target(m_options.vm_list_address, m_options.vm_list_path);
+        target.limit = read_limit;
+        target.max_body = max_vm_list_bytes;
+        http_get(m_context, std::move(target), [this](const http_get_outcome& outcome) {
+            m_on_event(outcome.status == status_ok ? parse_vm_list(outcome.body) : vm_list_failed{});
+        });
+    }
+
+  private:
+    static http_get_target make_target(const std::string& address, std::string path) {
+        return {std::get<socket_address>(parse_address(address)).tcp(), address, std::move(path)};
+    }
+
+    boost::asio::io_context& m_context;
+    platform_options m_options;
+    handler m_on_event;
+};
+
+platform_reader::platform_reader(boost::asio::io_context& context, platform_options options, handler on_event)
+    : m_implementation(std::make_unique<implementation>(context, std::move(options), std::move(on_event))) {}
+
+platform_reader::~platform_reader() = default;
+
+void platform_reader::read_plan(std::optional<std::uint64_t> newer_than) {
+    m_implementation->read_plan(newer_than);
+}
+
+void platform_reader::read_vm_list() {
+    m_implementation->read_vm_list();
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/platform/platform_reader.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "cornelpier/node/control_events.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cornelpier {
+
+/// Where the platform is found.
+struct platform_options {
+    std::string configuration_address; ///< `IP:port`.
+    std::string configuration_path;
+    std::string vm_list_address; ///< `IP:port`.
+    std::string vm_list_path;
+};
+
+/// Reads the configuration service and the VM list. Used on the thread that runs the context.
+class platform_reader {
+  public:
+    /// Receives the outcome of each read.
+    using handler = std::function<void(control_event)>;
+
+    /// @param context runs the reads; one thread.
+    /// @param options addresses checked with `parse_address`.
+    platform_reader(boost::asio::io_context& context, platform_options options, handler on_event);
+    ~platform_reader();
+
+    platform_reader(const platform_reader&) = delete;
+    platform_reader& operator=(const platform_reader&) = delete;
+    platform_reader(platform_reader&&) = delete;
+    platform_reader& operator=(platform_reader&&) = delete;
+
+    /// Reads the plan. Ends in `plan_read`, `plan_unchanged` or `plan_read_failed`.
+    /// @param newer_than wait until the version differs, at most 30 s; nothing: read at once.
+    void read_plan(std::optional<std::uint64_t> newer_than);
+
+    /// Reads the VM list. Ends in `vm_list_read` or `vm_list_failed`.
+    void read_vm_list();
+
+  private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
+/// @param text body of the VM list.
+/// @return `vm_list_read`, or `vm_list_failed` for anything that is no VM list.
+control_event parse_vm_list(const std::string& text);
+
+} // namespace cornelpier
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -122,8 +122,22 @@
     m_http->parser->header_limit(max_answer_head_bytes);
     m_http->parser->body_limit(max_answer_bytes);
     m_http->parser->skip(m_request.method == "HEAD");
-    http::async_read(*m_socket, m_http->buffer, *m_http->parser,
-                     [self = shared_from_this()](error_code ec, std::size_t) { self->on_read(ec); });
+    // Beast 1.74 ignores the body limit when head and body are parsed in one step.
+    http::async_read_header(*m_socket, m_http->buffer, *m_http->parser,
+                            [self = shared_from_this()](error_code ec, std::size_t) { self->on_head(ec); });
+}
+
+void server_exchange::on_head(error_code ec) {
+    if (!m_on_done) {
+        return;
+    }
+    if (ec) {
+        fail(server_failure::lost);
+        return;
+    }
+    http::async_read(
+        *m_socket, m_http->buffer, *m_http->parser,
+        [self = shared_from_this()](error_code failure, std::size_t) { self->on_read(failure); });
 }
 
 void server_exchange::on_read(error_code ec) {
--- a/src/daemon/server/server_exchange.hpp
+++ b/src/daemon/server/server_exchange.hpp
@@ -56,6 +56,7 @@
     void on_connected(boost::system::error_code ec, std::chrono::steady_clock::time_point deadline);
     void write(std::chrono::steady_clock::duration remaining);
     void read();
+    void on_head(boost::system::error_code ec);
     void on_read(boost::system::error_code ec);
     void on_expired();
     void fail(server_failure kind);
--- /dev/null
+++ b/tests/daemon/caller_server_test.cpp
@@ -0,0 +1,276 @@
+#include "daemon/caller/caller_server.hpp"
+#include "tests/daemon/support/raw_connection.hpp"
+#include "tests/daemon/support/running_context.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cornelpier {
+
+namespace {
+
+using test::raw_connection;
+using namespace std::chrono_literals;
+
+/// Server whose handler answers every call with its method, path and body, except those below `/hold`.
+class echo_server {
+  public:
+    explicit echo_server(caller_options options = {})
+        : address(test::free_address()),
+          server(
+              threads.context, with_address(std::move(options)), [this](traffic_event it) { on_event(it); },
+              [](const event_record&) {}) {
+        REQUIRE(server.bind().reason.empty());
+        server.start();
+    }
+
+    ~echo_server() { threads.stop(); }
+
+    std::string address;
+    test::inbox<call_arrived> calls;
+    test::inbox<call_id> abandoned;
+    test::inbox<std::string> tokens;
+    test::running_context threads;
+    caller_server server;
+
+    void reply(const call_arrived& call) {
+        answer_caller answer;
+        answer.call = call.call;
+        answer.response.status = call.request.path == "/empty" ? 204 : 200;
+        answer.response.body = make_body(call.request.method + call.request.path + *call.request.body);
+        answer.response.fields = {{"connection", "x-hop"}, {"x-hop", "1"}, {"x-end", "2"}};
+        answer.outcome = verdict::ran;
+        answer.token = "t.1.2.3.1";
+        answer.retry_after = 1200ms;
+        server.answer(std::move(answer));
+    }
+
+  private:
+    caller_options with_address(caller_options options) const {
+        options.address = address;
+        return options;
+    }
+
+    void on_event(const traffic_event& event) {
+        if (const auto* gone = std::get_if<call_abandoned>(&event)) {
+            abandoned.push(gone->call);
+        }
+        if (const auto* fate = std::get_if<call_fate_asked>(&event)) {
+            tokens.push(fate->token);
+        }
+        if (const auto* call = std::get_if<call_arrived>(&event)) {
+            calls.push(*call);
+            if (!call->request.path.starts_with("/hold")) {
+                reply(*call);
+            }
+        }
+    }
+};
+
+bool contains(const std::string& text, std::string_view part) {
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("an answer carries verdict, token, Retry-After and an exact length", "[caller]") {
+    echo_server server;
+    raw_connection caller(server.address);
+    caller.send("POST /orders?x=1 HTTP/1.1\r\nHost: Comenzi.example:80\r\nConnection: X-Drop\r\nX-Drop: 1\r\n"
+                "X-Keep: 2\r\nCornelpier-Deadline-Ms: 70\r\nCornelpier-Depth: 3\r\nCornelpier-Retry: 1\r\n"
+                "Idempotency-Key: k\r\nContent-Length: 3\r\n\r\nabc");
+    const auto answer = caller.read_until("POST/orders?x=1abc");
+
+    CHECK(contains(answer, "HTTP/1.1 200 OK\r\n"));
+    CHECK(contains(answer, "Cornelpier-Verdict: ran\r\n"));
+    CHECK(contains(answer, "Cornelpier-Request: t.1.2.3.1\r\n"));
+    CHECK(contains(answer, "Retry-After: 2\r\n"));
+    CHECK(contains(answer, "Content-Length: 18\r\n"));
+    CHECK(contains(answer, "x-end: 2\r\n"));
+    CHECK_FALSE(contains(answer, "x-hop"));
+
+    const auto call = server.calls.wait(1).at(0);
+    CHECK(call.service == service_id{"comenzi"});
+    CHECK(call.deadline == duration{70ms});
+    CHECK(call.depth == 3);
+    CHECK(call.outer_retry);
+    CHECK(call.key == "k");
+    const http_fields expected{{"x-keep", "2"}, {"idempotency-key", "k"}};
+    CHECK(call.request.fields == expected);
+}
+
+TEST_CASE("malformed requests are answered at once with not-run and the connection ends", "[caller]") {
+    const std::string head = "GET / HTTP/1.1\r\nHost: comenzi\r\n";
+    const std::string post = "POST / HTTP/1.1\r\nHost: comenzi\r\n";
+    const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+        {post + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", "400"},
+        {post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", "400"},
+        {post + "Content-Length: 3, 3\r\n\r\nabc", "400"},
+        {post + "Content-Length: +3\r\n\r\nabc", "400"},
+        {post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "400"},
+        {post + "Transfer-Encoding: gzip\r\n\r\n", "400"},
+        {chunked + "zz\r\nabc\r\n0\r\n\r\n", "400"},
+        {chunked + "3\r\nabcd\r\n0\r\n\r\n", "400"},
+        {chunked + "ffffffffffffffffff\r\n", "400"},
+        {chunked + "\r\nabc\r\n0\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\n\r\n", "400"},
+        {head + "Host: atelier\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\nHost:\r\n\r\n", "400"},
+        {"GET http://comenzi/ HTTP/1.1\r\nHost: comenzi\r\n\r\n", "400"},
+        {"OPTIONS * HTTP/1.1\r\nHost: comenzi\r\n\r\n", "400"},
+        {"GET /a\tb HTTP/1.1\r\nHost: comenzi\r\n\r\n", "400"},
+        {"GET /a\x01 HTTP/1.1\r\nHost: comenzi\r\n\r\n", "400"},
+        {"GET /a#b HTTP/1.1\r\nHost: comenzi\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\nHost : comenzi\r\n\r\n", "400"},
+        {head + "Cornelpier-Deadline-Ms: 1x\r\n\r\n", "400"},
+        {head + "Cornelpier-Depth: -1\r\n\r\n", "400"},
+        {head + "Cornelpier-Retry: 2\r\n\r\n", "400"},
+        {head + "Idempotency-Key:\r\n\r\n", "400"},
+        {"GET / HTTP/1.0\r\nHost: comenzi\r\n\r\n", "505"},
+        {"GET / HTTP/2.0\r\nHost: comenzi\r\n\r\n", "505"},
+        {"GET / HTPT/1.1\r\nHost: comenzi\r\n\r\n", "400"},
+        {head + "X-Long: " + std::string(20000, 'a') + "\r\n\r\n", "431"},
+        {post + "Content-Length: 1048577\r\n\r\n", "413"},
+        {chunked + "100001\r\n" + std::string(0x100001, 'a') + "\r\n0\r\n\r\n", "413"},
+    };
+
+    echo_server server;
+    for (const auto& [request, status] : cases) {
+        INFO(request.substr(0, 120));
+        raw_connection caller(server.address);
+        caller.send(request);
+        const auto answer = caller.read_all();
+        CHECK(contains(answer, "HTTP/1.1 " + status + ' '));
+        CHECK(contains(answer, "Cornelpier-Verdict: not-run\r\n"));
+        CHECK(contains(answer, "Connection: close\r\n"));
+    }
+    CHECK(server.calls.wait(1, 0ms).empty());
+}
+
+TEST_CASE("slow heads and bodies get 408 and idle connections are closed", "[caller]") {
+    caller_options options;
+    options.head_limit = 100ms;
+    options.body_limit = 100ms;
+    options.idle_limit = 100ms;
+    echo_server server(options);
+
+    raw_connection slow_head(server.address);
+    slow_head.send("GET / HT");
+    CHECK(contains(slow_head.read_all(), "HTTP/1.1 408 "));
+
+    raw_connection slow_body(server.address);
+    slow_body.send("POST / HTTP/1.1\r\nHost: comenzi\r\nContent-Length: 2\r\n\r\na");
+    CHECK(contains(slow_body.read_all(), "HTTP/1.1 408 "));
+
+    raw_connection idle(server.address);
+    idle.send("GET /x HTTP/1.1\r\nHost: comenzi\r\n\r\n");
+    CHECK(contains(idle.read_until("GET/x"), "HTTP/1.1 200 "));
+    CHECK(idle.read_all().empty());
+}
+
+TEST_CASE("a caller that reads nothing is disconnected", "[caller]") {
+    caller_options options;
+    options.write_limit = 200ms;
+    echo_server server(options);
+    raw_connection caller(server.address);
+    const std::string body(1'000'000, 'a');
+    for (int n = 0; n < 12; ++n) {
+        caller.send("POST / HTTP/1.1\r\nHost: comenzi\r\nContent-Length: 1000000\r\n\r\n" + body);
+    }
+
+    for (int n = 0; n < 100 && server.server.connections() > 0; ++n) {
+        std::this_thread::sleep_for(50ms);
+    }
+    CHECK(server.server.connections() == 0);
+}
+
+TEST_CASE("pipelined and chunked requests are answered in order, one at a time", "[caller]") {
+    echo_server server;
+    raw_connection caller(server.address);
+    caller.send("GET /hold HTTP/1.1\r\nHost: comenzi\r\n\r\n"
+                "POST /b HTTP/1.1\r\nHost: comenzi\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "2;x=y\r\nab\r\n1\r\nc\r\n0\r\nHost: other\r\n\r\nGET /c HTTP/1.1\r\nHost: comenzi\r\n\r\n");
+    const auto held = server.calls.wait(1).at(0);
+    std::this_thread::sleep_for(50ms);
+    CHECK(server.calls.wait(1).size() == 1);
+
+    server.reply(held);
+    const auto answers = caller.read_until("GET/c");
+    CHECK(answers.find("GET/hold") < answers.find("POST/babc"));
+    CHECK(contains(answers, "POST/babc"));
+    CHECK(server.calls.wait(3).at(1).service == service_id{"comenzi"});
+}
+
+TEST_CASE("HEAD and 204 answers have no body, which would be read as the next answer", "[caller]") {
+    echo_server server;
+    raw_connection caller(server.address);
+    caller.send("HEAD /h HTTP/1.1\r\nHost: comenzi\r\n\r\nGET /empty HTTP/1.1\r\nHost: comenzi\r\n\r\n"
+                "GET /last HTTP/1.1\r\nHost: comenzi\r\nConnection: close\r\n\r\n");
+    const auto answers = caller.read_all();
+
+    CHECK(contains(answers, "Content-Length: 6\r\n\r\nHTTP/1.1 204 No Content\r\n"));
+    CHECK_FALSE(contains(answers, "HEAD/h"));
+    CHECK_FALSE(contains(answers, "GET/empty"));
+    CHECK(contains(answers, "GET/last"));
+}
+
+TEST_CASE("a caller that goes away abandons its call", "[caller]") {
+    echo_server server;
+    {
+        raw_connection caller(server.address);
+        caller.send("GET /hold HTTP/1.1\r\nHost: comenzi\r\n\r\n");
+        REQUIRE(server.calls.wait(1).size() == 1);
+    }
+    REQUIRE(server.abandoned.wait(1).size() == 1);
+    CHECK(server.abandoned.wait(1).at(0) == server.calls.wait(1).at(0).call);
+}
+
+TEST_CASE("the fate of a request is asked for with any Host", "[caller]") {
+    echo_server server;
+    raw_connection caller(server.address);
+    caller.send("GET /cornelpier/requests/a.1.2.3.1 HTTP/1.1\r\nHost: anything\r\n\r\n");
+    REQUIRE(server.tokens.wait(1).size() == 1);
+    CHECK(server.tokens.wait(1).at(0) == "a.1.2.3.1");
+}
+
+TEST_CASE("connections above the limit get 503 not-run", "[caller]") {
+    caller_options options;
+    options.max_connections = 1;
+    echo_server server(options);
+    const raw_connection first(server.address);
+    first.send("GET /hold HTTP/1.1\r\nHost: comenzi\r\n\r\n");
+    REQUIRE(server.calls.wait(1).size() == 1);
+
+    raw_connection second(server.address);
+    const auto answer = second.read_all();
+    CHECK(contains(answer, "HTTP/1.1 503 "));
+    CHECK(contains(answer, "Cornelpier-Verdict: not-run\r\n"));
+}
+
+TEST_CASE("shutting down answers what is in progress and what was just sent", "[caller]") {
+    echo_server server;
+    raw_connection busy(server.address);
+    raw_connection idle(server.address);
+    raw_connection late(server.address);
+    busy.send("GET /hold HTTP/1.1\r\nHost: comenzi\r\n\r\n");
+    idle.send("GET /a HTTP/1.1\r\nHost: comenzi\r\n\r\n");
+    idle.read_until("GET/a");
+    late.send("GET /la");
+    REQUIRE(server.calls.wait(2).size() == 2);
+
+    test::inbox<bool> done;
+    server.server.shut_down([&] { done.push(true); });
+    late.send("te HTTP/1.1\r\nHost: comenzi\r\n\r\n");
+    CHECK(contains(late.read_all(), "HTTP/1.1 503 "));
+    CHECK(idle.read_all().empty());
+    CHECK(done.wait(1, 0ms).empty());
+
+    server.reply(server.calls.wait(1).at(0).request.path == "/hold" ? server.calls.wait(1).at(0)
+                                                                    : server.calls.wait(2).at(1));
+    CHECK(contains(busy.read_all(), "Connection: close\r\n"));
+    CHECK(done.wait(1).size() == 1);
+    CHECK_THROWS(raw_connection(server.address));
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/tests/daemon/server_client_test.cpp
@@ -0,0 +1,238 @@
+#include "daemon/server/server_client.hpp"
+#include "tests/daemon/support/running_context.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+namespace cornelpier {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+/// Server that answers each request with the bytes that the test gives, on one thread per connection.
+class scripted_server {
+  public:
+    explicit scripted_server(std::string answer, bool close = false)
+        : m_answer(std::move(answer)), m_close(close),
+          m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0}) {
+        address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        m_threads.emplace_back([this] { accept(); });
+    }
+
+    ~scripted_server() {
+        stopping = true;
+        {
+            tcp::socket wake(m_context);
+            boost::system::error_code ec;
+            wake.connect(m_acceptor.local_endpoint(), ec);
+        }
+        m_threads.front().join();
+        for (std::size_t n = 1; n < m_threads.size(); ++n) {
+            m_threads[n].join();
+        }
+    }
+
+    std::string address;
+    test::inbox<std::string> requests;
+    test::inbox<int> connections;
+    test::inbox<int> ended;
+    std::atomic<bool> stopping = false;
+
+  private:
+    void accept() {
+        while (true) {
+            tcp::socket socket = m_acceptor.accept();
+            if (stopping) {
+                return;
+            }
+            connections.push(1);
+            m_threads.emplace_back([this, it = std::move(socket)]() mutable { serve(it); });
+        }
+    }
+
+    void serve(tcp::socket& socket) {
+        std::string buf;
+        boost::system::error_code ec;
+        while (!m_close || requests.wait(0).empty()) {
+            const auto n = boost::asio::read_until(socket, boost::asio::dynamic_buffer(buf), "\r\n\r\n", ec);
+            if (ec) {
+                break;
+            }
+            requests.push(buf.substr(0, n));
+            buf.erase(0, n);
+            boost::asio::write(socket, boost::asio::buffer(m_answer), ec);
+        }
+        ended.push(1);
+    }
+
+    std::string m_answer;
+    bool m_close;
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::vector<std::thread> m_threads;
+};
+
+/// A client with its events.
+class client_under_test {
+  public:
+    explicit client_under_test(const std::string& address)
+        : client(threads.context, {address, "/load", service_id{"comenzi"}},
+                 [this](traffic_event it) { events.push(std::move(it)); }) {}
+
+    ~client_under_test() { threads.stop(); }
+
+    void start(std::uint64_t n, bool fresh = false, const std::string& method = "GET",
+               duration timeout = std::chrono::seconds{2}) {
+        start_run action;
+        action.run = run_id{n};
+        action.request = {
+            method, "/orders/1", {{"host", "other"}, {"x-a", "1"}, {"upgrade", "x"}}, make_body()};
+        action.fresh_connection = fresh;
+        action.timeout = timeout;
+        action.depth = 2;
+        action.outer_retry = true;
+        client.start(std::move(action));
+    }
+
+    /// @return how the n-th run failed, or nothing.
+    std::optional<server_failure> failure(std::size_t n) {
+        const auto all = events.wait(n);
+        const auto* it = all.size() < n ? nullptr : std::get_if<server_failed>(&all[n - 1]);
+        return it == nullptr ? std::nullopt : std::optional{it->kind};
+    }
+
+    test::inbox<traffic_event> events;
+    test::running_context threads;
+    server_client client;
+};
+
+const std::string short_answer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Hop: 1\r\nConnection: x-hop\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("a request carries deadline, depth, retry and the service as Host", "[server]") {
+    scripted_server server(short_answer);
+    client_under_test it(server.address);
+    it.start(1);
+    const auto events = it.events.wait(1);
+    REQUIRE(events.size() == 1);
+    const auto answered = std::get<server_answered>(events[0]);
+    CHECK(answered.response.status == 200);
+    CHECK(*answered.response.body == "ok");
+    CHECK(answered.response.fields.empty());
+
+    const auto request = server.requests.wait(1).at(0);
+    for (const auto* part :
+         {"GET /orders/1 HTTP/1.1\r\n", "host: comenzi\r\n", "cornelpier-deadline-ms: 2000\r\n",
+          "cornelpier-depth: 2\r\n", "cornelpier-retry: 1\r\n", "x-a: 1\r\n"}) {
+        CHECK(request.find(part) != std::string::npos);
+    }
+    CHECK(request.find("other") == std::string::npos);
+    CHECK(request.find("upgrade") == std::string::npos);
+}
+
+TEST_CASE("a fresh connection is new or answered within 100 ms", "[server]") {
+    scripted_server server(short_answer);
+    client_under_test it(server.address);
+    it.start(1);
+    REQUIRE(it.events.wait(1).size() == 1);
+    it.start(2, true);
+    REQUIRE(it.events.wait(2).size() == 2);
+    CHECK(server.connections.wait(1, 0ms).size() == 1);
+
+    std::this_thread::sleep_for(150ms);
+    it.start(3, false);
+    REQUIRE(it.events.wait(3).size() == 3);
+    CHECK(server.connections.wait(1, 0ms).size() == 1);
+    std::this_thread::sleep_for(150ms);
+    it.start(4, true);
+    REQUIRE(it.events.wait(4).size() == 4);
+    CHECK(server.connections.wait(2, 0ms).size() == 2);
+}
+
+TEST_CASE("a failed connect is told from a lost answer", "[server]") {
+    client_under_test refused(test::free_address());
+    refused.start(1);
+    CHECK(refused.failure(1) == server_failure::connect_failed);
+
+    scripted_server closing("", true);
+    client_under_test lost(closing.address);
+    lost.start(1);
+    CHECK(lost.failure(1) == server_failure::lost);
+}
+
+TEST_CASE("answers that are not complete are failures", "[server]") {
+    const std::vector<std::string> answers{
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n" + std::string(1048577, 'a'),
+        "HTTP/1.1 200",
+        "nonsense\r\n\r\n",
+    };
+    for (const auto& answer : answers) {
+        INFO(answer.substr(0, 80));
+        scripted_server server(answer, true);
+        client_under_test it(server.address);
+        it.start(1);
+        CHECK(it.failure(1) == server_failure::lost);
+    }
+}
+
+TEST_CASE("a server that does not answer in time is a loss", "[server]") {
+    scripted_server server("");
+    client_under_test it(server.address);
+    it.start(1, false, "POST", 100ms);
+    CHECK(it.failure(1) == server_failure::lost);
+    CHECK(server.ended.wait(1).size() == 1);
+}
+
+TEST_CASE("cancelling closes the connection and reports nothing", "[server]") {
+    scripted_server server("");
+    client_under_test it(server.address);
+    it.start(1);
+    REQUIRE(server.requests.wait(1).size() == 1);
+    it.client.cancel(run_id{1});
+    CHECK(server.ended.wait(1).size() == 1);
+    CHECK(it.events.wait(1, 50ms).empty());
+}
+
+TEST_CASE("interim answers are skipped and HEAD answers have no body", "[server]") {
+    scripted_server interim("HTTP/1.1 100 Continue\r\n\r\n" + short_answer);
+    client_under_test first(interim.address);
+    first.start(1);
+    REQUIRE(first.events.wait(1).size() == 1);
+    CHECK(std::get<server_answered>(first.events.wait(1)[0]).response.status == 200);
+
+    scripted_server head("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n");
+    client_under_test second(head.address);
+    second.start(1, false, "HEAD");
+    REQUIRE(second.events.wait(1).size() == 1);
+    const http_fields expected{{"content-length", "99"}};
+    CHECK(std::get<server_answered>(second.events.wait(1)[0]).response.fields == expected);
+}
+
+TEST_CASE("a report that is not understood counts as failed", "[server]") {
+    const std::string good = R"({"healthy": true, "draining": true, "in_flight": 3})";
+    const std::string bad = R"({"healthy": "yes", "draining": true, "in_flight": 3})";
+    const auto read = [](const std::string& body) {
+        scripted_server server("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                               "\r\n\r\n" + body);
+        client_under_test it(server.address);
+        it.client.read_report();
+        return it.events.wait(1).at(0);
+    };
+
+    const auto report = std::get<server_report>(read(good));
+    CHECK(report.draining);
+    CHECK(report.in_flight == 3);
+    CHECK(std::holds_alternative<server_report_failed>(read(bad)));
+    CHECK(std::holds_alternative<server_report_failed>(read("[]")));
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/tests/daemon/support/raw_connection.cpp
@@ -0,0 +1,59 @@
+#include "tests/daemon/support/raw_connection.hpp"
+
+#include <arpa/inet.h>
+#include <array>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+namespace cornelpier::test {
+
+raw_connection::raw_connection(const std::string& address) : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    const timeval limit{8, 0};
+    setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    setsockopt(m_socket, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+
+    const auto colon = address.rfind(':');
+    sockaddr_in peer{};
+    peer.sin_family = AF_INET;
+    peer.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+    inet_pton(AF_INET, address.substr(0, colon).c_str(), &peer.sin_addr);
+    if (connect(m_socket, reinterpret_cast<const sockaddr*>(&peer), sizeof peer) != 0) {
+        throw std::runtime_error("cannot connect to " + address);
+    }
+}
+
+raw_connection::~raw_connection() {
+    close(m_socket);
+}
+
+void raw_connection::send(std::string_view bytes) const {
+    while (!bytes.empty()) {
+        const auto n = ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (n <= 0) {
+            return;
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+}
+
+std::string raw_connection::read_until(std::string_view text) {
+    while (true) {
+        const auto position = m_unread.find(text);
+        if (position != std::string::npos) {
+            std::string result = m_unread.substr(0, position + text.size());
+            m_unread.erase(0, position + text.size());
+            return result;
+        }
+
+        std::array<char, 4096> buf{};
+        const auto n = recv(m_socket, buf.data(), buf.size(), 0);
+        if (n <= 0) {
+            return std::move(m_unread);
+        }
+        m_unread.append(buf.data(), static_cast<std::size_t>(n));
+    }
+}
+
+} // namespace cornelpier::test
