--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -83,6 +83,7 @@
     void executed(node_index node, const http_request& request);
     void drained_by(node_index node);
     void disturb(node_index node);
+    void end_process(const target_id& target, bool notice);
     void set_drain_cause(const target_id& target, drain_cause cause, bool value);
 
     fleet_settings m_settings;
