--- a/tests/support/fake_network.cpp
+++ b/tests/support/fake_network.cpp
@@ -18,7 +18,7 @@
 
 void fake_network::add_node(const std::string& address, const data_centre_id& data_centre) {
     m_addresses[address] = m_nodes.size();
-    m_nodes.push_back({data_centre});
+    m_nodes.push_back({address, data_centre});
 }
 
 duration fake_network::delay(node_index a, node_index b) const {
@@ -122,8 +122,9 @@
     if (peer == m_addresses.end() || unreachable(from, peer->second)) {
         return;
     }
+    const control_received event{message, m_nodes[from].address};
     m_queue.call_after(delay(from, peer->second),
-                       [this, to = peer->second, message] { m_hooks.deliver_control(to, message); });
+                       [this, to = peer->second, event] { m_hooks.deliver_control(to, event); });
 }
 
 void fake_network::end_process(node_index node, bool notice) {
--- a/tests/support/fake_network.hpp
+++ b/tests/support/fake_network.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cornelpier/base/random_source.hpp"
-#include "cornelpier/message/control_messages.hpp"
+#include "cornelpier/node/control_events.hpp"
 #include "cornelpier/node/traffic_events.hpp"
 
 #include "tests/support/event_queue.hpp"
@@ -31,7 +31,7 @@
 /// What the network needs from the nodes.
 struct network_hooks {
     std::function<void(node_index, traffic_event)> deliver;
-    std::function<void(node_index, control_message)> deliver_control;
+    std::function<void(node_index, control_received)> deliver_control;
     std::function<bool(node_index)> responsive; ///< The process lives and is not paused.
 };
 
@@ -82,6 +82,7 @@
     };
 
     struct node {
+        std::string address;
         data_centre_id data_centre;
         bool alive = true;
         bool vanished = false;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -17,8 +17,8 @@
       m_plan(m_settings.initial_plan) {
     network_hooks hooks;
     hooks.deliver = [this](node_index node, const traffic_event& event) { m_hosts[node]->deliver(event); };
-    hooks.deliver_control = [this](node_index node, const control_message& message) {
-        m_hosts[node]->deliver(control_event{control_received{message}});
+    hooks.deliver_control = [this](node_index node, const control_received& event) {
+        m_hosts[node]->deliver(control_event{event});
     };
     hooks.responsive = [this](node_index node) { return m_hosts[node]->alive() && !m_hosts[node]->paused(); };
     m_network =
