Speed up the dealing of subsets

Cause: one subset at 960 nodes took about 0.6 ms, and every node deals for each service it uses.

Sort keys are packed into one integer and buffers are kept between rounds. Excluded: a dealing without the rounds of the other entries, since it could not keep the use of targets within one of each other.

--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -232,10 +232,9 @@
     finish(*call, m_parts.composer.time_out(*call));
 }
 
-void call_driver::on_abandoned(call_id id) {
-    auto* call = m_parts.calls.find(id);
-    if (call != nullptr) {
-        remove(*call);
+void call_driver::on_abandoned(call_id call) {
+    if (auto* state = m_parts.calls.find(call)) {
+        remove(*state);
     }
 }
 
--- a/src/cornelpier/entry/link_set.cpp
+++ b/src/cornelpier/entry/link_set.cpp
@@ -213,10 +213,10 @@
     state.awaits_pong = false;
 }
 
-void link_set::lose(const target_id& target, link_loss cause, bool close) {
-    // The caller's reference may point into a container that `release` changes.
-    const target_id peer = target;
-    auto& state = m_links[peer];
+/// @param target a copy, since the caller's may be stored where `release` erases it.
+void link_set::lose(target_id target, link_loss cause,
+                    bool close) { // NOLINT(performance-unnecessary-value-param)
+    auto& state = m_links[target];
     if (close) {
         m_context.emit(close_link{state.link});
     }
@@ -225,9 +225,9 @@
         ++state.failures;
     }
     if (cause == link_loss::closed) {
-        m_context.record(event_number::link_lost, {{"target", peer.value()}});
+        m_context.record(event_number::link_lost, {{"target", target.value()}});
     }
-    m_callbacks.on_lost(peer, cause);
+    m_callbacks.on_lost(target, cause);
 }
 
 } // namespace cornelpier
--- a/src/cornelpier/routing/subset.cpp
+++ b/src/cornelpier/routing/subset.cpp
@@ -14,6 +14,11 @@
 
 constexpr std::size_t max_own_share = max_subset_size * 2 / 3;
 
+// Widths of the parts of a sort key in bits. A plan of the largest size has fewer targets than an index
+// holds.
+constexpr std::uint64_t index_width = 20;
+constexpr std::uint64_t random_width = 32;
+
 /// Deals targets to one entry after the other.
 class subset_dealer {
   public:
@@ -24,60 +29,64 @@
             m_data_centres.push_back(numbers.try_emplace(it.data_centre, numbers.size()).first->second);
         }
         m_uses.resize(m_hashes.size());
+        m_keys.resize(m_hashes.size());
+        m_order.resize(m_hashes.size());
         m_numbers = std::move(numbers);
     }
 
     /// @param round number of the entry; varies the order among equally used targets.
-    std::vector<std::size_t> deal(std::uint64_t round, const data_centre_id& own) {
-        const auto order = ranking(round);
+    /// @return the dealt targets; valid until the next call.
+    const std::vector<std::size_t>& deal(std::uint64_t round, const data_centre_id& own) {
+        rank(round);
         const auto it = m_numbers.find(own);
         const std::size_t own_number = it == m_numbers.end() ? m_numbers.size() : it->second;
+        const bool limits_own = m_numbers.size() > 1;
 
-        std::vector<std::size_t> result;
+        m_dealt.clear();
         std::size_t own_share = 0;
-        for (const std::size_t target : order) {
+        for (const std::size_t target : m_order) {
             const bool is_own = m_data_centres[target] == own_number;
-            if (result.size() == max_subset_size ||
-                (is_own && own_share == max_own_share && !only(own_number))) {
+            if (limits_own && is_own && own_share == max_own_share) {
                 continue;
             }
             own_share += is_own ? 1 : 0;
-            result.push_back(target);
+            m_dealt.push_back(target);
+            if (m_dealt.size() == max_subset_size) {
+                break;
+            }
         }
-        spread(result, order);
-        for (const std::size_t target : result) {
+        spread();
+        for (const std::size_t target : m_dealt) {
             ++m_uses[target];
         }
-        return result;
+        return m_dealt;
     }
 
   private:
-    [[nodiscard]] bool only(std::size_t number) const { return m_numbers.size() == 1 && number == 0; }
-
-    /// Targets by number of uses, then in an order that differs from round to round.
-    [[nodiscard]] std::vector<std::size_t> ranking(std::uint64_t round) const {
-        std::vector<std::pair<std::pair<std::size_t, std::uint64_t>, std::size_t>> keyed;
-        keyed.reserve(m_uses.size());
+    /// Orders the targets by number of uses, then in an order that differs from round to round. Number,
+    /// random bits and index share one integer, since this is done once per entry of the fleet.
+    void rank(std::uint64_t round) {
+        const std::uint64_t fewest = *std::ranges::min_element(m_uses);
         for (std::size_t i = 0; i < m_uses.size(); ++i) {
-            keyed.push_back({{m_uses[i], mix(m_hashes[i] + round)}, i});
+            const std::uint64_t random_bits = mix(m_hashes[i] + round) >> (64U - random_width);
+            m_keys[i] =
+                ((m_uses[i] - fewest) << (random_width + index_width)) | (random_bits << index_width) | i;
         }
-        std::ranges::sort(keyed);
-
-        std::vector<std::size_t> result(keyed.size());
-        std::ranges::transform(keyed, result.begin(), [](const auto& it) { return it.second; });
-        return result;
+        std::ranges::sort(m_keys);
+        constexpr std::uint64_t index_mask = (std::uint64_t{1} << index_width) - 1;
+        std::ranges::transform(m_keys, m_order.begin(), [](std::uint64_t key) { return key & index_mask; });
     }
 
     /// Replaces the last target by one elsewhere if all lie in one data centre.
-    void spread(std::vector<std::size_t>& chosen, const std::vector<std::size_t>& order) const {
-        const std::size_t first = m_data_centres[chosen.front()];
+    void spread() {
+        const std::size_t first = m_data_centres[m_dealt.front()];
         const auto elsewhere = [&](std::size_t target) { return m_data_centres[target] != first; };
-        if (std::ranges::any_of(chosen, elsewhere)) {
+        if (std::ranges::any_of(m_dealt, elsewhere)) {
             return;
         }
-        const auto it = std::ranges::find_if(order, elsewhere);
-        if (it != order.end()) {
-            chosen.back() = *it;
+        const auto it = std::ranges::find_if(m_order, elsewhere);
+        if (it != m_order.end()) {
+            m_dealt.back() = *it;
         }
     }
 
@@ -89,7 +98,10 @@
 
     std::vector<std::uint64_t> m_hashes;
     std::vector<std::size_t> m_data_centres;
-    std::vector<std::size_t> m_uses;
+    std::vector<std::uint64_t> m_uses;
+    std::vector<std::uint64_t> m_keys;
+    std::vector<std::size_t> m_order;
+    std::vector<std::size_t> m_dealt;
     std::map<data_centre_id, std::size_t> m_numbers;
 };
 
