Open links to unreachable targets again without making callers wait

Cause: a target whose link could not be opened once was passed over until it was ejected, which never happened while others were left; a trial of an unreachable target made its caller wait for the connection; a reading from a drain that was called off kept the target out of use where no probes are sent.

A trial needs an open link. A reading with state draining counts for 5 s, then the gossip decides. Time-outs below 250 ms and closed idle links no longer count against a target. The event of an exhausted retry budget is limited to one per second and service. Keys are sent with orders only.

Excluded: probing ejected targets, since it would cost measurements.

--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -66,8 +66,11 @@
 }
 
 void attempt_dispatcher::on_lost(const target_id& target, link_loss cause) {
+    // A peer may close a link that nobody uses.
+    if (is_busy(target) || cause != link_loss::closed) {
+        m_tables.health.on_link_lost(target, cause);
+    }
     m_permits_asked.erase(target);
-    m_tables.health.on_link_lost(target, cause);
 
     // A retry may choose the same target again; it waits for the next link.
     const auto waiting = m_index.waiting(target);
@@ -201,7 +204,9 @@
     message.idempotent = call.idempotent;
     message.priority = call.priority;
     message.leave = attempt.leave;
-    message.key = call.event.key;
+    if (call.is_keyed()) {
+        message.key = call.event.key;
+    }
     message.wait_limit = attempt.wait_limit;
     message.remaining = remaining(call, attempt);
     message.depth = call.event.depth + 1;
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint32_t max_tries = 4; // Without retries from the budget.
 constexpr std::uint32_t max_conditional_tries = 3;
 constexpr std::uint32_t max_retries = 2;
+constexpr duration exhaustion_event_interval = std::chrono::seconds{1};
 constexpr duration unplanned_retry_after = std::chrono::seconds{1};
 
 constexpr int status_not_found = 404;
@@ -186,14 +187,27 @@
         return false;
     }
     auto* service = m_parts.services.find(call.event.service);
-    if (service == nullptr || !service->retries.take()) {
-        m_context.record(event_number::retry_budget_exhausted, {{"service", call.event.service.value()}});
+    if (service == nullptr) {
+        return false;
+    }
+    if (!service->retries.take()) {
+        record_exhaustion(call.event.service, *service);
         return false;
     }
     ++call.retries;
     return true;
 }
 
+/// An overloaded service would fill the log with one event per call.
+void call_driver::record_exhaustion(const service_id& service, service_state& state) {
+    const time_point now = m_context.now();
+    if (now < state.exhaustion_recorded_at + exhaustion_event_interval) {
+        return;
+    }
+    state.exhaustion_recorded_at = now;
+    m_context.record(event_number::retry_budget_exhausted, {{"service", service.value()}});
+}
+
 void call_driver::schedule_hedge(call_state& call, const service_state& service) {
     const auto delay = service.hedges.delay();
     if (!m_context.options.hedging || !delay || call.event.outer_retry) {
--- a/src/cornelpier/entry/health_reporter.cpp
+++ b/src/cornelpier/entry/health_reporter.cpp
@@ -1,11 +1,16 @@
 #include "cornelpier/entry/health_reporter.hpp"
 
+#include <chrono>
+
 namespace cornelpier {
 
 namespace {
 
 constexpr int first_server_error = 500;
 
+// Callers may set deadlines that no target can meet; these say nothing about its health.
+constexpr duration least_timeout = std::chrono::milliseconds{250};
+
 event_number event_for(health_state state) {
     switch (state) {
     case health_state::healthy:
@@ -30,7 +35,9 @@
 }
 
 void health_reporter::on_timeout(const call_state& call, const attempt_state& attempt) {
-    note(call.event.service, attempt.target, health_outcome::failure);
+    if (m_context.now() - attempt.sent_at >= least_timeout) {
+        note(call.event.service, attempt.target, health_outcome::failure);
+    }
 }
 
 void health_reporter::on_link_lost(const target_id& target, link_loss cause) {
--- a/src/cornelpier/entry/service_state.hpp
+++ b/src/cornelpier/entry/service_state.hpp
@@ -30,7 +30,8 @@
     retry_budget retries{retry_share, retry_reserve};
     hedge_policy hedges;
     time_point last_call_at;
-    timer_service::timer_id probe_timer = 0; ///< 0 while no probes are sent.
+    time_point exhaustion_recorded_at{duration::min()}; ///< Of the last event about the retry budget.
+    timer_service::timer_id probe_timer = 0;            ///< 0 while no probes are sent.
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -16,6 +16,9 @@
 // Gossip takes about a second to spread; a reading of that age is no fresher.
 constexpr duration reading_outranks_gossip = std::chrono::seconds{1};
 
+// After a drain was called off, the next request brings a fresh reading for the price of a hop.
+constexpr duration drain_outranks_gossip = std::chrono::seconds{5};
+
 duration failure_penalty(double rate) {
     return duration{static_cast<duration::rep>(static_cast<double>(cost_of_failure.count()) * rate)};
 }
@@ -23,7 +26,7 @@
 } // namespace
 
 target_selector::target_selector(entry_context& context, reading_table& readings, distance_table& distances,
-                                 health_table& health, const link_set& links)
+                                 health_table& health, link_set& links)
     : m_context(context), m_readings(readings), m_distances(distances), m_health(health), m_links(links) {}
 
 std::optional<selection> target_selector::select(const call_state& call, service_state& service, bool hedge) {
@@ -70,6 +73,11 @@
         if (!wanted || is_leaving(target) || std::ranges::count(call.avoided, target) != 0) {
             continue;
         }
+        // No caller waits for a connection to a target that may be dead.
+        if (!m_links.is_ready(target)) {
+            m_links.open(target, service.addresses[i]);
+            continue;
+        }
         auto result = make_selection(service, i);
         result.trial = true;
         return result;
@@ -82,6 +90,11 @@
     group best = group::excluded;
     std::vector<std::size_t> result;
     for (std::size_t i = 0; i < service.subset.size(); ++i) {
+        // A target without a link is not chosen while others are left, so that no call would open the next
+        // one.
+        if (m_links.is_backing_off(service.subset[i])) {
+            m_links.open(service.subset[i], service.addresses[i]);
+        }
         const group current = group_of(call, service.subset[i]);
         if (current < best) {
             best = current;
@@ -126,7 +139,8 @@
     const auto* load = m_readings.find(target);
     if (load != nullptr && load->last) {
         const bool is_out = load->last->state != node_state::serving;
-        if (is_out || m_context.now() - load->received_at < reading_outranks_gossip) {
+        const duration age = m_context.now() - load->received_at;
+        if (age < (is_out ? drain_outranks_gossip : reading_outranks_gossip)) {
             return is_out;
         }
     }
--- a/src/cornelpier/entry/target_selector.hpp
+++ b/src/cornelpier/entry/target_selector.hpp
@@ -24,11 +24,11 @@
     bool trial = false;                 ///< The attempt is the trial request of the target.
 };
 
-/// Chooses targets. Owns nothing.
+/// Chooses targets. Owns nothing, but has links opened to targets that would be chosen with one.
 class target_selector {
   public:
     target_selector(entry_context& context, reading_table& readings, distance_table& distances,
-                    health_table& health, const link_set& links);
+                    health_table& health, link_set& links);
 
     /// Chooses from the subset of the service.
     /// @param hedge take only a target in good order without an open attempt of the call.
@@ -64,7 +64,7 @@
     reading_table& m_readings;
     distance_table& m_distances;
     health_table& m_health;
-    const link_set& m_links;
+    link_set& m_links;
 };
 
 } // namespace cornelpier
--- a/tests/entry/retry_test.cpp
+++ b/tests/entry/retry_test.cpp
@@ -199,6 +199,45 @@
     CHECK(it.sent<run>().size() == 1);
 }
 
+// A target that could not be reached once must not stay out of use, nor must a caller wait for it.
+TEST_CASE("a target without a link is passed over and its link is opened again", "[entry][retry]") {
+    entry_fixture it{2};
+    it.call("GET");
+    const auto lost = it.take<open_link>().at(0);
+    it.entry.on_link_closed(lost.link);
+    it.open_links();
+    it.answer_run(it.sent<run>().at(0), verdict::ran, refusal::none, 200);
+
+    const auto second = lookup_at_owner(it);
+    CHECK(it.peers[second.first] != lost.peer);
+    it.advance(milliseconds{80});
+    CHECK(it.take<open_link>().at(0).peer == lost.peer);
+}
+
+// A reading from before the end of a drain would keep the target out of use.
+TEST_CASE("a draining target is passed over for some seconds only", "[entry][retry]") {
+    entry_fixture it{2};
+    const auto first = lookup_at_owner(it);
+    const target_id drained = it.peers[first.first];
+    auto load = it.load_of(drained);
+    load.state = node_state::draining;
+    it.entry.on_message(first.first, load);
+    it.entry.on_abandoned({call_id{it.last_call}});
+
+    const auto count_chosen = [&] {
+        std::size_t chosen = 0;
+        for (int i = 0; i < 20; ++i) {
+            const auto current = lookup_at_owner(it);
+            chosen += it.peers[current.first] == drained ? 1 : 0;
+            it.answer_run(current, verdict::ran, refusal::none, 200);
+        }
+        return chosen;
+    };
+    CHECK(count_chosen() == 0);
+    it.advance(std::chrono::seconds{6});
+    CHECK(count_chosen() > 0);
+}
+
 // Without ejection, a server that fails fast looks idle and attracts all traffic.
 TEST_CASE("a target that fails fast is ejected and tried again later", "[entry][health]") {
     entry_options options;
