Bound the bytes of queued bodies and treat unmatched requests as orders

Cause: 10 queued runs per slot with bodies of 1 MiB exceed the 64 MB of a node.

Excluded: a smaller queue, which would refuse short lookups that can be served in time.

--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -14,6 +14,9 @@
 /// for the drain to wait for it.
 constexpr duration late_result_time = std::chrono::seconds{10};
 
+/// Keeps a full queue of the largest bodies within the memory of a node.
+constexpr std::size_t max_queued_bytes = std::size_t{16} * 1024 * 1024;
+
 bool is_refusal(const service_plan* service, int status) {
     return service != nullptr &&
            std::ranges::find(service->refusal_statuses, status) != service->refusal_statuses.end();
@@ -30,7 +33,10 @@
 }
 
 bool run_executor::has_room(request_class priority) const {
-    return (may_start() && m_state.queue.empty()) || m_state.queue.accepts(priority);
+    if (may_start() && m_state.queue.empty()) {
+        return true;
+    }
+    return m_state.runs.queued_bytes() < max_queued_bytes && m_state.queue.accepts(priority);
 }
 
 duration run_executor::age(const owned_run& entry) const {
--- a/src/cornelpier/owner/run_intake.cpp
+++ b/src/cornelpier/owner/run_intake.cpp
@@ -41,7 +41,7 @@
         return false;
     }
     const request_rule* rule = service->match(message.request.method, message.request.path);
-    return rule != nullptr && !rule->idempotent;
+    return rule == nullptr || !rule->idempotent;
 }
 
 void run_intake::take(link_id link, const run& message) {
--- a/src/cornelpier/owner/run_table.cpp
+++ b/src/cornelpier/owner/run_table.cpp
@@ -4,9 +4,18 @@
 
 namespace cornelpier {
 
+namespace {
+
+std::size_t body_size(const owned_run& entry) {
+    return entry.request.body ? entry.request.body->size() : 0;
+}
+
+} // namespace
+
 owned_run& run_table::add(owned_run entry) {
     entry.id = run_id{++m_last_id};
     m_by_attempt.emplace(entry.attempt, entry.id);
+    m_queued_bytes += body_size(entry);
     const run_id id = entry.id;
     return m_runs.emplace(id, std::move(entry)).first->second;
 }
@@ -18,6 +27,8 @@
     m_by_attempt.erase(entry.attempt);
     if (entry.at_server) {
         --m_at_server;
+    } else {
+        m_queued_bytes -= body_size(entry);
     }
     return entry;
 }
@@ -26,6 +37,7 @@
     entry.at_server = true;
     entry.handed_over = now;
     ++m_at_server;
+    m_queued_bytes -= body_size(entry);
 }
 
 owned_run* run_table::find(run_id id) {
--- a/src/cornelpier/owner/run_table.hpp
+++ b/src/cornelpier/owner/run_table.hpp
@@ -36,12 +36,16 @@
     /// does not: a few stuck connections would make the server look slow.
     [[nodiscard]] server_load load(time_point now) const;
 
+    /// @return bytes of the bodies of queued runs.
+    [[nodiscard]] std::size_t queued_bytes() const { return m_queued_bytes; }
+
     [[nodiscard]] std::size_t at_server() const { return m_at_server; }
     [[nodiscard]] bool empty() const { return m_runs.empty(); }
 
   private:
     std::uint64_t m_last_id = 0;
     std::size_t m_at_server = 0;
+    std::size_t m_queued_bytes = 0;
     std::map<run_id, owned_run> m_runs;
     std::unordered_map<attempt_id, run_id> m_by_attempt;
 };
