Add the benchmark in virtual time

Cause: the tail and the cost of measuring are compared with simple policies on the same servers and arrivals.

Excluded: changes of the core.

--- /dev/null
+++ b/tests/bench/baseline_fleet.cpp
@@ -0,0 +1,185 @@
+#include "tests/bench/baseline_fleet.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace cornelpier::testing {
+
+namespace {
+
+/// Connections that a server accepts for each of its slots (200 for 10).
+constexpr std::size_t connections_per_slot = 20;
+constexpr double never = std::numeric_limits<double>::max();
+
+} // namespace
+
+baseline_fleet::baseline_fleet(const deployment& where, policy rule, std::uint64_t seed)
+    : m_where(where), m_policy(rule), m_random(seed), m_entries(where.entries()) {
+    const auto targets = where.targets().size();
+    for (std::size_t n = 0; n < targets; ++n) {
+        m_servers.push_back(std::make_unique<fake_server>(m_queue, where.server, m_random.split(),
+                                                          [](const http_request&) {}));
+    }
+    m_lost.resize(m_entries.size());
+    m_in_flight.assign(m_entries.size(), std::vector<std::size_t>(targets));
+    m_on_the_way.resize(targets);
+    for (std::size_t n = 0; n < m_entries.size(); ++n) {
+        m_next.push_back(m_random.below(targets));
+    }
+}
+
+duration baseline_fleet::distance(std::size_t entry, std::size_t target) const {
+    return m_entries[entry].data_centre == m_where.targets()[target].data_centre ? m_where.network.within
+                                                                                 : m_where.network.between;
+}
+
+void baseline_fleet::call(std::size_t entry) {
+    while (m_lost[entry]) {
+        entry = (entry + 1) % m_entries.size();
+    }
+    const auto call = m_outcomes.size();
+    const auto deadline = m_where.current_plan->find_service(m_where.service)->deadline;
+    m_outcomes.push_back({m_queue.now(), deadline, verdict::unknown});
+    m_ended.push_back(false);
+    m_queue.call_after(m_where.network.to_callers, [this, call, entry, deadline] {
+        const auto target = choose(entry);
+        ++m_in_flight[entry][target];
+        ++m_on_the_way[target];
+        m_queue.call_after(distance(entry, target),
+                           [this, call, entry, target] { arrive(call, entry, target); });
+        m_queue.call_after(deadline, [this, call, entry, target] {
+            if (!m_ended[call]) {
+                --m_in_flight[entry][target];
+                time_out(call, target);
+            }
+        });
+    });
+}
+
+void baseline_fleet::time_out(std::size_t call, std::size_t target) {
+    m_ended[call] = true;
+    m_servers[target]->cancel(run_id{call});
+}
+
+void baseline_fleet::arrive(std::size_t call, std::size_t entry, std::size_t target) {
+    --m_on_the_way[target];
+    auto& server = *m_servers[target];
+    // A VM that has disappeared does not answer; the call ends at its deadline.
+    if (m_lost[target]) {
+        return;
+    }
+    if (server.load() >= connections_per_slot * m_where.server.slots) {
+        end(call, entry, target, server_failure::connect_failed);
+        return;
+    }
+    server.start(run_id{call}, {"GET", "/status", {}, make_body()},
+                 [this, call, entry, target](const auto& outcome) { end(call, entry, target, outcome); });
+}
+
+void baseline_fleet::end(std::size_t call, std::size_t entry, std::size_t target,
+                         const fake_server::outcome& outcome) {
+    const auto back = distance(entry, target);
+    auto result = verdict::unknown;
+    if (const auto* response = std::get_if<http_response>(&outcome)) {
+        result = response->status < 500 ? verdict::ran : verdict::unknown;
+    } else if (std::get<server_failure>(outcome) == server_failure::connect_failed) {
+        result = verdict::not_run;
+    }
+
+    m_queue.call_after(back, [this, call, entry, target, result] {
+        if (m_ended[call]) {
+            return;
+        }
+        m_ended[call] = true;
+        --m_in_flight[entry][target];
+        auto& it = m_outcomes[call];
+        it.outcome = result;
+        it.latency = m_queue.now() + m_where.network.to_callers - it.sent;
+    });
+}
+
+std::size_t baseline_fleet::choose(std::size_t entry) {
+    switch (m_policy) {
+    case policy::random:
+        return m_random.below(m_servers.size());
+    case policy::round_robin:
+        return m_next[entry]++ % m_servers.size();
+    case policy::least_reported_load:
+    case policy::perfect:
+        return least(scores(entry));
+    case policy::two_choices_reported:
+    case policy::two_choices_in_flight:
+        break;
+    }
+    return better_of_two(scores(entry));
+}
+
+std::vector<double> baseline_fleet::scores(std::size_t entry) const {
+    std::vector<double> result;
+    for (std::size_t n = 0; n < m_servers.size(); ++n) {
+        if (m_policy == policy::perfect) {
+            result.push_back(perfect_score(entry, n));
+        } else if (m_policy == policy::two_choices_in_flight) {
+            result.push_back(static_cast<double>(m_in_flight[entry][n]));
+        } else {
+            const auto report = m_servers[n]->report();
+            result.push_back(report ? report->in_flight : never);
+        }
+    }
+    return result;
+}
+
+/// @return the expected time to the end of the run in seconds.
+double baseline_fleet::perfect_score(std::size_t entry, std::size_t target) const {
+    const auto& server = *m_servers[target];
+    if (!server.usable()) {
+        return never;
+    }
+    const auto slots = static_cast<double>(m_where.server.slots);
+    const auto ahead = static_cast<double>(server.load() + m_on_the_way[target]);
+    const auto waves = std::max(0.0, ahead + 1 - slots) / slots;
+    return server.slowdown() * to_seconds(m_where.server.mean) * (1 + waves) +
+           2 * to_seconds(distance(entry, target));
+}
+
+std::size_t baseline_fleet::better_of_two(const std::vector<double>& score) {
+    const auto first = m_random.below(score.size());
+    auto second = m_random.below(score.size() - 1);
+    second += second >= first ? 1 : 0;
+    return score[second] < score[first] ? second : first;
+}
+
+std::size_t baseline_fleet::least(const std::vector<double>& score) {
+    const auto best = *std::ranges::min_element(score);
+    std::vector<std::size_t> equal;
+    for (std::size_t n = 0; n < score.size(); ++n) {
+        if (score[n] <= best) {
+            equal.push_back(n);
+        }
+    }
+    return equal[m_random.below(equal.size())];
+}
+
+void baseline_fleet::lose(std::size_t entry) {
+    m_lost[entry] = true;
+    if (entry < m_servers.size()) {
+        // A VM that disappears closes no connection.
+        m_servers[entry]->cancel_all();
+        m_servers[entry]->set_down(true);
+    }
+}
+
+void baseline_fleet::restore(std::size_t entry) {
+    m_lost[entry] = false;
+    if (entry < m_servers.size()) {
+        m_servers[entry]->set_down(false);
+    }
+}
+
+fleet_counts baseline_fleet::counts() {
+    fleet_counts result;
+    result.measurements.resize(m_servers.size());
+    return result;
+}
+
+} // namespace cornelpier::testing
--- /dev/null
+++ b/tests/bench/bench_run.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "tests/bench/bench_case.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelpier::testing {
+
+/// Figures of one policy in one case; pooled over seeds by `add`.
+struct bench_figures {
+    std::vector<duration> latencies; ///< Of calls that ran.
+    std::size_t calls = 0;
+    std::size_t refused = 0;
+    std::size_t unknown = 0;
+    double retries = 0;
+    double hedges = 0;
+    double rechoices = 0;
+    double measurements = 0;           ///< In the window, of all targets.
+    std::size_t most_measurements = 0; ///< Of one target in any second.
+    std::size_t runs = 0;
+
+    void add(const bench_figures& other);
+};
+
+/// @return the names of the policies, `ours` last.
+std::vector<std::string> policy_names();
+
+/// Runs one policy in one case. The same arguments give the same figures.
+bench_figures run_bench(const deployment& where, const bench_case& what, std::string_view policy_name,
+                        std::uint64_t seed);
+
+/// @return one line of JSON.
+std::string to_json(const deployment& where, const bench_case& what, const std::string& policy_name,
+                    const std::string& seeds, bench_figures figures);
+
+} // namespace cornelpier::testing
--- /dev/null
+++ b/tests/bench/core_fleet.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "tests/bench/balanced_fleet.hpp"
+#include "tests/support/fleet.hpp"
+
+namespace cornelpier::testing {
+
+/// Measures the real cores (policy `ours`).
+class core_fleet : public balanced_fleet {
+  public:
+    core_fleet(const deployment& where, std::uint64_t seed);
+
+    event_queue& queue() override { return m_fleet.queue(); }
+    fake_server& server(std::size_t target) override;
+    void call(std::size_t entry) override;
+    void lose(std::size_t entry) override;
+    void restore(std::size_t entry) override;
+    std::vector<call_outcome> outcomes() override;
+    fleet_counts counts() override;
+
+  private:
+    deployment m_where;
+    std::vector<target_plan> m_entries;
+    fleet m_fleet;
+    std::size_t m_calls = 0;
+};
+
+} // namespace cornelpier::testing
--- /dev/null
+++ b/tests/bench/cornelpier_bench.cpp
@@ -0,0 +1,86 @@
+#include "tests/bench/bench_run.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <iostream>
+#include <string>
+#include <vector>
+
+using namespace cornelpier::testing;
+
+namespace {
+
+constexpr std::size_t workers = 4;
+
+/// Seeds for reporting; 1 to 5 are for tuning.
+const std::vector<std::uint64_t> reported_seeds{101, 102, 103, 104, 105};
+
+struct bench_line {
+    deployment where;
+    bench_case what;
+    std::string policy_name;
+};
+
+/// Runs a line for all seeds and pools the figures.
+std::string measure(const bench_line& line, const std::vector<std::uint64_t>& seeds) {
+    bench_figures sum;
+    for (const auto seed : seeds) {
+        sum.add(run_bench(line.where, line.what, line.policy_name, seed));
+    }
+    auto range = std::to_string(seeds.front());
+    range += seeds.size() > 1 ? "-" + std::to_string(seeds.back()) : "";
+    return to_json(line.where, line.what, line.policy_name, range, std::move(sum));
+}
+
+bool selected(const std::string& wanted, const std::string& name) {
+    return wanted.empty() || wanted == name;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"Measures latency and cost of balancing policies in virtual time, one JSON line each"};
+    std::string case_name;
+    std::string policy_name;
+    std::string deployment_name;
+    std::vector<std::uint64_t> seeds = reported_seeds;
+    app.add_option("--case", case_name, "only this case");
+    app.add_option("--policy", policy_name, "only this policy");
+    app.add_option("--deployment", deployment_name, "only this deployment");
+    app.add_option("--seed", seeds, "seeds, pooled into one line (default 101 to 105)");
+    CLI11_PARSE(app, argc, argv);
+
+    std::vector<bench_line> lines;
+    for (const auto& where : deployments()) {
+        for (const auto& what : bench_cases()) {
+            for (const auto& name : policy_names()) {
+                if (selected(deployment_name, where.name) && selected(case_name, what.name) &&
+                    selected(policy_name, name)) {
+                    lines.push_back({where, what, name});
+                }
+            }
+        }
+    }
+    if (lines.empty()) {
+        std::cerr << "no such case, policy or deployment\n";
+        return 2;
+    }
+
+    std::vector<std::promise<std::string>> results(lines.size());
+    std::atomic<std::size_t> next = 0;
+    std::vector<std::future<void>> running;
+    for (std::size_t n = 0; n < workers; ++n) {
+        running.push_back(std::async(std::launch::async, [&] {
+            for (auto it = next++; it < lines.size(); it = next++) {
+                results[it].set_value(measure(lines[it], seeds));
+            }
+        }));
+    }
+    for (auto& it : results) {
+        std::cout << it.get_future().get() << std::endl;
+    }
+    return 0;
+}
--- /dev/null
+++ b/tools/bench.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds and runs the benchmark in virtual time. `--case NAME`, `--policy NAME`, `--deployment NAME` and
+# `--seed N` narrow it down; without a seed the figures are pooled over the seeds for reporting.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+build=${BUILD_DIR:-build}
+cmake -S . -B "$build" -G Ninja > /dev/null
+cmake --build "$build" --target cornelpier-bench > /dev/null
+exec "$build/tests/cornelpier-bench" "$@"
