Build strings in the harness without temporaries

Cause: the linter reports concatenations in fleet.cpp and scenario_runner.cpp.

Excluded: other findings; there were none.

--- a/tests/scenario/scenario_runner.cpp
+++ b/tests/scenario/scenario_runner.cpp
@@ -299,7 +299,8 @@
                            : relation == ">" ? std::stod(actual) >= std::stod(value)
                                              : std::stod(actual) <= std::stod(value);
         if (!holds) {
-            fail(it, name + " is " + actual + ", expected " + relation + value);
+            std::string text = name + " is " + actual;
+            fail(it, text.append(", expected ").append(relation).append(value));
         }
     }
 }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -62,11 +62,11 @@
         if (!m_settings.transcript || kind.level < m_settings.transcript_level) {
             return;
         }
-        std::string line = m_targets[node].value() + " event " +
-                           std::to_string(static_cast<unsigned>(record.number)) + " " +
-                           std::string{kind.name};
+        std::string line = m_targets[node].value() + " event ";
+        line += std::to_string(static_cast<unsigned>(record.number)) + " ";
+        line += kind.name;
         for (const auto& [name, value] : record.fields) {
-            line += " " + name + "=" + value;
+            line.append(" ").append(name).append("=").append(value);
         }
         write(line);
     };
