Choose again without budget where the server was not touched

Cause: with two copies of a message in the network, the owner's word on the second copy ended calls as unknown while the first copy ran; a target that a plan left out refused runs and emptied the retry budget.

Refusals as unknown service, and as overloaded for conditional runs, cost the server nothing and are free within the four tries of a call. The backoff of links ends at 1.6 s, so that a restarted target is used again soon.

Excluded: refusals of unconditional runs as overloaded, which still draw on the budget.

--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -121,7 +121,9 @@
     }
     auto& attempt = *call->find(word.attempt.number);
     const bool awaited = attempt.phase == attempt_phase::sent || attempt.phase == attempt_phase::asking;
-    if (!awaited || attempt.target != target) {
+    // The owner got a second copy while the first one is running; the answer to that one is still to come.
+    const bool is_about_copy = word.reason == refusal::duplicate && word.outcome == verdict::unknown;
+    if (!awaited || is_about_copy || attempt.target != target) {
         return false;
     }
 
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -20,11 +20,22 @@
 constexpr int status_gateway_timeout = 504;
 constexpr int status_loop_detected = 508;
 
-/// The request cost the server nothing, so that choosing again needs no budget.
-bool is_free(const attempt_result& result) {
-    return result.end == attempt_end::not_sent || result.end == attempt_end::fate_refused ||
-           result.reason == refusal::wait_limit || result.reason == refusal::no_permit ||
-           result.reason == refusal::draining;
+/// The request cost the server nothing, so that choosing again needs no budget. An overloaded owner may
+/// refuse a conditional run before it compares the wait.
+bool is_free(const attempt_state& attempt, const attempt_result& result) {
+    switch (result.reason) {
+    case refusal::none:
+        return result.end == attempt_end::not_sent || result.end == attempt_end::fate_refused;
+    case refusal::wait_limit:
+    case refusal::no_permit:
+    case refusal::draining:
+    case refusal::unknown_service:
+        return true;
+    case refusal::overloaded:
+        return attempt.wait_limit.has_value();
+    default:
+        return false;
+    }
 }
 
 /// The refusal concerns the request itself; no other target would decide otherwise.
@@ -139,7 +150,7 @@
         return;
     }
 
-    const auto kind = next_kind(call, result);
+    const auto kind = next_kind(call, attempt, result);
     if (!kind || !begin_attempt(call, *kind)) {
         finish(call, m_parts.composer.finish(call));
         return;
@@ -163,8 +174,8 @@
 }
 
 /// @return how the call goes on, or nothing if the result is its last.
-std::optional<call_driver::attempt_kind> call_driver::next_kind(call_state& call,
-                                                                const attempt_result& result) {
+std::optional<call_driver::attempt_kind>
+call_driver::next_kind(call_state& call, const attempt_state& attempt, const attempt_result& result) {
     if (m_context.now() >= call.deadline || is_final(result.reason)) {
         return std::nullopt;
     }
@@ -176,7 +187,7 @@
     if (call.is_keyed() && is_lasting(result)) {
         return std::nullopt;
     }
-    if (is_free(result) && call.tries < max_tries) {
+    if (is_free(attempt, result) && call.tries < max_tries) {
         return attempt_kind::rechoice;
     }
     return take_retry(call) ? std::optional{attempt_kind::retry} : std::nullopt;
--- a/src/cornelpier/entry/call_driver.hpp
+++ b/src/cornelpier/entry/call_driver.hpp
@@ -45,7 +45,8 @@
     void start(call_state& call);
     bool begin_attempt(call_state& call, attempt_kind kind);
     std::optional<selection> select(const call_state& call, attempt_kind kind);
-    std::optional<attempt_kind> next_kind(call_state& call, const attempt_result& result);
+    std::optional<attempt_kind> next_kind(call_state& call, const attempt_state& attempt,
+                                          const attempt_result& result);
     bool take_retry(call_state& call);
     void record_exhaustion(const service_id& service, service_state& state);
     void note_result(call_state& call, const attempt_state& attempt, const attempt_result& result);
--- a/src/cornelpier/entry/link_set.cpp
+++ b/src/cornelpier/entry/link_set.cpp
@@ -12,7 +12,7 @@
 constexpr duration open_limit = std::chrono::milliseconds{250};    // A new connection takes about 1 ms.
 constexpr duration idle_limit = std::chrono::seconds{60};
 constexpr duration first_backoff = std::chrono::milliseconds{50};
-constexpr std::uint32_t max_backoff_doublings = 7;
+constexpr std::uint32_t max_backoff_doublings = 5;
 
 duration backoff(std::uint32_t failures, random_source& random) {
     const auto doublings = std::min(failures - 1, max_backoff_doublings);
--- a/tests/entry/link_test.cpp
+++ b/tests/entry/link_test.cpp
@@ -104,6 +104,12 @@
         it.answer_run(first, verdict::ran, refusal::none, 201);
         CHECK(it.take<answer_caller>().size() == 1);
     }
+    SECTION("about a second copy of a run that is in progress") {
+        it.answer_run(first, verdict::unknown, refusal::duplicate);
+        CHECK(it.take<answer_caller>().empty());
+        it.answer_run(first, verdict::ran, refusal::none, 201);
+        CHECK(it.take<answer_caller>().at(0).outcome == verdict::ran);
+    }
     SECTION("of a link that was replaced") {
         it.entry.on_link_closed(first.first);
         it.answer_run(first, verdict::ran, refusal::none, 201);
