Let cold targets bound the wait and compare slow starts

Cause: while a fleet started, slow start left a random single target in the choice, whose run then had no wait limit and queued at a slow server until the deadline.

The share of a target in slow start is compared with the warmest target of the subset, and targets that are passed over for their slow start still count as second best.

Excluded: a change of the wait limit itself.

--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -35,19 +35,25 @@
             return trial;
         }
     }
-    const auto members = first_group(call, service, hedge);
+    const auto members = usable_members(call, service, hedge);
     if (members.empty()) {
         return std::nullopt;
     }
 
     const auto scored = score(service, members);
-    std::vector<candidate> candidates(scored.size());
-    std::ranges::transform(scored, candidates.begin(), &scored_candidate::scored);
+    std::vector<candidate> candidates;
+    for (const auto& it : scored) {
+        if (!it.passed_over) {
+            candidates.push_back(it.scored);
+        }
+    }
+    const std::size_t position = service.policy.choose(candidates, m_context.random);
+    const auto* target = candidates.at(position).target;
+    const auto chosen = std::ranges::find(scored, target, [](const auto& it) { return it.scored.target; });
 
-    const std::size_t chosen = service.policy.choose(candidates, m_context.random);
-    auto result = make_selection(service, scored.at(chosen).index);
+    auto result = make_selection(service, chosen->index);
     if (m_context.options.conditional_admission) {
-        result.wait_limit = wait_limit(scored, chosen);
+        result.wait_limit = wait_limit(scored, *chosen);
     }
     return result;
 }
@@ -85,32 +91,36 @@
     return std::nullopt;
 }
 
-std::vector<std::size_t> target_selector::first_group(const call_state& call, const service_state& service,
-                                                      bool hedge) {
+/// @return the members of the first group that is not empty. Regular targets come with the cold ones, which
+/// are not chosen, but count for the wait limit.
+std::vector<target_selector::member>
+target_selector::usable_members(const call_state& call, const service_state& service, bool hedge) {
     group best = group::excluded;
-    std::vector<std::size_t> result;
+    std::vector<member> result;
+    const double warmest = warmest_share(service);
     for (std::size_t i = 0; i < service.subset.size(); ++i) {
         // A target without a link is not chosen while others are left, so that no call would open the next
         // one.
         if (m_links.is_backing_off(service.subset[i])) {
             m_links.open(service.subset[i], service.addresses[i]);
         }
-        const group current = group_of(call, service.subset[i]);
-        if (current < best) {
-            best = current;
-            result.clear();
-        }
-        if (current == best && best != group::excluded) {
-            result.push_back(i);
-        }
+        const group current = group_of(call, service.subset[i], warmest);
+        best = std::min(best, current);
+        result.push_back({i, current});
     }
-    if (hedge && best > group::cold) {
-        result.clear();
+    if (best == group::excluded || (hedge && best > group::cold)) {
+        return {};
+    }
+    const group last = best == group::regular ? group::cold : best;
+    std::erase_if(result, [last](const member& it) { return it.current > last; });
+    for (auto& it : result) {
+        it.passed_over = it.current != best;
     }
     return result;
 }
 
-target_selector::group target_selector::group_of(const call_state& call, const target_id& target) {
+target_selector::group target_selector::group_of(const call_state& call, const target_id& target,
+                                                 double warmest) {
     if (std::ranges::count(call.avoided, target) != 0) {
         return group::excluded;
     }
@@ -127,7 +137,7 @@
     if (tried) {
         return group::tried;
     }
-    return is_cold(target) ? group::cold : group::regular;
+    return is_cold(target, warmest) ? group::cold : group::regular;
 }
 
 bool target_selector::is_leaving(const target_id& target) const {
@@ -148,8 +158,22 @@
     return node != view.node_states.end() && node->second != node_state::serving;
 }
 
-/// Draws whether a target in slow start is passed over this time.
-bool target_selector::is_cold(const target_id& target) {
+/// Draws whether a target in slow start is passed over this time. What counts is its share compared with the
+/// warmest target, so that the targets of a fleet that starts as a whole are all chosen.
+bool target_selector::is_cold(const target_id& target, double warmest) {
+    const double share = warm_share(target) / warmest;
+    return share < 1 && m_context.random.unit() >= share;
+}
+
+double target_selector::warmest_share(const service_state& service) {
+    double result = 0;
+    for (const auto& it : service.subset) {
+        result = std::max(result, warm_share(it));
+    }
+    return result;
+}
+
+double target_selector::warm_share(const target_id& target) {
     double share = 1;
     const time_point now = m_context.now();
     if (const auto* load = m_readings.find(target); load != nullptr && load->last) {
@@ -158,11 +182,11 @@
     if (const auto recovered = m_health.at(target, now).recovered_at()) {
         share = std::min(share, slow_start_share(now - *recovered));
     }
-    return share < 1 && m_context.random.unit() >= share;
+    return share;
 }
 
-std::vector<target_selector::scored_candidate>
-target_selector::score(const service_state& service, const std::vector<std::size_t>& members) {
+std::vector<target_selector::scored_candidate> target_selector::score(const service_state& service,
+                                                                      const std::vector<member>& members) {
     const time_point now = m_context.now();
     std::vector<const target_load*> loads(service.subset.size());
     std::ranges::transform(service.subset, loads.begin(),
@@ -171,14 +195,15 @@
 
     std::vector<scored_candidate> result;
     result.reserve(members.size());
-    for (const std::size_t i : members) {
+    for (const auto& entry : members) {
+        const std::size_t i = entry.index;
         const auto& target = service.subset[i];
         const auto* load = loads[i];
         const duration distance = m_distances.distance(target, service.data_centres[i]);
         const load_estimate estimate = estimate_load(load, average, distance, now);
         const duration penalty = failure_penalty(m_health.at(target, now).failure_rate(now));
 
-        scored_candidate it{i, {&target}, estimate.service + penalty};
+        scored_candidate it{i, {&target}, estimate.service + penalty, entry.passed_over};
         it.scored.wait = estimate.wait;
         it.scored.estimate = estimate.wait + estimate.service + distance + penalty;
         if (load != nullptr) {
@@ -193,18 +218,17 @@
 /// The second-best target is better if wait and service here take longer than everything there; the
 /// distance of the chosen target is spent in both cases, as the way of the refusal.
 std::optional<duration> target_selector::wait_limit(const std::vector<scored_candidate>& candidates,
-                                                    std::size_t chosen) {
+                                                    const scored_candidate& chosen) {
     std::optional<duration> second;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (i != chosen) {
-            const duration estimate = candidates[i].scored.estimate;
-            second = second ? std::min(*second, estimate) : estimate;
+    for (const auto& it : candidates) {
+        if (it.index != chosen.index) {
+            second = std::min(second.value_or(duration::max()), it.scored.estimate);
         }
     }
     if (!second) {
         return std::nullopt;
     }
-    return std::max(*second - candidates[chosen].hurdle, duration::zero());
+    return std::max(*second - chosen.hurdle, duration::zero());
 }
 
 selection target_selector::make_selection(const service_state& service, std::size_t index) {
--- a/src/cornelpier/entry/target_selector.hpp
+++ b/src/cornelpier/entry/target_selector.hpp
@@ -43,21 +43,29 @@
     /// Targets are used in this order; a group counts only if all before it are empty.
     enum class group : std::uint8_t { regular, cold, tried, unhealthy, leaving, excluded };
 
+    struct member {
+        std::size_t index = 0; ///< In the subset.
+        group current = group::regular;
+        bool passed_over = false;
+    };
+
     struct scored_candidate {
         std::size_t index = 0; ///< In the subset.
         candidate scored;
         duration hurdle{}; ///< Part of the estimate that does not depend on the wait.
+        bool passed_over = false;
     };
 
     std::optional<selection> select_trial(const call_state& call, const service_state& service);
-    std::vector<scored_candidate> score(const service_state& service,
-                                        const std::vector<std::size_t>& members);
-    std::vector<std::size_t> first_group(const call_state& call, const service_state& service, bool hedge);
-    group group_of(const call_state& call, const target_id& target);
+    std::vector<scored_candidate> score(const service_state& service, const std::vector<member>& members);
+    std::vector<member> usable_members(const call_state& call, const service_state& service, bool hedge);
+    group group_of(const call_state& call, const target_id& target, double warmest);
     [[nodiscard]] bool is_leaving(const target_id& target) const;
-    bool is_cold(const target_id& target);
+    bool is_cold(const target_id& target, double warmest);
+    double warmest_share(const service_state& service);
+    double warm_share(const target_id& target);
     static std::optional<duration> wait_limit(const std::vector<scored_candidate>& candidates,
-                                              std::size_t chosen);
+                                              const scored_candidate& chosen);
     static selection make_selection(const service_state& service, std::size_t index);
 
     entry_context& m_context;
--- a/tests/entry/entry_fixture.hpp
+++ b/tests/entry/entry_fixture.hpp
@@ -120,7 +120,7 @@
         result.target = target;
         result.limit = 10;
         result.service_time = milliseconds{5};
-        result.uptime = std::chrono::seconds{100};
+        result.uptime = uptime;
         result.leave = {incarnation{process}, timers.now() + std::chrono::seconds{5}};
         result.sequence = ++last_reading;
         return result;
@@ -159,6 +159,7 @@
     std::unordered_map<link_id, target_id> peers;
     std::uint64_t last_call = 0;
     std::uint64_t last_reading = 0;
+    duration uptime = std::chrono::seconds{100};
     bool outer_retry = false;
     entry_manager entry;
 };
--- a/tests/entry/retry_test.cpp
+++ b/tests/entry/retry_test.cpp
@@ -200,6 +200,20 @@
     CHECK(it.sent<run>().size() == 1);
 }
 
+// While all targets are cold, none must be passed over, and a cold target still bounds the wait at another.
+TEST_CASE("slow start counts in comparison with the other targets", "[entry][retry]") {
+    entry_fixture it{2};
+    it.uptime = milliseconds{100};
+    std::set<target_id> used;
+    for (int i = 0; i < 40; ++i) {
+        const auto current = lookup_at_owner(it);
+        CHECK(current.second.wait_limit);
+        used.insert(it.peers[current.first]);
+        it.answer_run(current, verdict::ran, refusal::none, 200);
+    }
+    CHECK(used.size() == 2);
+}
+
 // A target that could not be reached once must not stay out of use, nor must a caller wait for it.
 TEST_CASE("a target without a link is passed over and its link is opened again", "[entry][retry]") {
     entry_fixture it{2};
