--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -87,7 +87,9 @@
                    traffic_sink()),
           m_gossip(
               m_control_context,
-              [this](control_message message) { m_control.post(control_received{std::move(message)}); },
+              [this](control_message message) {
+                  m_control.post(control_received{std::move(message), {}});
+              },
               log_sink()),
           m_platform(m_control_context,
                      {m_settings.configuration_address, m_settings.configuration_path,
@@ -197,7 +199,9 @@
                 [this](link_id link, traffic_message message) {
                     m_traffic.post(message_received{link, std::move(message)});
                 },
-                [this](control_message message) { m_control.post(control_received{std::move(message)}); },
+                [this](control_message message) {
+                    m_control.post(control_received{std::move(message), {}});
+                },
                 log_sink()};
     }
 
--- a/tests/schedules/random_schedule.cpp
+++ b/tests/schedules/random_schedule.cpp
@@ -117,7 +117,8 @@
     for (auto repeats = 1 + m_random.below(3); repeats > 0; --repeats) {
         request.name += "r";
         request.entry = any_target();
-        m_fleet->queue().call_at(time + between(1ms, latest_repeat), [this, request] { m_fleet->call(request); });
+        m_fleet->queue().call_at(time + between(1ms, latest_repeat),
+                                 [this, request] { m_fleet->call(request); });
     }
 }
 
