Let the retry budget save tokens for a burst

Cause: when a data centre is lost, all lookups in progress there fail in one moment; a budget of at most 10 tokens left 14 of 700 lookups without a retry.

The budget starts with 10 tokens as before and now keeps up to 50. Excluded: a larger share per call.

Conclusion: bursts of losses are retried within the same long-term share.

--- a/src/cornelpier/entry/service_state.hpp
+++ b/src/cornelpier/entry/service_state.hpp
@@ -15,9 +15,12 @@
 /// Retries per call that the budget of a service allows.
 inline constexpr double retry_share = 0.1;
 
-/// Retries that a service may make at once, whatever its rate of calls.
+/// Retries that a service may make before its calls have earned any.
 inline constexpr double retry_reserve = 10;
 
+/// Retries that a service may make at once. The loss of a data centre fails all runs there in one moment.
+inline constexpr double retry_capacity = 50;
+
 /// What an entry keeps per service.
 struct service_state {
     explicit service_state(any_chooser chosen) : policy(std::move(chosen)) {}
@@ -27,7 +30,7 @@
     std::vector<std::string> addresses;       ///< Of their nodes.
     bool has_lookups = false;                 ///< Some requests are idempotent.
     any_chooser policy;
-    retry_budget retries{retry_share, retry_reserve};
+    retry_budget retries{retry_share, retry_reserve, retry_capacity};
     hedge_policy hedges;
     time_point last_call_at;
     time_point exhaustion_recorded_at{duration::min()}; ///< Of the last event about the retry budget.
--- a/src/cornelpier/retry/hedge_policy.cpp
+++ b/src/cornelpier/retry/hedge_policy.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-hedge_policy::hedge_policy() : m_budget(hedge_share, hedge_reserve) {}
+hedge_policy::hedge_policy() : m_budget(hedge_share, hedge_reserve, hedge_reserve) {}
 
 std::size_t hedge_policy::bucket_of(duration latency) {
     const double us = static_cast<double>(std::max<duration::rep>(latency.count(), 1));
--- a/src/cornelpier/retry/retry_budget.cpp
+++ b/src/cornelpier/retry/retry_budget.cpp
@@ -5,7 +5,7 @@
 namespace cornelpier {
 
 void retry_budget::on_call() {
-    m_tokens = std::min(m_tokens + m_share, m_reserve);
+    m_tokens = std::min(m_tokens + m_share, m_capacity);
 }
 
 bool retry_budget::take() {
--- a/src/cornelpier/retry/retry_budget.hpp
+++ b/src/cornelpier/retry/retry_budget.hpp
@@ -6,8 +6,10 @@
 class retry_budget {
   public:
     /// @param share tokens added per call.
-    /// @param reserve tokens at the start and the largest number kept.
-    retry_budget(double share, double reserve) : m_share(share), m_reserve(reserve), m_tokens(reserve) {}
+    /// @param start tokens at the start.
+    /// @param capacity largest number of tokens kept.
+    retry_budget(double share, double start, double capacity)
+        : m_share(share), m_capacity(capacity), m_tokens(start) {}
 
     /// Notes a call.
     void on_call();
@@ -21,7 +23,7 @@
 
   private:
     double m_share;
-    double m_reserve;
+    double m_capacity;
     double m_tokens;
 };
 
