Keep the answer to a key until every repeat sent in time has arrived

Cause: a repeat that was sent within the key memory but arrived after it, delayed by a partition, ran a second time.

Excluded: a longer permit check, which does not see how long a repeat waited at its entry.

Result: records are kept for the key memory plus the largest deadline plus the lifetime of a permit.

--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -234,15 +234,21 @@
 
     m_state.ledger.close(entry.attempt, final_answer);
     if (entry.key) {
-        const service_plan* service = m_state.service();
-        const duration memory = service != nullptr ? service->key_memory : service_plan{}.key_memory;
-        m_state.keys.close(*entry.key, final_answer, m_state.now() + memory);
+        m_state.keys.close(*entry.key, final_answer, m_state.now() + key_retention());
     }
     if (entry.reply_to) {
         m_state.deliver(*entry.reply_to, std::move(final_answer));
     }
 }
 
+duration run_executor::key_retention() const {
+    // A repeat that was sent within the key memory may wait at its entry until its deadline and then in the
+    // network until its permit expires.
+    const service_plan fallback;
+    const service_plan& service = m_state.service() != nullptr ? *m_state.service() : fallback;
+    return service.key_memory + service.deadline + permit_lifetime;
+}
+
 void run_executor::after_end() {
     start_queued();
     m_lifecycle.check_finished();
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -48,6 +48,8 @@
     void conclude_refused(run_id id, refusal reason);
     [[nodiscard]] answer judge(const owned_run& entry, const http_response& response) const;
 
+    [[nodiscard]] duration key_retention() const;
+
     /// After a run ended: its place may be used, and the drain may be over.
     void after_end();
 
--- a/tests/owner/keys_test.cpp
+++ b/tests/owner/keys_test.cpp
@@ -55,7 +55,8 @@
     CHECK(running.retry_after > duration::zero());
 
     it.serve(*id, 201, "made");
-    it.advance(seconds{120});
+    // The repeat may be sent at the end of the key memory and arrive 7 s later.
+    it.advance(seconds{127});
     const auto repeat = it.ask<answer>(keyed(it, 3));
     CHECK(repeat.outcome == verdict::ran);
     CHECK(*repeat.response->body == "made");
