Count a target without a place in the plan as home of no key

Cause: a target that a plan left out kept its last list of homes.

Excluded: the retention of records, which was already long enough for this repeat.

Result: the time without a place counts as a former set of homes; a test covers it.

--- a/src/cornelpier/execution/key_home.cpp
+++ b/src/cornelpier/execution/key_home.cpp
@@ -3,6 +3,7 @@
 #include "cornelpier/base/hash.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cornelpier {
@@ -13,20 +14,28 @@
 
 } // namespace
 
-void key_home::update(const service_plan& service, time_point now) {
-    m_key_memory = service.key_memory;
+void key_home::update(const service_plan* service, time_point now) {
+    if (service == nullptr) {
+        replace({}, {}, now);
+        return;
+    }
+    m_key_memory = service->key_memory;
 
     std::vector<target_id> targets;
-    targets.reserve(service.targets.size());
-    std::ranges::transform(service.targets, std::back_inserter(targets), &target_plan::id);
+    targets.reserve(service->targets.size());
+    std::ranges::transform(service->targets, std::back_inserter(targets), &target_plan::id);
     std::ranges::sort(targets);
-    if (targets == m_targets && service.id == m_service) {
+    replace(service->id, std::move(targets), now);
+}
+
+void key_home::replace(service_id service, std::vector<target_id> targets, time_point now) {
+    if (m_known && targets == m_targets && service == m_service) {
         return;
     }
-    if (!m_targets.empty()) {
+    if (std::exchange(m_known, true)) {
         m_former.push_back({now, std::move(m_service), std::move(m_targets)});
     }
-    m_service = service.id;
+    m_service = std::move(service);
     m_targets = std::move(targets);
     discard_former(now);
 }
--- a/src/cornelpier/execution/key_home.hpp
+++ b/src/cornelpier/execution/key_home.hpp
@@ -20,7 +20,8 @@
     key_home(target_id self, time_point start) : m_self(std::move(self)), m_start(start) {}
 
     /// Takes the targets of the own service from a plan that came into force.
-    void update(const service_plan& service, time_point now);
+    /// @param service nullptr if the plan does not list the own target, which then owns no key.
+    void update(const service_plan* service, time_point now);
 
     /// @param key service and key as by `text`.
     /// @return true if the own target is the home of the key.
@@ -43,11 +44,13 @@
 
     [[nodiscard]] bool owns(const std::vector<target_id>& targets, const std::string& key) const;
     [[nodiscard]] bool owned_before(const former_targets& former, const std::string& key) const;
+    void replace(service_id service, std::vector<target_id> targets, time_point now);
     void discard_former(time_point now);
 
     target_id m_self;
     time_point m_start;
     duration m_key_memory = service_plan{}.key_memory;
+    bool m_known = false; ///< A plan was in force.
     service_id m_service;
     std::vector<target_id> m_targets;
     std::deque<former_targets> m_former;
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -45,8 +45,8 @@
         if (service != nullptr) {
             m_state.load.configure(service->slots, service->deadline);
             m_state.queue.set_capacity(queued_per_slot * service->slots);
-            m_state.homes.update(*service, m_state.now());
         }
+        m_state.homes.update(service, m_state.now());
         const rate measuring = service != nullptr ? service->measuring : rate{};
         m_measuring.set_rate(measuring);
         if (measuring.per_second <= 0) {
--- a/tests/owner/keys_test.cpp
+++ b/tests/owner/keys_test.cpp
@@ -100,4 +100,16 @@
     CHECK(it.submit(keyed(it, 4, key_of("t2"))));
 }
 
+TEST_CASE("a target that was out of the plan for a while cannot prove keys new", "[owner][key]") {
+    owner_fixture it;
+    it.publish();
+    it.advance(seconds{120});
+    const auto own = std::exchange(it.service.targets, {target("t2")});
+    it.publish();
+    it.advance(seconds{1});
+    it.service.targets = own;
+    it.publish();
+    CHECK(it.ask<answer>(keyed(it, 1)).reason == refusal::key_unproved);
+}
+
 } // namespace cornelpier::owner_test
