Keep the shell compatible with the control events

Cause: the new field of control_received broke aggregate initialization in the daemon under -Werror, and a read was given up on before a shell that ignores read_plan::wait would end its 30 s watch.

--- a/src/cornelpier/node/control_events.hpp
+++ b/src/cornelpier/node/control_events.hpp
@@ -19,7 +19,7 @@
 /// A control message arrived.
 struct control_received {
     control_message message;
-    std::string address; ///< `IP:port` of the sender's node; empty if the shell does not know it.
+    std::string address{}; ///< `IP:port` of the sender's node; empty if the shell does not know it.
 };
 
 /// The configuration service returned a sheet, which may be old.
--- a/src/cornelpier/node/service_reader.cpp
+++ b/src/cornelpier/node/service_reader.cpp
@@ -22,8 +22,9 @@
 constexpr duration fallback_first_backoff = seconds{5};
 constexpr duration fallback_longest_backoff = seconds{60};
 
-/// The shell ends every read; a read that it lost is given up on after its wait and this time.
-constexpr duration lost_read_limit = seconds{15};
+/// The shell ends every read; a read that it lost is given up on after its wait and this time. It covers a
+/// shell that always waits the 30 s that a watch may take.
+constexpr duration lost_read_limit = seconds{45};
 
 } // namespace
 
