Pass names of lost links by reference

Cause: the linter reported a copy for each lost link. All callers pass names that outlive the call, so the copy guarded against nothing; the comment says what is required.

Excluded: other changes of the link set.

Conclusion: no change of behaviour.

--- a/src/cornelpier/entry/link_set.cpp
+++ b/src/cornelpier/entry/link_set.cpp
@@ -213,9 +213,8 @@
     state.awaits_pong = false;
 }
 
-/// @param target a copy, since the caller's may be stored where `release` erases it.
-void link_set::lose(target_id target, link_loss cause,
-                    bool close) { // NOLINT(performance-unnecessary-value-param)
+/// @param target not a reference into this set, where `release` erases names.
+void link_set::lose(const target_id& target, link_loss cause, bool close) {
     auto& state = m_links[target];
     if (close) {
         m_context.emit(close_link{state.link});
--- a/src/cornelpier/entry/link_set.hpp
+++ b/src/cornelpier/entry/link_set.hpp
@@ -88,7 +88,7 @@
     void check_idle(const target_id& target);
     [[nodiscard]] bool awaits_word(const target_id& target, const link_state& state) const;
     void release(link_state& state);
-    void lose(target_id target, link_loss cause, bool close);
+    void lose(const target_id& target, link_loss cause, bool close);
 
     entry_context& m_context;
     link_callbacks m_callbacks;
