--- a/src/cornelpier/plan/plan.hpp
+++ b/src/cornelpier/plan/plan.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,8 @@
     vm_id vm;
     data_centre_id data_centre;
     std::string node_address; ///< `IP:port` of the node, for node links (TCP) and gossip (UDP).
+    /// `IP:port` of the operators' port; nothing if reports cannot ask the node.
+    std::optional<std::string> operator_address = std::nullopt;
 };
 
 /// What the plan says about a service.
--- a/src/cornelpier/plan/plan_parser.cpp
+++ b/src/cornelpier/plan/plan_parser.cpp
@@ -31,8 +31,13 @@
 }
 
 target_plan read_target(const json& item) {
-    return {target_id{item.at("id").get<std::string>()}, vm_id{item.at("vm").get<std::string>()},
-            data_centre_id{item.at("data_centre").get<std::string>()}, item.at("node").get<std::string>()};
+    target_plan target{target_id{item.at("id").get<std::string>()}, vm_id{item.at("vm").get<std::string>()},
+                       data_centre_id{item.at("data_centre").get<std::string>()},
+                       item.at("node").get<std::string>()};
+    if (item.contains("operator")) {
+        target.operator_address = item.at("operator").get<std::string>();
+    }
+    return target;
 }
 
 service_plan read_service(const json& item) {
@@ -105,6 +110,9 @@
         } else if (!m_addresses.insert(target.node_address).second) {
             add(place + "/node", "another target has this address");
         }
+        if (target.operator_address && !is_ip_and_port(*target.operator_address)) {
+            add(place + "/operator", "expected IP:port");
+        }
     }
 
     void add(std::string place, std::string reason) {
--- a/src/cornelpier/plan/plan_schema.cpp
+++ b/src/cornelpier/plan/plan_schema.cpp
@@ -148,6 +148,11 @@
                   "type": "string",
                   "description": "IP:port of the node, for node links and gossip.",
                   "minLength": 1
+                },
+                "operator": {
+                  "type": "string",
+                  "description": "IP:port of the node's operators' port, for reports and time lines.",
+                  "minLength": 1
                 }
               }
             }
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -37,7 +37,7 @@
         number=$((number + 1))
         [ "$n" -gt 1 ] && echo '  ,'
         echo "  {\"id\": \"$service-$n\", \"vm\": \"vm-$service-$n\", \"data_centre\": \"brasov-$((n % 3 + 1))\"," \
-          "\"node\": \"127.0.0.1:$((base + 100 + number))\"}"
+          "\"node\": \"127.0.0.1:$((base + 100 + number))\", \"operator\": \"127.0.0.1:$((base + 200 + number))\"}"
       done
       echo ' ]}'
       separator=,
