Serve requests end to end and test nodes as processes

Cause: the program cornelpier-node joins the decision cores with the daemon's slices. Process tests start stand-ins and three nodes on loopback: verdicts of lookups and orders, each kind of bad input, a killed node, a stop under load, bad settings and addresses in use.

A stop under steady load did not end while new calls kept coming (55 s in the test, until the callers gave up). The node now stops listening for callers when its own target is done; connections that wait in the backlog are still served. The same test then ended after 2.4 s with no request cut.

Excluded: a single pause timer on the control thread. Messages that waited during a pause would have reached the core before the pause did; each core now checks the clocks before every event.

--- a/src/daemon/caller/caller_server.cpp
+++ b/src/daemon/caller/caller_server.cpp
@@ -47,6 +47,10 @@
         }
     }
 
+    void stop_accepting() {
+        boost::asio::post(m_strand, [self = shared_from_this()] { self->accept_backlog(); });
+    }
+
     void shut_down(std::function<void()> on_done) {
         boost::asio::post(m_strand, [self = shared_from_this(), on_done = std::move(on_done)]() mutable {
             self->stop(std::move(on_done));
@@ -93,7 +97,6 @@
 
     void stop(std::function<void()> on_done) {
         m_context->stop();
-        m_timer.cancel();
         accept_backlog();
         for (const auto& it : m_context->sessions()) {
             it->shut_down();
@@ -104,6 +107,10 @@
 
     /// Closing the listener resets connections that the kernel has completed, so they are taken first.
     void accept_backlog() {
+        if (!m_acceptor.is_open()) {
+            return;
+        }
+        m_timer.cancel();
         error_code ec;
         m_acceptor.cancel(ec);
         m_acceptor.non_blocking(true, ec);
@@ -156,6 +163,10 @@
     m_implementation->answer(std::move(answer));
 }
 
+void caller_server::stop_accepting() {
+    m_implementation->stop_accepting();
+}
+
 void caller_server::shut_down(std::function<void()> on_done) {
     m_implementation->shut_down(std::move(on_done));
 }
--- a/src/daemon/caller/caller_server.hpp
+++ b/src/daemon/caller/caller_server.hpp
@@ -39,6 +39,9 @@
     /// Sends an answer; ignored if the caller is gone. Callable on any thread.
     void answer(answer_caller answer);
 
+    /// Takes no new connections; those that are open or wait in the backlog are served.
+    void stop_accepting();
+
     /// Takes no new connections, answers what is in progress and closes idle connections.
     /// @param on_done called once when no connection is left, at the latest after 2 s.
     void shut_down(std::function<void()> on_done);
--- a/src/daemon/caller/caller_session.cpp
+++ b/src/daemon/caller/caller_session.cpp
@@ -22,10 +22,10 @@
 using boost::system::error_code;
 
 /// Pipelined requests wait in the buffer; above this nothing more is read until the call has its answer.
-constexpr std::size_t max_buffered_bytes = 64 * 1024;
+constexpr std::size_t max_buffered_bytes = std::size_t{64} * 1024;
 
 /// Size lines, extensions and trailers of a chunked body must fit.
-constexpr std::size_t max_chunk_line_bytes = 16 * 1024;
+constexpr std::size_t max_chunk_line_bytes = std::size_t{16} * 1024;
 
 /// Time to read the rest of a refused request, so that a reset does not destroy the answer on its way.
 constexpr std::chrono::milliseconds linger_limit{1000};
--- a/src/daemon/caller/caller_session.hpp
+++ b/src/daemon/caller/caller_session.hpp
@@ -15,10 +15,10 @@
 namespace cornelpier {
 
 /// Largest head of a caller's request, in bytes.
-inline constexpr std::size_t max_head_bytes = 16 * 1024;
+inline constexpr std::size_t max_head_bytes = std::size_t{16} * 1024;
 
 /// Largest body of a caller's request, in bytes.
-inline constexpr std::size_t max_body_bytes = 1024 * 1024;
+inline constexpr std::size_t max_body_bytes = std::size_t{1024} * 1024;
 
 /// One caller's connection. Requests are handled one at a time, in order. Everything runs on the strand of
 /// the socket; a read is pending at all times, so that a caller that goes away is noticed.
--- a/src/daemon/gossip/gossip_socket.cpp
+++ b/src/daemon/gossip/gossip_socket.cpp
@@ -17,8 +17,7 @@
 /// Holds the socket and the datagram that is being received.
 class gossip_socket::implementation {
   public:
-    implementation(boost::asio::io_context& context, std::function<void(control_message)> on_message,
-                   event_sink sink)
+    implementation(boost::asio::io_context& context, handler on_message, event_sink sink)
         : m_on_message(std::move(on_message)), m_sink(std::move(sink)), m_socket(context) {}
 
     error bind(const std::string& text) {
@@ -76,22 +75,21 @@
         if (auto* message = std::get_if<node_message>(&outcome)) {
             auto* control = std::get_if<control_message>(message);
             if (control != nullptr && std::holds_alternative<gossip>(*control)) {
-                m_on_message(std::move(*control));
+                m_on_message(std::move(*control), format_address(m_sender));
                 return;
             }
         }
-        m_sink({event_number::gossip_malformed, {{"from", m_sender.address().to_string()}}});
+        m_sink({event_number::gossip_malformed, {{"from", format_address(m_sender)}}});
     }
 
-    std::function<void(control_message)> m_on_message;
+    handler m_on_message;
     event_sink m_sink;
     udp::socket m_socket;
     udp::endpoint m_sender;
     std::array<char, 2048> m_buffer{};
 };
 
-gossip_socket::gossip_socket(boost::asio::io_context& context,
-                             std::function<void(control_message)> on_message, event_sink sink)
+gossip_socket::gossip_socket(boost::asio::io_context& context, handler on_message, event_sink sink)
     : m_implementation(std::make_unique<implementation>(context, std::move(on_message), std::move(sink))) {}
 
 gossip_socket::~gossip_socket() = default;
--- a/src/daemon/gossip/gossip_socket.hpp
+++ b/src/daemon/gossip/gossip_socket.hpp
@@ -19,11 +19,13 @@
 /// Gossip datagrams, one CBOR message each. Used on the thread that runs the context.
 class gossip_socket {
   public:
+    /// Receives gossip messages with the `IP:port` of the sender.
+    using handler = std::function<void(control_message, std::string)>;
+
     /// @param context runs the socket; one thread.
-    /// @param on_message receives gossip messages.
+    /// @param on_message see `handler`.
     /// @param sink receives log events.
-    gossip_socket(boost::asio::io_context& context, std::function<void(control_message)> on_message,
-                  event_sink sink);
+    gossip_socket(boost::asio::io_context& context, handler on_message, event_sink sink);
     ~gossip_socket();
 
     gossip_socket(const gossip_socket&) = delete;
--- a/src/daemon/link/link_manager.cpp
+++ b/src/daemon/link/link_manager.cpp
@@ -65,7 +65,7 @@
     }
 
     void start() {
-        m_server.set_open_handler([weak = weak_from_this()](connection_hdl handle) {
+        m_server.set_open_handler([weak = weak_from_this()](const connection_hdl& handle) {
             if (const auto self = weak.lock()) {
                 self->on_accepted(handle);
             }
--- a/src/daemon/link/link_manager.hpp
+++ b/src/daemon/link/link_manager.hpp
@@ -17,11 +17,11 @@
 namespace cornelpier {
 
 /// Largest message on a node link, in bytes.
-inline constexpr std::size_t max_link_message_bytes = 2 * 1024 * 1024;
+inline constexpr std::size_t max_link_message_bytes = std::size_t{2} * 1024 * 1024;
 
 /// Largest amount of data that may wait to be sent on a link, in bytes. A peer that reads too slowly loses
 /// the link.
-inline constexpr std::size_t max_link_queue_bytes = 8 * 1024 * 1024;
+inline constexpr std::size_t max_link_queue_bytes = std::size_t{8} * 1024 * 1024;
 
 /// Where a link manager reports to. Callable on any thread; events of one link come in order.
 struct link_handlers {
--- a/src/daemon/log/event_formatter.cpp
+++ b/src/daemon/log/event_formatter.cpp
@@ -49,6 +49,7 @@
     nlohmann::ordered_json line;
     line["wall"] = wall_text(entry.wall);
     line["monotonic_us"] = entry.monotonic.time_since_epoch().count();
+    line["stamp"] = entry.stamp.value();
     line["node"] = m_node.value();
     line["incarnation"] = m_incarnation;
     line["sequence"] = entry.sequence;
--- a/src/daemon/log/event_log.cpp
+++ b/src/daemon/log/event_log.cpp
@@ -72,8 +72,10 @@
 
   private:
     void put(const event_record& record, std::uint64_t left_out, time_point now) {
-        const std::string line =
-            m_formatter.format({std::chrono::system_clock::now(), now, ++m_sequence, left_out, record});
+        const auto wall = std::chrono::system_clock::now();
+        const auto stamp =
+            m_clock.next(std::chrono::duration_cast<hybrid_clock::wall_time>(wall.time_since_epoch()));
+        const std::string line = m_formatter.format({wall, now, stamp, ++m_sequence, left_out, record});
         BOOST_LOG(m_logger) << line;
     }
 
@@ -81,6 +83,7 @@
     event_formatter m_formatter;
     std::mutex m_mutex;
     event_rate_limiter m_limiter;
+    hybrid_clock m_clock;
     std::uint64_t m_sequence = 0;
     boost::shared_ptr<line_sink> m_sink;
     logging::sources::logger m_logger;
--- a/src/daemon/net/endpoint.cpp
+++ b/src/daemon/net/endpoint.cpp
@@ -29,6 +29,12 @@
     return socket_address{address, port};
 }
 
+std::string format_address(const boost::asio::ip::udp::endpoint& endpoint) {
+    const std::string host = endpoint.address().to_string();
+    const std::string port = std::to_string(endpoint.port());
+    return endpoint.address().is_v6() ? '[' + host + "]:" + port : host + ':' + port;
+}
+
 error listen_on(boost::asio::ip::tcp::acceptor& acceptor, const std::string& text) {
     const auto address = parse_address(text);
     if (const auto* problem = std::get_if<error>(&address)) {
--- a/src/daemon/net/endpoint.hpp
+++ b/src/daemon/net/endpoint.hpp
@@ -26,6 +26,9 @@
 /// @return the address, or an error whose place is the text.
 result<socket_address> parse_address(std::string_view text);
 
+/// @return `IP:port`, with an IPv6 address in brackets.
+std::string format_address(const boost::asio::ip::udp::endpoint& endpoint);
+
 /// Opens, binds and listens. The address may be in use by connections of a predecessor that are closing.
 /// @param acceptor not open yet.
 /// @param text `IP:port`.
--- a/src/daemon/node/control_runner.hpp
+++ b/src/daemon/node/control_runner.hpp
@@ -5,6 +5,7 @@
 #include "daemon/gossip/gossip_socket.hpp"
 #include "daemon/link/link_manager.hpp"
 #include "daemon/log/event_log.hpp"
+#include "daemon/node/pause_watch.hpp"
 #include "daemon/platform/platform_reader.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -45,12 +46,13 @@
 
   private:
     void handle(const control_event& event);
+    void check_pause();
     void advance();
     void carry_out();
     void arm_timer();
 
     void execute(send_control& action);
-    void execute(const read_plan& action) { m_outputs.platform.read_plan(action.newer_than); }
+    void execute(const read_plan& action) { m_outputs.platform.read_plan(action); }
     void execute(const read_vm_list& /*action*/) { m_outputs.platform.read_vm_list(); }
     void execute(publish_view& action) { m_outputs.publish(std::move(action.view)); }
     void execute(const record_event& action) { m_outputs.record(action.record); }
@@ -59,6 +61,7 @@
     boost::asio::steady_timer m_timer;
     control_outputs m_outputs;
     control_core m_core;
+    pause_watch m_pause;
     control_actions m_actions;
     std::optional<time_point> m_armed;
 };
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -1,9 +1,7 @@
 #include "daemon/node/node_daemon.hpp"
 
-#include "cornelpier/pause/pause_detector.hpp"
-
-#include "daemon/net/clock.hpp"
 #include "daemon/node/control_runner.hpp"
+#include "daemon/node/periodic_timer.hpp"
 #include "daemon/node/traffic_runner.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -50,28 +48,6 @@
     }
 }
 
-/// Calls a function at a fixed period on the control thread.
-class periodic_timer {
-  public:
-    periodic_timer(boost::asio::io_context& context, duration period, std::function<void()> on_tick)
-        : m_timer(context), m_period(period), m_on_tick(std::move(on_tick)) {}
-
-    void start() {
-        m_timer.expires_after(m_period);
-        m_timer.async_wait([this](error_code ec) {
-            if (!ec) {
-                m_on_tick();
-                start();
-            }
-        });
-    }
-
-  private:
-    boost::asio::steady_timer m_timer;
-    duration m_period;
-    std::function<void()> m_on_tick;
-};
-
 } // namespace
 
 /// Wiring of the parts. Members that post to others are declared after them.
@@ -87,7 +63,9 @@
                    traffic_sink()),
           m_gossip(
               m_control_context,
-              [this](control_message message) { m_control.post(control_received{std::move(message)}); },
+              [this](control_message message, std::string address) {
+                  m_control.post(control_received{std::move(message), std::move(address)});
+              },
               log_sink()),
           m_platform(m_control_context,
                      {m_settings.configuration_address, m_settings.configuration_path,
@@ -96,7 +74,6 @@
           m_traffic(m_traffic_context, m_identity, random_number(), traffic_sinks()),
           m_control(m_control_context, m_identity, random_number(), control_sinks()),
           m_signals(m_control_context, SIGTERM, SIGINT), m_flush_timer(m_control_context),
-          m_pause_timer(m_control_context, pause_tick, [this] { check_pause(); }),
           m_omission_timer(m_control_context, omission_period, [this] { m_log.write_omissions(); }) {}
 
     int run() {
@@ -146,11 +123,18 @@
         m_gossip.start();
         m_control.start();
         m_traffic.start();
-        m_pause_timer.start();
         m_omission_timer.start();
         m_callers.start();
     }
 
+    void on_state(node_state state) {
+        m_control.post(own_state_changed{state});
+        // The node's own target is done. Calls for others would come for ever if callers could still connect.
+        if (state == node_state::stopped) {
+            m_callers.stop_accepting();
+        }
+    }
+
     /// Callers first: their last answers are still being written. The links follow after a short while.
     void on_drained() {
         m_callers.shut_down([this] {
@@ -169,14 +153,6 @@
         m_control_context.stop();
     }
 
-    void check_pause() {
-        const auto gap = m_pause.tick(monotonic_now().time_since_epoch(), boot_now().time_since_epoch());
-        if (gap) {
-            m_traffic.post(clock_gap{*gap});
-            m_control.post(clock_gap{*gap});
-        }
-    }
-
     caller_options caller_settings() const {
         caller_options options;
         options.address = m_settings.caller_address;
@@ -197,7 +173,9 @@
                 [this](link_id link, traffic_message message) {
                     m_traffic.post(message_received{link, std::move(message)});
                 },
-                [this](control_message message) { m_control.post(control_received{std::move(message)}); },
+                [this](control_message message) {
+                    m_control.post(control_received{std::move(message), ""});
+                },
                 log_sink()};
     }
 
@@ -207,7 +185,7 @@
                 m_server,
                 log_sink(),
                 [](const observe&) {},
-                [this](node_state state) { m_control.post(own_state_changed{state}); },
+                [this](node_state state) { on_state(state); },
                 [this] { on_drained(); }};
     }
 
@@ -221,7 +199,6 @@
     event_log m_log;
     boost::asio::io_context m_control_context{1};
     boost::asio::io_context m_traffic_context;
-    pause_detector m_pause;
 
     caller_server m_callers;
     link_manager m_links;
@@ -232,7 +209,6 @@
     control_runner m_control;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_flush_timer;
-    periodic_timer m_pause_timer;
     periodic_timer m_omission_timer;
 };
 
--- /dev/null
+++ b/src/daemon/node/pause_watch.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "cornelpier/pause/pause_detector.hpp"
+
+#include "daemon/net/clock.hpp"
+#include "daemon/node/periodic_timer.hpp"
+
+#include <functional>
+#include <optional>
+#include <utility>
+
+namespace cornelpier {
+
+/// Notices that the owner's strand or thread did not run, by reading both clocks every `pause_tick` and
+/// before each event.
+class pause_watch {
+  public:
+    /// @param executor strand or context of the owner.
+    /// @param on_tick called every `pause_tick`; calls `check`.
+    template <typename Executor>
+    pause_watch(Executor& executor, std::function<void()> on_tick)
+        : m_timer(executor, pause_tick, std::move(on_tick)) {}
+
+    /// Begins to watch.
+    void start() {
+        check();
+        m_timer.start();
+    }
+
+    /// @return the length of a pause since the last check.
+    std::optional<duration> check() {
+        return m_detector.tick(monotonic_now().time_since_epoch(), boot_now().time_since_epoch());
+    }
+
+  private:
+    pause_detector m_detector;
+    periodic_timer m_timer;
+};
+
+} // namespace cornelpier
--- a/src/daemon/node/traffic_runner.hpp
+++ b/src/daemon/node/traffic_runner.hpp
@@ -5,6 +5,7 @@
 #include "daemon/caller/caller_server.hpp"
 #include "daemon/link/link_manager.hpp"
 #include "daemon/log/event_log.hpp"
+#include "daemon/node/pause_watch.hpp"
 #include "daemon/server/server_client.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -48,6 +49,7 @@
 
   private:
     void handle(const traffic_event& event);
+    void check_pause();
     void advance();
     void carry_out();
     void report_state();
@@ -68,6 +70,7 @@
     boost::asio::steady_timer m_timer;
     traffic_outputs m_outputs;
     traffic_core m_core;
+    pause_watch m_pause;
     traffic_actions m_actions;
     std::optional<time_point> m_armed;
     node_state m_state = node_state::starting;
--- a/src/daemon/platform/platform_reader.cpp
+++ b/src/daemon/platform/platform_reader.cpp
@@ -11,11 +11,8 @@
 
 namespace {
 
+/// Also the time after the end of a watch; without an answer by then the connection is silent.
 constexpr std::chrono::seconds read_limit{5};
-constexpr int watch_seconds = 30;
-
-/// A watch that is over is answered within a few seconds, or the connection is silent.
-constexpr std::chrono::seconds watch_limit{watch_seconds + 5};
 
 /// Above the largest valid sheet, so that the core can report a sheet that is too large.
 constexpr std::size_t max_sheet_bytes = std::size_t{4} * 1024 * 1024;
@@ -23,10 +20,10 @@
 constexpr int status_ok = 200;
 constexpr int status_not_modified = 304;
 
-std::string watch_path(const std::string& path, std::uint64_t version) {
+std::string watch_path(const std::string& path, std::uint64_t version, std::chrono::seconds wait) {
     const char separator = path.find('?') == std::string::npos ? '?' : '&';
     return path + separator + "newer_than=" + std::to_string(version) +
-           "&wait_s=" + std::to_string(watch_seconds);
+           "&wait_s=" + std::to_string(wait.count());
 }
 
 control_event plan_event(http_get_outcome outcome) {
@@ -79,11 +76,13 @@
     implementation(boost::asio::io_context& context, platform_options options, handler on_event)
         : m_context(context), m_options(std::move(options)), m_on_event(std::move(on_event)) {}
 
-    void read_plan(std::optional<std::uint64_t> newer_than) {
+    void read_plan(const cornelpier::read_plan& action) {
+        const auto wait = std::chrono::duration_cast<std::chrono::seconds>(action.wait);
         const auto& path = m_options.configuration_path;
         http_get_target target =
-            make_target(m_options.configuration_address, newer_than ? watch_path(path, *newer_than) : path);
-        target.limit = newer_than ? watch_limit : read_limit;
+            make_target(m_options.configuration_address,
+                        action.newer_than ? watch_path(path, *action.newer_than, wait) : path);
+        target.limit = action.newer_than ? read_limit + wait : read_limit;
         target.max_body = max_sheet_bytes;
         http_get(m_context, std::move(target),
                  [this](http_get_outcome outcome) { m_on_event(plan_event(std::move(outcome))); });
@@ -113,8 +112,8 @@
 
 platform_reader::~platform_reader() = default;
 
-void platform_reader::read_plan(std::optional<std::uint64_t> newer_than) {
-    m_implementation->read_plan(newer_than);
+void platform_reader::read_plan(const cornelpier::read_plan& action) {
+    m_implementation->read_plan(action);
 }
 
 void platform_reader::read_vm_list() {
--- a/src/daemon/platform/platform_reader.hpp
+++ b/src/daemon/platform/platform_reader.hpp
@@ -37,8 +37,7 @@
     platform_reader& operator=(platform_reader&&) = delete;
 
     /// Reads the plan. Ends in `plan_read`, `plan_unchanged` or `plan_read_failed`.
-    /// @param newer_than wait until the version differs, at most 30 s; nothing: read at once.
-    void read_plan(std::optional<std::uint64_t> newer_than);
+    void read_plan(const cornelpier::read_plan& action);
 
     /// Reads the VM list. Ends in `vm_list_read` or `vm_list_failed`.
     void read_vm_list();
--- a/src/daemon/server/server_client.hpp
+++ b/src/daemon/server/server_client.hpp
@@ -13,7 +13,7 @@
 namespace cornelpier {
 
 /// Largest answer of a server, in bytes; larger ones are failures.
-inline constexpr std::size_t max_answer_bytes = 1024 * 1024;
+inline constexpr std::size_t max_answer_bytes = std::size_t{1024} * 1024;
 
 /// Which server a client talks to.
 struct server_options {
--- /dev/null
+++ b/src/programs/cornelpier_node.cpp
@@ -0,0 +1,80 @@
+#include "daemon/node/node_daemon.hpp"
+#include "daemon/settings/node_settings.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace {
+
+constexpr int status_failed = 1;
+constexpr int status_bad_input = 2;
+
+std::optional<std::string> read_file(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    return std::string{std::istreambuf_iterator<char>(file), {}};
+}
+
+/// @return the settings, or nothing after a message for each mistake.
+std::optional<cornelpier::node_settings> read_settings(const std::string& path) {
+    const auto text = read_file(path);
+    if (!text) {
+        std::cerr << path << ": cannot be read\n";
+        return std::nullopt;
+    }
+
+    auto outcome = cornelpier::check_node_settings(*text);
+    if (auto* settings = std::get_if<cornelpier::node_settings>(&outcome)) {
+        return std::move(*settings);
+    }
+    for (const auto& it : std::get<std::vector<cornelpier::error>>(outcome)) {
+        std::cerr << path << ": " << it.place << ": " << it.reason << '\n';
+    }
+    return std::nullopt;
+}
+
+int run(int argc, char** argv) {
+    CLI::App app{"Node of the cornelpier load balancer: entry for callers and owner of one server."};
+    app.set_version_flag("--version", std::string{"cornelpier-node "} + CORNELPIER_VERSION);
+    std::string path;
+    bool check = false;
+    app.add_option("--settings", path, "Settings file (JSON)")->required()->type_name("FILE");
+    app.add_flag("--check", check, "Check the settings and exit");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& problem) {
+        return app.exit(problem) == 0 ? 0 : status_bad_input;
+    }
+
+    auto settings = read_settings(path);
+    if (!settings) {
+        return status_bad_input;
+    }
+    if (check) {
+        std::cout << path << ": valid\n";
+        return 0;
+    }
+    cornelpier::node_daemon node(*std::move(settings));
+    return node.run();
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        return run(argc, argv);
+    } catch (const std::exception& problem) {
+        std::cerr << "cornelpier-node: " << problem.what() << '\n';
+        return status_failed;
+    }
+}
--- a/tests/daemon/event_log_test.cpp
+++ b/tests/daemon/event_log_test.cpp
@@ -35,6 +35,7 @@
 TEST_CASE("a log line is one line whatever the fields hold", "[log]") {
     const log_entry entry{std::chrono::system_clock::time_point{1'700'000'000'123'456us},
                           time_point{42us},
+                          hybrid_stamp{9},
                           7,
                           2,
                           {event_number::bad_request, {{"reason", "a \"b\"\n\xff"}}}};
@@ -45,6 +46,7 @@
     const auto line = nlohmann::json::parse(text);
     CHECK(line["wall"] == "2023-11-14T22:13:20.123456Z");
     CHECK(line["monotonic_us"] == 42);
+    CHECK(line["stamp"] == 9);
     CHECK(line["node"] == "comenzi-1");
     CHECK(line["incarnation"] == "ff");
     CHECK(line["sequence"] == 7);
--- a/tests/daemon/support/raw_connection.cpp
+++ b/tests/daemon/support/raw_connection.cpp
@@ -2,15 +2,19 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <netinet/tcp.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
+#include <utility>
 
 namespace cornelpier::test {
 
 raw_connection::raw_connection(const std::string& address) : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
     const timeval limit{8, 0};
+    const int on = 1;
+    setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
     setsockopt(m_socket, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
 
@@ -47,13 +51,28 @@
             return result;
         }
 
-        std::array<char, 4096> buf{};
-        const auto n = recv(m_socket, buf.data(), buf.size(), 0);
-        if (n <= 0) {
-            return std::move(m_unread);
+        if (!receive()) {
+            return std::exchange(m_unread, {});
         }
-        m_unread.append(buf.data(), static_cast<std::size_t>(n));
     }
 }
 
+std::string raw_connection::read_bytes(std::size_t size) {
+    while (m_unread.size() < size && receive()) {
+    }
+    std::string result = m_unread.substr(0, size);
+    m_unread.erase(0, size);
+    return result;
+}
+
+bool raw_connection::receive() {
+    std::array<char, 4096> buf{};
+    const auto n = recv(m_socket, buf.data(), buf.size(), 0);
+    if (n <= 0) {
+        return false;
+    }
+    m_unread.append(buf.data(), static_cast<std::size_t>(n));
+    return true;
+}
+
 } // namespace cornelpier::test
--- a/tests/daemon/support/raw_connection.hpp
+++ b/tests/daemon/support/raw_connection.hpp
@@ -22,10 +22,15 @@
     /// Reads until the text has appeared, the peer closes or the time is over.
     std::string read_until(std::string_view text);
 
+    /// Reads as many bytes; fewer if the peer closes or the time is over.
+    std::string read_bytes(std::size_t size);
+
     /// Reads until the peer closes.
     std::string read_all() { return read_until("\x01 never sent \x01"); }
 
   private:
+    bool receive();
+
     int m_socket = -1;
     std::string m_unread;
 };
--- /dev/null
+++ b/tests/process/support/child_process.cpp
@@ -0,0 +1,72 @@
+#include "tests/process/support/child_process.hpp"
+
+#include <csignal>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace cornelpier::test {
+
+namespace {
+
+constexpr int signal_status = 128;
+
+[[noreturn]] void execute(std::vector<char*>& arguments, int output) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    dup2(output, STDOUT_FILENO);
+    dup2(output, STDERR_FILENO);
+    execv(arguments[0], arguments.data());
+    _exit(signal_status - 1);
+}
+
+} // namespace
+
+child_process::child_process(const std::vector<std::string>& command, const std::string& output) {
+    std::vector<char*> arguments;
+    for (const auto& it : command) {
+        arguments.push_back(const_cast<char*>(it.c_str()));
+    }
+    arguments.push_back(nullptr);
+
+    const int file = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    m_id = fork();
+    if (m_id == 0) {
+        execute(arguments, file);
+    }
+    close(file);
+}
+
+child_process::~child_process() {
+    if (m_id > 0) {
+        kill(m_id, SIGKILL);
+        waitpid(m_id, nullptr, 0);
+    }
+}
+
+child_process::child_process(child_process&& other) noexcept : m_id(std::exchange(other.m_id, -1)) {}
+
+void child_process::send_signal(int number) const {
+    if (m_id > 0) {
+        kill(m_id, number);
+    }
+}
+
+std::optional<int> child_process::wait(std::chrono::milliseconds limit) {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (true) {
+        int status = 0;
+        if (waitpid(m_id, &status, WNOHANG) == m_id) {
+            m_id = -1;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : signal_status + WTERMSIG(status);
+        }
+        if (std::chrono::steady_clock::now() >= end) {
+            return std::nullopt;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{2});
+    }
+}
+
+} // namespace cornelpier::test
--- /dev/null
+++ b/tests/process/support/small_fleet.cpp
@@ -0,0 +1,180 @@
+#include "tests/process/support/small_fleet.hpp"
+
+#include "tests/process/support/http_call.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace cornelpier::test {
+
+namespace {
+
+const std::array<std::string, 3> targets{"comenzi-1", "comenzi-2", "atelier-1"};
+
+/// Ports per kind of address: callers, node, operator, server, platform.
+enum port_kind { callers_port, node_port, operator_port, server_port, platform_port };
+constexpr int port_count = 16;
+constexpr int ports_per_target = 4;
+
+bool is_free(int port, int type) {
+    const int socket_id = socket(AF_INET, type, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int on = 1;
+    setsockopt(socket_id, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const bool result = bind(socket_id, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    close(socket_id);
+    return result;
+}
+
+/// The range lies below the kernel's range for outgoing connections, which would take ports away.
+int free_port_base() {
+    constexpr int lowest = 10000;
+    constexpr int slots = 600;
+    static int attempt = 0;
+    while (attempt < slots) {
+        const int base = lowest + (getpid() + attempt++) % slots * port_count;
+        bool free = true;
+        for (int port = base; port < base + port_count; ++port) {
+            free = free && is_free(port, SOCK_STREAM) && is_free(port, SOCK_DGRAM);
+        }
+        if (free) {
+            return base;
+        }
+    }
+    throw std::runtime_error("no free range of ports");
+}
+
+std::string service_of(const std::string& target) {
+    return target.substr(0, target.find('-'));
+}
+
+std::string data_centre_of(const std::string& target) {
+    const auto n = std::ranges::find(targets, target) - targets.begin();
+    return "brasov-" + std::to_string(n + 1);
+}
+
+} // namespace
+
+small_fleet::small_fleet(const std::string& service_ms)
+    : m_directory(std::filesystem::temp_directory_path() / ("cornelpier-test-" + std::to_string(getpid()))),
+      m_base(free_port_base()) {
+    std::filesystem::remove_all(m_directory);
+    std::filesystem::create_directories(m_directory);
+    write_plan();
+    m_stand_ins.emplace_back(std::vector<std::string>{CORNELPIER_PLATFORM_STANDIN, "--listen",
+                                                      address("", platform_port), "--plan",
+                                                      file("plan.json")},
+                             file("platform.log"));
+
+    for (const auto& target : targets) {
+        write_settings(target);
+        m_stand_ins.emplace_back(std::vector<std::string>{CORNELPIER_SERVER_STANDIN, "--listen",
+                                                          server(target), "--name", target, "--service-ms",
+                                                          service_ms},
+                                 file(target + "-server.log"));
+        start_node(target);
+    }
+    for (const auto& target : targets) {
+        if (!wait_until_serving(target)) {
+            throw std::runtime_error(target + " does not serve");
+        }
+    }
+}
+
+small_fleet::~small_fleet() {
+    m_nodes.clear();
+    m_stand_ins.clear();
+    std::error_code ec;
+    std::filesystem::remove_all(m_directory, ec);
+}
+
+std::string small_fleet::address(const std::string& target, int kind) const {
+    if (kind == platform_port) {
+        return "127.0.0.1:" + std::to_string(m_base + port_count - 1);
+    }
+    const auto n = static_cast<int>(std::ranges::find(targets, target) - targets.begin());
+    return "127.0.0.1:" + std::to_string(m_base + n * ports_per_target + kind);
+}
+
+std::string small_fleet::callers(const std::string& target) const {
+    return address(target, callers_port);
+}
+
+std::string small_fleet::server(const std::string& target) const {
+    return address(target, server_port);
+}
+
+std::string small_fleet::settings(const std::string& target) const {
+    return file(target + ".json");
+}
+
+void small_fleet::start_node(const std::string& target) {
+    m_nodes.erase(target);
+    m_nodes.emplace(target,
+                    child_process({CORNELPIER_NODE, "--settings", settings(target)}, file(target + ".log")));
+}
+
+bool small_fleet::wait_until_serving(const std::string& target) const {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+    while (std::chrono::steady_clock::now() < end) {
+        try {
+            if (call(callers(target), get_request("/ready", "comenzi")).status == 200) {
+                return true;
+            }
+        } catch (const std::runtime_error&) {
+            // Nobody listens yet.
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    return false;
+}
+
+void small_fleet::write_plan() const {
+    std::ofstream out(file("plan.json"));
+    out << R"({"version": 1, "deployment": "ro-centru", "services": [)";
+    for (const std::string service : {"comenzi", "atelier"}) {
+        out << (service == "comenzi" ? "" : ", ") << R"({"id": ")" << service << R"(", "deadline_ms": 2000,
+ "tail_weight": 0.9, "measuring_per_second": 20, "slots": 10, "key_memory_s": 1, "refusal_statuses": [503],
+ "rules": [{"method": "GET", "path_prefix": "/", "idempotent": true, "class": "urgent_lookup"},
+           {"method": "POST", "path_prefix": "/orders", "idempotent": false, "class": "order"}], "targets": [)";
+        const char* separator = "";
+        for (const auto& target : targets) {
+            if (service_of(target) != service) {
+                continue;
+            }
+            out << separator << R"({"id": ")" << target << R"(", "vm": "vm-)" << target
+                << R"(", "data_centre": ")" << data_centre_of(target) << R"(", "node": ")"
+                << address(target, node_port) << R"("})";
+            separator = ", ";
+        }
+        out << "]}";
+    }
+    out << "]}";
+}
+
+void small_fleet::write_settings(const std::string& target) const {
+    std::ofstream out(settings(target));
+    out << R"({"target": ")" << target << R"(", "vm": "vm-)" << target << R"(", "data_centre": ")"
+        << data_centre_of(target) << R"(", "service": ")" << service_of(target) << R"(", "caller_address": ")"
+        << callers(target) << R"(", "node_address": ")" << address(target, node_port)
+        << R"(", "operator_address": ")" << address(target, operator_port) << R"(", "server_address": ")"
+        << server(target) << R"(", "server_report_path": "/load", "configuration_address": ")"
+        << address("", platform_port) << R"(", "configuration_path": "/plan", "vm_list_address": ")"
+        << address("", platform_port) << R"(", "vm_list_path": "/vms", "seeds": [)"
+        << R"({"target": "comenzi-1", "node": ")" << address("comenzi-1", node_port) << R"("}, )"
+        << R"({"target": "atelier-1", "node": ")" << address("atelier-1", node_port)
+        << R"("}], "log": {"format": "json", "level": "debug"}, "traffic_threads": 2})";
+}
+
+} // namespace cornelpier::test
