--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -30,7 +30,7 @@
       local urgency=patient_lookup weight=0.3 deadline=5000
       [ "$service" = comenzi ] && urgency=urgent_lookup weight=0.9 deadline=2000
       echo "$separator{\"id\": \"$service\", \"deadline_ms\": $deadline, \"tail_weight\": $weight,"
-      echo ' "measuring_per_second": 20, "slots": 10, "key_memory_s": 120, "refusal_statuses": [503], "rules": ['
+      echo ' "measuring_per_second": 20, "slots": 10, "key_memory_s": 3, "refusal_statuses": [503], "rules": ['
       echo "  {\"method\": \"GET\", \"path_prefix\": \"/\", \"idempotent\": true, \"class\": \"$urgency\"},"
       echo '  {"method": "POST", "path_prefix": "/orders", "idempotent": false, "class": "order"}], "targets": ['
       for ((n = 1; n <= fleet_targets_per_service; n++)); do
