--- a/tests/standins/server_standin.cpp
+++ b/tests/standins/server_standin.cpp
@@ -44,6 +44,7 @@
         exchange request;
         steady::time_point deadline;
         std::unique_ptr<asio::steady_timer> timer;
+        std::shared_ptr<bool> alive; ///< Expires with the entry.
     };
 
     void on_request(const exchange& it) {
@@ -72,7 +73,7 @@
             it->respond(503, R"({"error":"shed"})");
             return;
         }
-        m_queue.push_back({it, deadline_of(it), nullptr});
+        m_queue.push_back({it, deadline_of(it), nullptr, std::make_shared<bool>(true)});
         const auto position = std::prev(m_queue.end());
         it->on_cancelled = [this, position] { m_queue.erase(position); };
         start_work();
@@ -108,8 +109,10 @@
         }
         position->request->on_cancelled = [this, position] { finish(position); };
         position->timer = std::make_unique<asio::steady_timer>(m_context, service_time());
-        position->timer->async_wait([this, position](boost::system::error_code ec) {
-            if (!ec) {
+        // A timer that has expired calls back although the entry was cancelled and destroyed meanwhile.
+        const std::weak_ptr<bool> alive = position->alive;
+        position->timer->async_wait([this, position, alive](boost::system::error_code ec) {
+            if (!ec && !alive.expired()) {
                 answer(position->request);
                 finish(position);
             }
