Serve the operators' port and put stamps on messages between nodes

Cause: the node dropped its observations, had no port for operators, and stamps in the log did not follow messages, so that the order of events over processes rested on wall clocks.

Excluded: stamps on gossip; it carries no request, and its datagrams are full.

Result: /state, /metrics, /events and /plan; every message on a link carries the sender's hybrid clock.

--- a/src/cornelpier/message/codec.cpp
+++ b/src/cornelpier/message/codec.cpp
@@ -217,9 +217,10 @@
 enum class message_kind : std::uint8_t { traffic, control };
 
 template <typename Variant>
-std::string encode_variant(message_kind kind, const Variant& message) {
+std::string encode_variant(message_kind kind, const Variant& message, hybrid_stamp stamp) {
     json item = json::array({static_cast<std::uint64_t>(kind), std::uint64_t{message.index()}});
     std::visit([&](const auto& it) { item.push_back(write(it)); }, message);
+    item.push_back(stamp.value());
 
     std::string buf;
     json::to_cbor(item, buf);
@@ -241,7 +242,7 @@
 }
 
 node_message decode_item(const json& item) {
-    expect_array(item, 3);
+    expect_array(item, 4);
     std::uint64_t kind = 0;
     std::uint64_t index = 0;
     read(item[0], kind);
@@ -258,22 +259,32 @@
 
 } // namespace
 
-std::string encode(const traffic_message& message) {
-    return encode_variant(message_kind::traffic, message);
+std::string encode(const traffic_message& message, hybrid_stamp stamp) {
+    return encode_variant(message_kind::traffic, message, stamp);
 }
 
-std::string encode(const control_message& message) {
-    return encode_variant(message_kind::control, message);
+std::string encode(const control_message& message, hybrid_stamp stamp) {
+    return encode_variant(message_kind::control, message, stamp);
 }
 
 result<node_message> decode(std::string_view bytes) {
+    auto outcome = decode_stamped(bytes);
+    if (auto* stamped = std::get_if<stamped_message>(&outcome)) {
+        return std::move(stamped->message);
+    }
+    return std::get<error>(std::move(outcome));
+}
+
+result<stamped_message> decode_stamped(std::string_view bytes) {
     const json item = json::from_cbor(bytes.begin(), bytes.end(), true, false);
     if (item.is_discarded()) {
         return error{"", "not one CBOR item"};
     }
 
     try {
-        return decode_item(item);
+        stamped_message stamped{decode_item(item), {}};
+        read(item[3], stamped.stamp);
+        return stamped;
     } catch (const malformed_message& problem) {
         return error{"", problem.what()};
     }
--- a/src/daemon/link/link_manager.cpp
+++ b/src/daemon/link/link_manager.cpp
@@ -169,8 +169,10 @@
                 self->drop(link, event_number::link_queue_full, "the peer reads too slowly");
             }
         };
-        m_table.add(link,
-                    {use, std::make_shared<websocket_channel<ConnectionPtr>>(connection, overflow), false});
+        m_table.add(
+            link,
+            {use, std::make_shared<websocket_channel<ConnectionPtr>>(connection, m_handlers.clock, overflow),
+             false});
     }
 
     template <typename Connection>
@@ -226,12 +228,14 @@
             return;
         }
 
-        auto outcome = decode(payload);
+        auto outcome = decode_stamped(payload);
         if (const auto* problem = std::get_if<error>(&outcome)) {
             drop(link, event_number::link_message_malformed, problem->reason);
             return;
         }
-        deliver(link, *entry, std::get<node_message>(std::move(outcome)));
+        auto& stamped = std::get<stamped_message>(outcome);
+        m_handlers.clock->merge(stamped.stamp);
+        deliver(link, *entry, std::move(stamped.message));
     }
 
     void deliver(link_id link, const link_table::entry& entry, node_message message) {
--- a/src/daemon/link/link_manager.hpp
+++ b/src/daemon/link/link_manager.hpp
@@ -30,6 +30,7 @@
     std::function<void(link_id, traffic_message)> received;
     std::function<void(control_message)> control_received;
     event_sink record;
+    std::shared_ptr<event_clock> clock = std::make_shared<event_clock>(); ///< Stamps messages.
 };
 
 /// WebSocket links between nodes: one CBOR message per binary frame. All functions may be called on any
--- a/src/daemon/log/event_log.cpp
+++ b/src/daemon/log/event_log.cpp
@@ -32,7 +32,8 @@
 class event_log::implementation {
   public:
     explicit implementation(const log_options& options)
-        : m_level(options.level), m_formatter(options.format, options.node, options.process) {
+        : m_level(options.level), m_formatter(options.format, options.node, options.process),
+          m_clock(options.clock), m_recent(options.recent) {
         const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
         backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
         backend->auto_flush(true);
@@ -73,17 +74,20 @@
   private:
     void put(const event_record& record, std::uint64_t left_out, time_point now) {
         const auto wall = std::chrono::system_clock::now();
-        const auto stamp =
-            m_clock.next(std::chrono::duration_cast<hybrid_clock::wall_time>(wall.time_since_epoch()));
+        const auto stamp = m_clock->next();
         const std::string line = m_formatter.format({wall, now, stamp, ++m_sequence, left_out, record});
         BOOST_LOG(m_logger) << line;
+        if (m_recent != nullptr) {
+            m_recent->add(line);
+        }
     }
 
     severity m_level;
     event_formatter m_formatter;
     std::mutex m_mutex;
     event_rate_limiter m_limiter;
-    hybrid_clock m_clock;
+    std::shared_ptr<event_clock> m_clock;
+    std::shared_ptr<recent_lines> m_recent;
     std::uint64_t m_sequence = 0;
     boost::shared_ptr<line_sink> m_sink;
     logging::sources::logger m_logger;
--- a/src/daemon/log/event_log.hpp
+++ b/src/daemon/log/event_log.hpp
@@ -3,7 +3,9 @@
 #include "cornelpier/base/event_record.hpp"
 #include "cornelpier/base/ids.hpp"
 
+#include "daemon/log/event_clock.hpp"
 #include "daemon/log/event_formatter.hpp"
+#include "daemon/log/recent_lines.hpp"
 
 #include <functional>
 #include <memory>
@@ -19,6 +21,8 @@
     severity level = severity::info; ///< Events below are not written.
     target_id node;
     incarnation process;
+    std::shared_ptr<event_clock> clock = std::make_shared<event_clock>(); ///< Stamps the lines.
+    std::shared_ptr<recent_lines> recent = nullptr; ///< Also receives every line, unless null.
 };
 
 /// Writes numbered events to standard error as JSON lines or text. Thread-safe. A thread of its own does
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -1,8 +1,13 @@
 #include "daemon/node/node_daemon.hpp"
 
+#include "daemon/log/event_clock.hpp"
+#include "daemon/log/recent_lines.hpp"
+#include "daemon/metrics/metrics.hpp"
 #include "daemon/node/control_runner.hpp"
 #include "daemon/node/periodic_timer.hpp"
 #include "daemon/node/traffic_runner.hpp"
+#include "daemon/operator/operator_pages.hpp"
+#include "daemon/operator/operator_server.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -24,6 +29,9 @@
 
 constexpr std::chrono::seconds omission_period{1};
 
+/// About 1 MB of log lines.
+constexpr std::size_t max_recent_lines = 2000;
+
 /// Answers to other nodes that were just handed to their links reach the kernel within this time.
 constexpr std::chrono::milliseconds flush_time{100};
 
@@ -55,7 +63,8 @@
   public:
     explicit implementation(node_settings settings)
         : m_settings(std::move(settings)), m_identity(make_identity(m_settings)),
-          m_log({m_settings.format, m_settings.level, m_identity.self, m_identity.process}),
+          m_log(
+              {m_settings.format, m_settings.level, m_identity.self, m_identity.process, m_clock, m_recent}),
           m_callers(m_traffic_context, caller_settings(), traffic_sink(), log_sink()),
           m_links(m_traffic_context, link_sinks()),
           m_server(m_traffic_context,
@@ -72,7 +81,11 @@
                       m_settings.vm_list_address, m_settings.vm_list_path},
                      [this](control_event event) { m_control.post(std::move(event)); }),
           m_traffic(m_traffic_context, m_identity, random_number(), traffic_sinks()),
-          m_control(m_control_context, m_identity, random_number(), control_sinks()),
+          m_control(m_control_context, m_identity, random_number(), control_sinks()), m_pages(page_sources()),
+          m_operators(m_control_context,
+                      [this](const std::string& path, operator_server::on_page respond) {
+                          m_pages.make(path, std::move(respond));
+                      }),
           m_signals(m_control_context, SIGTERM, SIGINT), m_flush_timer(m_control_context),
           m_omission_timer(m_control_context, omission_period, [this] { m_log.write_omissions(); }) {}
 
@@ -103,8 +116,9 @@
   private:
     /// @return false after a message if an address cannot be used.
     bool bind() {
-        for (const auto& problem : {m_callers.bind(), m_links.bind(m_settings.node_address),
-                                    m_gossip.bind(m_settings.node_address)}) {
+        for (const auto& problem :
+             {m_callers.bind(), m_links.bind(m_settings.node_address), m_gossip.bind(m_settings.node_address),
+              m_operators.bind(m_settings.operator_address)}) {
             if (!problem.reason.empty()) {
                 std::cerr << "cornelpier-node: " << problem.place << ": " << problem.reason << '\n';
                 return false;
@@ -124,6 +138,7 @@
         m_control.start();
         m_traffic.start();
         m_omission_timer.start();
+        m_operators.start();
         m_callers.start();
     }
 
@@ -176,7 +191,17 @@
                 [this](control_message message) {
                     m_control.post(control_received{std::move(message), ""});
                 },
-                log_sink()};
+                log_sink(),
+                m_clock};
+    }
+
+    operator_sources page_sources() {
+        return {m_identity,
+                monotonic_now(),
+                [this](auto on_taken) { m_traffic.snapshot(std::move(on_taken)); },
+                [this](auto on_taken) { m_control.snapshot(std::move(on_taken)); },
+                m_metrics,
+                *m_recent};
     }
 
     traffic_outputs traffic_sinks() {
@@ -184,19 +209,24 @@
                 m_links,
                 m_server,
                 log_sink(),
-                [](const observe&) {},
+                [this](const observe& it) { m_metrics.add(it, monotonic_now()); },
                 [this](node_state state) { on_state(state); },
                 [this] { on_drained(); }};
     }
 
     control_outputs control_sinks() {
-        return {m_gossip, m_links, m_platform, log_sink(),
-                [this](shared_fleet_view view) { m_traffic.post(fleet_changed{std::move(view)}); }};
+        return {m_gossip, m_links, m_platform, log_sink(), [this](shared_fleet_view view) {
+                    m_pages.set_view(view);
+                    m_traffic.post(fleet_changed{std::move(view)});
+                }};
     }
 
     node_settings m_settings;
     node_identity m_identity;
+    std::shared_ptr<event_clock> m_clock = std::make_shared<event_clock>();
+    std::shared_ptr<recent_lines> m_recent = std::make_shared<recent_lines>(max_recent_lines);
     event_log m_log;
+    metrics m_metrics;
     boost::asio::io_context m_control_context{1};
     boost::asio::io_context m_traffic_context;
 
@@ -207,6 +237,8 @@
     platform_reader m_platform;
     traffic_runner m_traffic;
     control_runner m_control;
+    operator_pages m_pages;
+    operator_server m_operators;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_flush_timer;
     periodic_timer m_omission_timer;
--- /dev/null
+++ b/src/daemon/operator/operator_pages.cpp
@@ -0,0 +1,107 @@
+#include "daemon/operator/operator_pages.hpp"
+
+#include "daemon/net/clock.hpp"
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+const char* name_of(node_state state) {
+    constexpr std::array<const char*, 4> names{"starting", "serving", "draining", "stopped"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+const char* name_of(vm_state state) {
+    constexpr std::array<const char*, 3> names{"unlisted", "live", "leaving"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+std::string hexadecimal(std::uint64_t value) {
+    std::array<char, 17> buf{};
+    std::snprintf(buf.data(), buf.size(), "%llx", static_cast<unsigned long long>(value));
+    return buf.data();
+}
+
+std::vector<member_view> make_members(const std::vector<member_record>& records) {
+    std::vector<member_view> members;
+    members.reserve(records.size());
+    for (const auto& it : records) {
+        members.push_back({it.target, name_of(it.state), name_of(it.vm), it.age, it.vm_age});
+    }
+    return members;
+}
+
+} // namespace
+
+operator_pages::operator_pages(operator_sources sources) : m_sources(std::move(sources)) {}
+
+void operator_pages::set_view(shared_fleet_view view) {
+    m_view = std::move(view);
+}
+
+void operator_pages::make(const std::string& path, operator_server::on_page respond) const {
+    if (path == "/state") {
+        take_snapshots([this, respond = std::move(respond)](const metrics_gauges& gauges) {
+            respond({200, "application/json", to_json(make_report(gauges))});
+        });
+        return;
+    }
+    if (path == "/metrics") {
+        take_snapshots([this, respond = std::move(respond)](const metrics_gauges& gauges) {
+            respond({200, "text/plain; version=0.0.4", m_sources.counts.exposition(gauges)});
+        });
+        return;
+    }
+    if (path == "/events") {
+        respond({200, "application/x-ndjson", m_sources.events.text()});
+        return;
+    }
+    if (path == "/plan" && m_view != nullptr) {
+        respond({200, "application/json", m_view->current_plan->sheet});
+        return;
+    }
+    respond({404, "text/plain; charset=utf-8", "pages: /state /metrics /events /plan\n"});
+}
+
+void operator_pages::take_snapshots(on_snapshots on_taken) const {
+    m_sources.traffic([this, on_taken = std::move(on_taken)](traffic_snapshot traffic) {
+        m_sources.control([this, on_taken, traffic = std::move(traffic)](control_snapshot control) {
+            const service_plan* service =
+                m_view == nullptr ? nullptr : m_view->current_plan->service_of(m_sources.identity.self);
+            const double budget = service == nullptr ? 0 : service->measuring.per_second;
+            on_taken({traffic, std::move(control), budget});
+        });
+    });
+}
+
+node_report operator_pages::make_report(const metrics_gauges& gauges) const {
+    const time_point now = monotonic_now();
+    const auto calls = m_sources.counts.last_minute(now);
+
+    node_report report;
+    report.node = m_sources.identity.self;
+    report.vm = m_sources.identity.vm;
+    report.data_centre = m_sources.identity.data_centre;
+    report.service = m_sources.identity.service;
+    report.state = name_of(gauges.traffic.state);
+    report.uptime = now - m_sources.started;
+    report.plan_version = gauges.control.digest.version;
+    report.plan_hash = hexadecimal(gauges.control.digest.content_hash);
+    report.plan_confirmed_age = gauges.control.plan_confirmed_age;
+    report.plan_conflict = gauges.control.conflict;
+    report.running = gauges.traffic.runs_at_server;
+    report.queued = gauges.traffic.runs_queued;
+    report.limit = gauges.traffic.concurrency_limit;
+    report.service_time = gauges.traffic.service_time;
+    report.measurements_per_second = gauges.traffic.measurements_last_second;
+    report.measuring_budget = gauges.measuring_budget;
+    report.calls = {calls.ran, calls.not_run, calls.unknown, calls.p50, calls.p99};
+    report.members = make_members(gauges.control.members);
+    return report;
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/daemon/operator/operator_pages.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "cornelpier/fleet/fleet_view.hpp"
+#include "cornelpier/node/control_core.hpp"
+#include "cornelpier/node/node_identity.hpp"
+#include "cornelpier/node/traffic_core.hpp"
+
+#include "daemon/log/recent_lines.hpp"
+#include "daemon/metrics/metrics.hpp"
+#include "daemon/operator/operator_server.hpp"
+#include "daemon/report/node_report.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cornelpier {
+
+/// Where the pages get their facts.
+struct operator_sources {
+    node_identity identity;
+    time_point started; ///< On the node's monotonic clock.
+    std::function<void(std::function<void(traffic_snapshot)>)> traffic;
+    std::function<void(std::function<void(control_snapshot)>)> control;
+    const metrics& counts;
+    const recent_lines& events;
+};
+
+/// Makes the pages of the operators' port: `/state`, `/metrics`, `/events` and `/plan`. Used on the control
+/// thread.
+class operator_pages {
+  public:
+    explicit operator_pages(operator_sources sources);
+
+    /// Takes the view that the control side published.
+    void set_view(shared_fleet_view view);
+
+    /// Makes a page. Snapshots are taken on the threads that own the state, so that no page shows half a
+    /// change.
+    /// @param respond called once, on any thread.
+    void make(const std::string& path, operator_server::on_page respond) const;
+
+  private:
+    using on_snapshots = std::function<void(const metrics_gauges&)>;
+
+    void take_snapshots(on_snapshots on_taken) const;
+    [[nodiscard]] node_report make_report(const metrics_gauges& gauges) const;
+
+    operator_sources m_sources;
+    shared_fleet_view m_view;
+};
+
+} // namespace cornelpier
