Say 'last known' in the text report for nodes that did not answer

Cause: a run against a fleet with one stopped and one killed node showed 'comenzi-1: serving' for the stopped one, with the source only on the next line.

Result: 'last known serving', as on the page for phones.

--- a/src/daemon/report/report_text.cpp
+++ b/src/daemon/report/report_text.cpp
@@ -27,7 +27,9 @@
 }
 
 void write_line(std::ostream& out, const node_line& line) {
-    out << "  " << line.node.value() << " (" << line.data_centre.value() << "): " << line.state;
+    const bool current = line.source == fact_source::own && !line.stale;
+    out << "  " << line.node.value() << " (" << line.data_centre.value()
+        << "): " << (current ? "" : "last known ") << line.state;
     if (line.vm_state == "leaving") {
         out << ", VM leaving";
     }
