Never say not-run for a key that the home was not asked about

Excluded: a longer key memory; no length covers a pause of unknown length.

Result: such calls get unknown, and for 1 s after a pause orders with a key get 503 with Retry-After.

--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -81,6 +81,10 @@
     shell embedding{core};
 
     embedding.handle(fleet_changed{make_view(self)});
-    embedding.handle(call_arrived{call_id{1}, service_id{"greetings"}, {"GET", "/world", {}, make_body()}});
+    call_arrived call;
+    call.call = call_id{1};
+    call.service = service_id{"greetings"};
+    call.request = {"GET", "/world", {}, make_body()};
+    embedding.handle(call);
     embedding.run_for(std::chrono::seconds{1});
 }
--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -84,9 +84,9 @@
 
 } // namespace
 
-answer_caller answer_composer::turn_away(call_id call, int status, const std::string& reason,
+answer_caller answer_composer::turn_away(call_id call, verdict outcome, int status, const std::string& reason,
                                          duration retry_after) const {
-    answer_caller result{call, text_response(status, reason), verdict::not_run, {}, {}, m_context.draining};
+    answer_caller result{call, text_response(status, reason), outcome, {}, {}, m_context.draining};
     result.retry_after = spread(retry_after);
     return result;
 }
--- a/src/cornelpier/entry/answer_composer.hpp
+++ b/src/cornelpier/entry/answer_composer.hpp
@@ -16,7 +16,8 @@
     /// @param status HTTP status.
     /// @param reason body, one short line.
     /// @param retry_after zero for no advice; else spread over up to twice that time.
-    answer_caller turn_away(call_id call, int status, const std::string& reason, duration retry_after) const;
+    answer_caller turn_away(call_id call, verdict outcome, int status, const std::string& reason,
+                            duration retry_after) const;
 
     /// Answers a call after its last attempt was settled.
     answer_caller finish(const call_state& call) const;
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -64,8 +64,10 @@
 }
 
 bool call_driver::turned_away(const call_arrived& event) {
+    // An earlier exchange with the same key may have run; only the home of the key knows.
+    const verdict outcome = event.key ? verdict::unknown : verdict::not_run;
     const auto answer = [&](int status, const std::string& reason, duration retry_after) {
-        m_context.emit(m_parts.composer.turn_away(event.call, status, reason, retry_after));
+        m_context.emit(m_parts.composer.turn_away(event.call, outcome, status, reason, retry_after));
         return true;
     };
     if (event.depth > max_depth) {
@@ -80,6 +82,11 @@
     if (event.deadline && *event.deadline <= duration::zero()) {
         return answer(status_gateway_timeout, "the deadline has passed", {});
     }
+    // The call may have waited unread for longer than its key is remembered.
+    if (event.key && m_context.now() < m_context.paused_until) {
+        return answer(status_unavailable, "the node was paused; send the request again",
+                      unplanned_retry_after);
+    }
     return false;
 }
 
--- a/src/cornelpier/entry/entry_context.hpp
+++ b/src/cornelpier/entry/entry_context.hpp
@@ -20,6 +20,7 @@
     shared_fleet_view view;            ///< Null until the first view arrives.
     traffic_actions* output = nullptr; ///< Never null while an event is handled.
     bool draining = false;
+    time_point paused_until{}; ///< Until then, calls may have waited unread during a pause of the process.
 
     [[nodiscard]] time_point now() const { return timers.now(); }
 
--- a/src/cornelpier/entry/entry_manager.cpp
+++ b/src/cornelpier/entry/entry_manager.cpp
@@ -16,15 +16,23 @@
 
 namespace cornelpier {
 
+namespace {
+
+/// After a pause, everything that callers sent meanwhile is read within this time.
+constexpr duration backlog_time = std::chrono::seconds{1};
+
+} // namespace
+
 /// Wires the parts of the entry and hands each event to those concerned.
 class entry_manager::implementation {
   public:
     implementation(const node_identity& identity, timer_service& timers, random_source random,
                    entry_options options)
-        : context{identity, timers, random, std::move(options), nullptr, nullptr, false}, services(context),
-          distances(identity.data_centre), calls(identity.process), links(context, make_link_callbacks()),
-          reporter(context, health, services), selector(context, readings, distances, health, links),
-          composer(context), probes(context, services, readings, links),
+        : context{identity, timers, random, std::move(options), nullptr, nullptr, false, {}},
+          services(context), distances(identity.data_centre), calls(identity.process),
+          links(context, make_link_callbacks()), reporter(context, health, services),
+          selector(context, readings, distances, health, links), composer(context),
+          probes(context, services, readings, links),
           dispatcher(context, {calls, readings, distances, reporter, links}, make_settled_callback()),
           driver(context, {calls, services, selector, dispatcher, composer, probes, reporter}),
           desk(context, composer, links) {}
@@ -52,6 +60,7 @@
     }
 
     void on_pause() {
+        context.paused_until = context.now() + backlog_time;
         readings.drop_readings();
         links.reset_all();
     }
--- a/src/cornelpier/entry/fate_desk.cpp
+++ b/src/cornelpier/entry/fate_desk.cpp
@@ -22,7 +22,8 @@
 void fate_desk::on_asked(const call_fate_asked& event) {
     const auto token = parse_request_token(event.token);
     if (!token) {
-        m_context.emit(m_composer.turn_away(event.call, status_bad_request, "malformed token", {}));
+        m_context.emit(
+            m_composer.turn_away(event.call, verdict::not_run, status_bad_request, "malformed token", {}));
         return;
     }
     const auto* owner = m_context.find_target(token->owner);
--- a/tests/entry/order_test.cpp
+++ b/tests/entry/order_test.cpp
@@ -212,4 +212,30 @@
     CHECK(it.sent<permit_request>().size() == 1);
 }
 
+// A repeat that waited unread during a pause may be older than the memory of its key.
+TEST_CASE("an order with a key that may have waited during a pause is not sent", "[entry][order]") {
+    entry_fixture it{1};
+    it.entry.on_pause();
+    it.call("POST", "key");
+
+    const auto answers = it.take<answer_caller>();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].response.status == 503);
+    CHECK(answers[0].outcome == verdict::unknown);
+    CHECK(answers[0].retry_after > duration::zero());
+
+    it.advance(std::chrono::seconds{1});
+    it.call("POST", "key");
+    CHECK(it.take<answer_caller>().empty());
+}
+
+// A caller that repeats a key must not conclude that its first exchange did not run.
+TEST_CASE("an entry that cannot ask the home of a key does not say not-run", "[entry][order]") {
+    entry_fixture it{1};
+    it.call("POST", "key", 9);
+    CHECK(it.take<answer_caller>().at(0).outcome == verdict::unknown);
+    it.call("POST", {}, 9);
+    CHECK(it.take<answer_caller>().at(0).outcome == verdict::not_run);
+}
+
 } // namespace cornelpier::test
