--- /dev/null
+++ b/tools/mutation_check.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Shows that the tests notice when a safety mechanism is missing: switches off one mechanism at a time in a
+# scratch copy and expects the scenarios, the random schedules or the unit tests to fail. Arguments: names of
+# mutations (default: all of tests/mutations/mutations.txt).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+git ls-files -z | xargs -0 cp --parents -t "$scratch"
+cd "$scratch"
+# A mutation may leave a variable unused.
+cmake -S . -B build -G Ninja -DCMAKE_CXX_FLAGS=-w > /dev/null
+targets=(cornelpier-scenario-tests cornelpier-schedule-tests cornelpier-tests)
+
+trim() { sed -E 's/^ +//; s/ +$//' <<< "$1"; }
+
+replace_once() { # FILE OLD NEW
+  OLD=$2 NEW=$3 perl -0pi -e '$found = s/\Q$ENV{OLD}\E/$ENV{NEW}/; END { exit($found ? 0 : 1) }' "$1"
+}
+
+missed=0
+while IFS='~' read -r name point file old new; do
+  name=$(trim "$name")
+  [ $# -eq 0 ] || [[ " $* " == *" $name "* ]] || continue
+  file=$(trim "$file")
+  cp "$file" original
+  if ! replace_once "$file" "$(trim "$old")" "$(trim "$new")"; then
+    echo "$name: the text to replace is not in $file"
+    missed=$((missed + 1))
+    continue
+  fi
+
+  cmake --build build --target "${targets[@]}" > build.log 2>&1 || { cat build.log; exit 1; }
+  noticed=()
+  for target in "${targets[@]}"; do
+    filter=()
+    [ "$target" = cornelpier-tests ] && filter=('~[fleet]')
+    timeout 120 "build/tests/$target" "${filter[@]}" > "$target.log" 2>&1 || noticed+=("${target#cornelpier-}")
+  done
+  echo "$name (point$point): ${noticed[*]:-NOT NOTICED}"
+  [ ${#noticed[@]} -gt 0 ] || missed=$((missed + 1))
+  cp original "$file"
+done < <(grep -v '^#' tests/mutations/mutations.txt | sed 's/ | /~/g')
+
+echo "mutations not noticed: $missed"
+[ "$missed" -eq 0 ]
