--- a/tests/scenario/scenario_runner.cpp
+++ b/tests/scenario/scenario_runner.cpp
@@ -299,8 +299,9 @@
                            : relation == ">" ? std::stod(actual) >= std::stod(value)
                                              : std::stod(actual) <= std::stod(value);
         if (!holds) {
-            std::string text = name + " is " + actual;
-            fail(it, text.append(", expected ").append(relation).append(value));
+            std::string text = name;
+            text.append(" is ").append(actual).append(", expected ").append(relation).append(value);
+            fail(it, text);
         }
     }
 }
