--- a/src/cornelpier/admission/load_meter.cpp
+++ b/src/cornelpier/admission/load_meter.cpp
@@ -19,7 +19,7 @@
 
     // A fast error says nothing about how many runs the server can bear.
     if (!error) {
-        m_limit.update(m_service_time.average(), m_service_time.baseline(), in_flight);
+        update_limit(in_flight);
     }
 }
 
@@ -28,7 +28,13 @@
         return;
     }
     m_service_time.add_incomplete(age);
-    m_limit.update(m_service_time.average(), m_service_time.baseline(), in_flight);
+    update_limit(in_flight);
+}
+
+void load_meter::update_limit(std::uint32_t in_flight) {
+    if (m_adaptive) {
+        m_limit.update(m_service_time.average(), m_service_time.baseline(), in_flight);
+    }
 }
 
 duration load_meter::service_time_now(const server_load& load) const {
--- a/src/cornelpier/admission/load_meter.hpp
+++ b/src/cornelpier/admission/load_meter.hpp
@@ -24,6 +24,9 @@
     /// @param deadline largest deadline of a call; half of it is the wait shown for a server that fails.
     void configure(std::uint32_t slots, duration deadline);
 
+    /// @param adaptive false: the limit stays at the slots.
+    void set_adaptive(bool adaptive) { m_adaptive = adaptive; }
+
     /// The server answered.
     /// @param took time since the hand-over.
     /// @param error the answer is an error.
@@ -56,9 +59,12 @@
     [[nodiscard]] std::uint32_t limit() const { return m_limit.value(); }
 
   private:
+    void update_limit(std::uint32_t in_flight);
+
     service_time m_service_time;
     failure_meter m_failures;
     concurrency_limit m_limit{1};
+    bool m_adaptive = true;
     duration m_failing_wait{std::chrono::seconds{1}};
 };
 
--- a/src/cornelpier/entry/entry_options.hpp
+++ b/src/cornelpier/entry/entry_options.hpp
@@ -10,6 +10,8 @@
     bool conditional_admission = true; ///< Send wait limits with runs.
     bool probes = true;                ///< Ask for readings.
     bool hedging = true;               ///< Send slow lookups a second time.
+    bool slow_start = true;            ///< Give young and recovered targets a smaller share.
+    bool ejection = true;              ///< Take failing targets out of the choice.
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/entry/health_reporter.cpp
+++ b/src/cornelpier/entry/health_reporter.cpp
@@ -1,6 +1,7 @@
 #include "cornelpier/entry/health_reporter.hpp"
 
 #include <chrono>
+#include <span>
 
 namespace cornelpier {
 
@@ -63,7 +64,10 @@
     if (state == nullptr) {
         return;
     }
-    const auto changed = m_health.on_outcome(target, outcome, state->subset, m_context.now());
+    // Nothing may be ejected from an empty subset.
+    const std::span<const target_id> subset =
+        m_context.options.ejection ? std::span<const target_id>{state->subset} : std::span<const target_id>{};
+    const auto changed = m_health.on_outcome(target, outcome, subset, m_context.now());
     if (changed) {
         m_context.record(event_for(*changed), {{"target", target.value()}});
     }
--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -175,6 +175,9 @@
 
 double target_selector::warm_share(const target_id& target) {
     double share = 1;
+    if (!m_context.options.slow_start) {
+        return share;
+    }
     const time_point now = m_context.now();
     if (const auto* load = m_readings.find(target); load != nullptr && load->last) {
         share = slow_start_share(load->last->uptime + (now - load->received_at));
--- a/src/cornelpier/node/traffic_options.hpp
+++ b/src/cornelpier/node/traffic_options.hpp
@@ -7,6 +7,7 @@
 /// Replaces parts of a node's decisions, for comparisons between policies.
 struct traffic_options {
     entry_options entry;
+    bool adaptive_limit = true; ///< Owners adapt their concurrency limit; otherwise it is the plan's slots.
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -22,9 +22,12 @@
 /// Routes messages and events to the part of the owner that handles them.
 class owner_manager::implementation {
   public:
-    implementation(const node_identity& identity, timer_service& timers, random_source random)
+    implementation(const node_identity& identity, timer_service& timers, random_source random,
+                   bool adaptive_limit)
         : m_state(identity, timers, random), m_lifecycle(m_state), m_executor(m_state, m_lifecycle),
-          m_intake(m_state, m_executor), m_fates(m_state), m_measuring(m_state) {}
+          m_intake(m_state, m_executor), m_fates(m_state), m_measuring(m_state) {
+        m_state.load.set_adaptive(adaptive_limit);
+    }
 
     void receive(link_id link, const traffic_message& message) {
         m_state.outbox.add_link(link);
@@ -109,8 +112,9 @@
     void on(link_id /*link*/, const Message& /*message*/) {}
 };
 
-owner_manager::owner_manager(const node_identity& identity, timer_service& timers, random_source random)
-    : m_implementation(std::make_unique<implementation>(identity, timers, random)) {}
+owner_manager::owner_manager(const node_identity& identity, timer_service& timers, random_source random,
+                             bool adaptive_limit)
+    : m_implementation(std::make_unique<implementation>(identity, timers, random, adaptive_limit)) {}
 
 owner_manager::~owner_manager() = default;
 
--- a/src/cornelpier/owner/owner_manager.hpp
+++ b/src/cornelpier/owner/owner_manager.hpp
@@ -15,7 +15,9 @@
 class owner_manager {
   public:
     /// @copydoc entry_manager::entry_manager
-    owner_manager(const node_identity& identity, timer_service& timers, random_source random);
+    /// @param adaptive_limit false: the server always gets as many runs as the plan's slots.
+    owner_manager(const node_identity& identity, timer_service& timers, random_source random,
+                  bool adaptive_limit = true);
     ~owner_manager();
 
     owner_manager(const owner_manager&) = delete;
--- a/tests/bench/bench_run.cpp
+++ b/tests/bench/bench_run.cpp
@@ -155,6 +155,7 @@
         {"case", what.name},
         {"policy", policy_name},
         {"seeds", seeds},
+        {"service_ms", to_seconds(where.server.mean) * 1000},
         {"calls", figures.calls},
         {"p50_ms", rounded(percentile_ms(figures.latencies, 0.5))},
         {"p99_ms", rounded(percentile_ms(figures.latencies, 0.99))},
--- a/tests/bench/core_fleet.cpp
+++ b/tests/bench/core_fleet.cpp
@@ -10,6 +10,7 @@
     result.initial_plan = where.current_plan;
     result.server = where.server;
     result.network = where.network;
+    result.options = where.options;
     return result;
 }
 
--- a/tests/bench/cornelpier_bench.cpp
+++ b/tests/bench/cornelpier_bench.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <future>
 #include <iostream>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,24 @@
     return wanted.empty() || wanted == name;
 }
 
+/// Switches one mechanism of policy `ours` off.
+/// @return false if there is no such mechanism.
+bool switch_off(const std::string& mechanism, cornelpier::traffic_options& options) {
+    const std::map<std::string, bool*> switches{
+        {"conditional_admission", &options.entry.conditional_admission},
+        {"probes", &options.entry.probes},
+        {"hedging", &options.entry.hedging},
+        {"slow_start", &options.entry.slow_start},
+        {"ejection", &options.entry.ejection},
+        {"adaptive_limit", &options.adaptive_limit}};
+    const auto it = switches.find(mechanism);
+    if (it == switches.end()) {
+        return false;
+    }
+    *it->second = false;
+    return true;
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -51,10 +70,22 @@
     app.add_option("--policy", policy_name, "only this policy");
     app.add_option("--deployment", deployment_name, "only this deployment");
     app.add_option("--seed", seeds, "seeds, pooled into one line (default 101 to 105)");
+    double service_ms = 20;
+    std::vector<std::string> without;
+    app.add_option("--service-ms", service_ms, "mean service time in ms (default 20)")
+        ->check(CLI::PositiveNumber);
+    app.add_option("--without", without, "mechanisms of our policy to switch off");
     CLI11_PARSE(app, argc, argv);
 
     std::vector<bench_line> lines;
-    for (const auto& where : deployments()) {
+    for (auto where : deployments()) {
+        where.server.mean = cornelpier::from_seconds(service_ms / 1000);
+        for (const auto& it : without) {
+            if (!switch_off(it, where.options)) {
+                std::cerr << "no such mechanism\n";
+                return 2;
+            }
+        }
         for (const auto& what : bench_cases()) {
             for (const auto& name : policy_names()) {
                 if (selected(deployment_name, where.name) && selected(case_name, what.name) &&
--- a/tests/bench/deployment.hpp
+++ b/tests/bench/deployment.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cornelpier/node/traffic_options.hpp"
 #include "cornelpier/plan/plan.hpp"
 
 #include "tests/support/fake_network.hpp"
@@ -18,6 +19,7 @@
     service_id service;
     server_settings server;
     network_settings network;
+    traffic_options options; ///< Mechanisms of policy `ours`.
 
     /// @return the targets of the measured service.
     [[nodiscard]] const std::vector<target_plan>& targets() const;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -120,7 +120,8 @@
 void fleet::start(node_index node) {
     constexpr duration first_view_delay{std::chrono::milliseconds{10}};
     m_network->start_process(node);
-    m_hosts[node]->start(make_identity(m_targets[node]), m_random.next(), m_settings.with_control);
+    m_hosts[node]->start(make_identity(m_targets[node]), m_random.next(), m_settings.with_control,
+                         m_settings.options);
     if (!m_settings.with_control) {
         deliver_view(node, first_view_delay);
     }
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -24,6 +24,7 @@
     server_settings server; ///< Of targets that are not listed in `servers`.
     std::map<target_id, server_settings> servers;
     network_settings network;
+    traffic_options options;   ///< Of all nodes.
     bool with_control = false; ///< Otherwise views are handed to the nodes by the fleet.
     duration view_delay{std::chrono::milliseconds{200}};
     std::function<void(node_index, traffic_actions&)> tamper; ///< Plants faults to test the checker.
--- a/tests/support/node_host.cpp
+++ b/tests/support/node_host.cpp
@@ -25,11 +25,12 @@
                      host_hooks hooks)
     : m_index(index), m_queue(queue), m_network(network), m_server(server), m_hooks(std::move(hooks)) {}
 
-void node_host::start(node_identity identity, std::uint64_t seed, bool with_control) {
+void node_host::start(node_identity identity, std::uint64_t seed, bool with_control,
+                      traffic_options options) {
     ++m_process;
     m_clock_offset = clock_step * static_cast<std::int64_t>(m_index + 1);
     m_state = node_state::starting;
-    m_traffic = std::make_unique<traffic_core>(identity, seed, local_now());
+    m_traffic = std::make_unique<traffic_core>(identity, seed, local_now(), std::move(options));
     if (with_control) {
         m_control = std::make_unique<control_core>(std::move(identity), seed + 1, local_now());
     }
--- a/tests/support/node_host.hpp
+++ b/tests/support/node_host.hpp
@@ -42,7 +42,8 @@
 
     /// Starts a process.
     /// @param with_control also runs `control_core`; otherwise views come from `deliver`.
-    void start(node_identity identity, std::uint64_t seed, bool with_control);
+    /// @param options replaces parts of the decisions.
+    void start(node_identity identity, std::uint64_t seed, bool with_control, traffic_options options = {});
 
     /// Ends the process at once.
     /// @param notice whether peers learn of it.
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds and runs the benchmark in virtual time. `--case NAME`, `--policy NAME`, `--deployment NAME` and
-# `--seed N` narrow it down; without a seed the figures are pooled over the seeds for reporting.
+# `--seed N` narrow it down, `--service-ms N` sets the mean service time, `--without MECHANISM` switches a
+# part of our policy off; without a seed the figures are pooled over the seeds for reporting.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
