Repeat orders in the random schedules as long as their key is remembered

Cause: the schedules repeated a key only within 3 s of a memory of 12 s, because a repeat that waited in a paused entry could run a second time.

--- a/tests/schedules/random_schedule.cpp
+++ b/tests/schedules/random_schedule.cpp
@@ -17,10 +17,10 @@
 constexpr duration key_memory{12s};
 constexpr time_point first_call{12200ms};
 constexpr time_point last_call{18s};
-/// With the longest pause still shorter than the key memory, after which a repeat counts as new.
-constexpr duration latest_repeat{3s};
+/// A repeat may be sent as long as its key is remembered, and wait in a paused process after that.
+constexpr duration latest_repeat = key_memory;
 /// Late copies and repeats have time to do harm.
-constexpr time_point schedule_end{28s};
+constexpr time_point schedule_end{36s};
 constexpr double keyed_share = 0.4;
 constexpr double order_share = 0.5;
 
