Let new readers watch the configuration service after 1 s

A node that enters the group of readers waited 2.5 s before its first watch.

Excluded: the spread between nodes (0.05 s for 10 nodes) and lost gossip.

The process tests now also freeze an owner under load, take the configuration service down, let it serve an old sheet and publish two contents under one version.

--- a/src/cornelpier/membership/reader_election.hpp
+++ b/src/cornelpier/membership/reader_election.hpp
@@ -25,7 +25,7 @@
     static constexpr duration candidate_limit = std::chrono::seconds{15};
 
     /// Time for the first answers after the node entered the group.
-    static constexpr duration settle_time = std::chrono::milliseconds{2500};
+    static constexpr duration settle_time = std::chrono::seconds{1};
 
     reader_election(target_id self, data_centre_id data_centre)
         : m_self(std::move(self)), m_data_centre(std::move(data_centre)) {}
--- /dev/null
+++ b/tests/process/process_failure_test.cpp
@@ -0,0 +1,145 @@
+#include "tests/process/support/child_process.hpp"
+#include "tests/process/support/http_call.hpp"
+#include "tests/process/support/small_fleet.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cornelpier {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::call;
+using test::get_request;
+using test::http_answer;
+using test::post_request;
+using test::small_fleet;
+
+const std::vector<std::string> nodes{"comenzi-1", "comenzi-2", "atelier-1"};
+
+bool becomes_true(std::chrono::milliseconds limit, const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(20ms);
+    }
+    return false;
+}
+
+nlohmann::json plan_state(const small_fleet& fleet, const std::string& node) {
+    return nlohmann::json::parse(call(fleet.operators(node), get_request("/state", "any")).body).at("plan");
+}
+
+bool in_force_everywhere(const small_fleet& fleet, int version) {
+    return std::ranges::all_of(
+        nodes, [&](const std::string& node) { return plan_state(fleet, node).at("version") == version; });
+}
+
+void control_platform(const small_fleet& fleet, const std::string& command) {
+    call(fleet.platform(), get_request("/control?" + command, "any"));
+}
+
+void publish(const small_fleet& fleet, const std::string& sheet) {
+    call(fleet.platform(), post_request("/control/plan", "any", sheet));
+}
+
+int executions(const small_fleet& fleet, const std::string& identity) {
+    int total = 0;
+    for (const std::string target : {"comenzi-1", "comenzi-2"}) {
+        const auto answer = call(fleet.server(target), get_request("/executions", "comenzi"));
+        total += nlohmann::json::parse(answer.body).value(identity, 0);
+    }
+    return total;
+}
+
+std::string order(const std::string& identity) {
+    return post_request("/orders", "comenzi", identity, "X-Identity: " + identity + "\r\n");
+}
+
+} // namespace
+
+// Guards against an order that is lost, doubled or wrongly called not-run while its owner is frozen.
+TEST_CASE("orders keep their verdicts while an owner is stopped and goes on", "[process]") {
+    small_fleet fleet("20");
+    std::vector<std::future<http_answer>> answers;
+    for (int n = 0; n < 60; ++n) {
+        answers.push_back(std::async(std::launch::async, [&fleet, n] {
+            return call(fleet.callers("atelier-1"), order("o" + std::to_string(n)));
+        }));
+        if (n == 20) {
+            fleet.node("comenzi-2").send_signal(SIGSTOP);
+        }
+        if (n == 50) {
+            fleet.node("comenzi-2").send_signal(SIGCONT);
+        }
+        std::this_thread::sleep_for(30ms);
+    }
+
+    std::vector<std::string> verdicts;
+    for (auto& it : answers) {
+        verdicts.push_back(it.get().verdict());
+    }
+    // Whatever is still under way has time to do harm.
+    std::this_thread::sleep_for(1s);
+    for (std::size_t n = 0; n < verdicts.size(); ++n) {
+        const int count = executions(fleet, "o" + std::to_string(n));
+        INFO("order " << n << ": " << verdicts[n]);
+        CHECK(count <= 1);
+        CHECK((verdicts[n] == "ran" || verdicts[n] == "not-run" || verdicts[n] == "unknown"));
+        CHECK((verdicts[n] != "ran" || count == 1));
+        CHECK((verdicts[n] != "not-run" || count == 0));
+    }
+}
+
+// Guards against a plan that is lost in an outage, goes back to an older one, or splits silently.
+TEST_CASE("plans survive an outage, a stale service and two operators at once", "[process]") {
+    const small_fleet fleet;
+    publish(fleet, fleet.plan_sheet(2));
+    REQUIRE(becomes_true(3s, [&] { return in_force_everywhere(fleet, 2); }));
+
+    control_platform(fleet, "stale=1");
+    std::this_thread::sleep_for(1s);
+    CHECK(in_force_everywhere(fleet, 2));
+
+    control_platform(fleet, "down=1&stale=0");
+    std::this_thread::sleep_for(500ms);
+    CHECK(call(fleet.callers("comenzi-1"), get_request("/a", "comenzi")).verdict() == "ran");
+    publish(fleet, fleet.plan_sheet(3));
+    control_platform(fleet, "down=0");
+    CHECK(becomes_true(12s, [&] { return in_force_everywhere(fleet, 3); }));
+
+    publish(fleet, fleet.plan_sheet(4));
+    publish(fleet, fleet.plan_sheet(4, "\n"));
+    CHECK(becomes_true(3s, [&] { return in_force_everywhere(fleet, 4); }));
+    publish(fleet, fleet.plan_sheet(5));
+    CHECK(becomes_true(3s, [&] { return in_force_everywhere(fleet, 5); }));
+    CHECK(plan_state(fleet, "comenzi-1").at("hash") == plan_state(fleet, "atelier-1").at("hash"));
+}
+
+// Guards against a restarted node that takes a stale plan from the service although its peers know better.
+TEST_CASE("a node that starts while the service is stale takes the plan of its peers", "[process]") {
+    small_fleet fleet;
+    publish(fleet, fleet.plan_sheet(2));
+    REQUIRE(becomes_true(3s, [&] { return in_force_everywhere(fleet, 2); }));
+
+    control_platform(fleet, "stale=1");
+    fleet.node("comenzi-2").send_signal(SIGKILL);
+    REQUIRE(fleet.node("comenzi-2").wait(5s).has_value());
+    fleet.start_node("comenzi-2");
+    REQUIRE(fleet.wait_until_serving("comenzi-2"));
+    CHECK(plan_state(fleet, "comenzi-2").at("version") == 2);
+}
+
+} // namespace cornelpier
--- a/tests/process/support/small_fleet.cpp
+++ b/tests/process/support/small_fleet.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <thread>
@@ -115,6 +116,22 @@
     return address(target, server_port);
 }
 
+std::string small_fleet::operators(const std::string& target) const {
+    return address(target, operator_port);
+}
+
+std::string small_fleet::platform() const {
+    return address("", platform_port);
+}
+
+std::string small_fleet::plan_sheet(int version, const std::string& trailing_space) const {
+    std::ifstream in(file("plan.json"));
+    std::string sheet{std::istreambuf_iterator<char>(in), {}};
+    const std::string first = "\"version\": 1,";
+    return sheet.replace(sheet.find(first), first.size(), "\"version\": " + std::to_string(version) + ",") +
+           trailing_space;
+}
+
 std::string small_fleet::settings(const std::string& target) const {
     return file(target + ".json");
 }
--- a/tests/process/support/small_fleet.hpp
+++ b/tests/process/support/small_fleet.hpp
@@ -28,6 +28,16 @@
     /// @return the address of a target's server.
     [[nodiscard]] std::string server(const std::string& target) const;
 
+    /// @return the operators' address of a node.
+    [[nodiscard]] std::string operators(const std::string& target) const;
+
+    /// @return the address of the platform stand-in.
+    [[nodiscard]] std::string platform() const;
+
+    /// @return the plan sheet of the start under another version, with a trailing text to tell contents
+    /// apart.
+    [[nodiscard]] std::string plan_sheet(int version, const std::string& trailing_space = {}) const;
+
     /// @return the settings file of a node.
     [[nodiscard]] std::string settings(const std::string& target) const;
 
