Let the limit follow a lasting slow-down again

Cause: with a tolerance of 5 the baseline rises faster than the limit falls, and the unit test 'the limit shrinks in a slow phase and recovers after it' found a limit of 6 instead of at most 3 after 50 runs that took 20 times as long.

Conclusion: tolerance 3.

--- a/src/cornelpier/admission/concurrency_limit.cpp
+++ b/src/cornelpier/admission/concurrency_limit.cpp
@@ -8,7 +8,7 @@
 
 /// Service times up to this multiple of the baseline are variation or a short slow-down, not overload. At 2,
 /// servers slowed 2 to 4 times for less than half a second kept slots free while requests waited.
-constexpr double tolerance = 5;
+constexpr double tolerance = 3;
 
 /// Lower bound of the gradient; keeps one burst of slow runs from closing the server.
 constexpr double least_gradient = 0.2;
