Choose by waits unless service times differ clearly

Cause: the owner's service time is an average of about ten exponential runs, so equal servers differ by a quarter, and a slow-down of 50 ms is over before its reading is used. All entries followed the same noise to the same target. The mean of the subset also made fast targets look faster than usual beside a slow one.

--- a/src/cornelpier/routing/load_estimate.cpp
+++ b/src/cornelpier/routing/load_estimate.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace cornelpier {
 
@@ -16,6 +18,14 @@
 // concurrency keeps entries from filling the fastest target up to its limit.
 constexpr double crowding_weight = 0.25;
 
+// Averages of few runs differ between equal servers, and slow-downs shorter than the age of a reading are
+// over when it is used. Smaller ratios of a service time to the median of the subset are no reason to choose.
+constexpr double least_service_ratio = 2.5;
+
+// A lasting difference counts in part: counted in full, all fast targets queue up to the service time of the
+// slow one before it gets a run.
+constexpr double service_difference_weight = 0.5;
+
 duration scale(duration value, double factor) {
     return duration{static_cast<duration::rep>(static_cast<double>(value.count()) * factor)};
 }
@@ -30,6 +40,15 @@
     return std::min(1.0, runs / std::max<double>(load.limit, 1));
 }
 
+/// @return the part of the difference to the usual service time that counts.
+duration comparable_service(duration own, duration usual) {
+    const double ratio = to_seconds(own) / std::max(to_seconds(usual), 1e-6);
+    if (ratio < least_service_ratio && ratio * least_service_ratio > 1) {
+        return usual;
+    }
+    return scale(own, service_difference_weight) + scale(usual, 1 - service_difference_weight);
+}
+
 /// Wait that own runs cause which the reading does not contain.
 duration added_wait(const reading& load, std::uint32_t own_runs) {
     const std::uint32_t known = load.in_flight + load.queued;
@@ -43,17 +62,21 @@
 } // namespace
 
 load_estimate average_load(std::span<const target_load* const> loads) {
-    load_estimate sum;
-    std::int64_t n = 0;
+    duration wait{};
+    std::vector<duration> services;
     for (const auto* it : loads) {
         if (it == nullptr || !it->last) {
             continue;
         }
-        sum.wait += it->last->expected_wait;
-        sum.service += it->last->service_time;
-        ++n;
+        wait += it->last->expected_wait;
+        services.push_back(it->last->service_time);
+    }
+    if (services.empty()) {
+        return {};
     }
-    return n == 0 ? sum : load_estimate{sum.wait / n, sum.service / n};
+    const auto middle = services.begin() + static_cast<std::ptrdiff_t>((services.size() - 1) / 2);
+    std::ranges::nth_element(services, middle);
+    return {wait / static_cast<duration::rep>(services.size()), *middle};
 }
 
 load_estimate estimate_load(const target_load* load, const load_estimate& average, duration distance,
@@ -70,7 +93,8 @@
     const double crowding = utilisation(last, own_runs);
 
     load_estimate result;
-    result.service = blend(last.service_time, average.service, age, service_relevance);
+    result.service = comparable_service(blend(last.service_time, average.service, age, service_relevance),
+                                        average.service);
     result.wait = blend(last.expected_wait, average.wait, age, wait_relevance) + added_wait(last, own_runs) +
                   scale(result.service, crowding_weight * crowding * crowding);
     return result;
--- a/src/cornelpier/routing/load_estimate.hpp
+++ b/src/cornelpier/routing/load_estimate.hpp
@@ -14,11 +14,12 @@
 };
 
 /// @param loads entries of a subset; nullptr for targets without one.
-/// @return mean over the targets that have a reading; zero if none has.
+/// @return mean wait and median service time of the targets that have a reading; zero if none has.
 load_estimate average_load(std::span<const target_load* const> loads);
 
 /// Corrects the last reading by what happened since: own runs add to the wait, and with growing age the
-/// reading counts less than the average of the subset. A target without a reading is taken for idle.
+/// reading counts less than the average of the subset. A service time near the median of the subset is taken
+/// for the median, a difference beyond that counts half. A target without a reading is taken for idle.
 /// @param load entry of the target; may be nullptr.
 /// @param average mean of the subset.
 /// @param distance round trip to the target; own runs sent less than that before the reading came in are not
--- /dev/null
+++ b/tests/routing/load_estimate_test.cpp
@@ -0,0 +1,49 @@
+#include "cornelpier/routing/load_estimate.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+
+namespace cornelpier {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+target_load idle_target(duration service_time) {
+    reading last;
+    last.limit = 10;
+    last.service_time = service_time;
+    target_load result;
+    result.last = last;
+    return result;
+}
+
+duration estimated_service(duration own, duration usual) {
+    const auto load = idle_target(own);
+    return estimate_load(&load, {duration::zero(), usual}, milliseconds{1}, time_point{}).service;
+}
+
+} // namespace
+
+// One slow target must not make the others look faster than usual.
+TEST_CASE("the usual service time of a subset is its median", "[routing]") {
+    const auto fast = idle_target(milliseconds{20});
+    const auto slow = idle_target(milliseconds{100});
+    const std::array<const target_load*, 4> loads{&slow, &fast, nullptr, &fast};
+    CHECK(average_load(loads).service == milliseconds{20});
+}
+
+// Entries must not follow the variation of averages of few runs.
+TEST_CASE("small differences in service time do not count", "[routing]") {
+    CHECK(estimated_service(milliseconds{45}, milliseconds{20}) == milliseconds{20});
+    CHECK(estimated_service(milliseconds{9}, milliseconds{20}) == milliseconds{20});
+}
+
+// A server that stays slow must get fewer runs, without long queues at all others.
+TEST_CASE("a large difference in service time counts half", "[routing]") {
+    CHECK(estimated_service(milliseconds{100}, milliseconds{20}) == milliseconds{60});
+    CHECK(estimated_service(milliseconds{4}, milliseconds{20}) == milliseconds{12});
+}
+
+} // namespace cornelpier
