Do not start queued runs that would miss their deadline

Cause: under overload an owner handed queued lookups to its server with less time left than a run takes. The server worked on them until the deadline, the work was lost and the caller heard 'unknown'.

Conclusion: a run with less time left than the service time now is refused, unless the server is idle.

--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -39,6 +39,16 @@
     return m_state.runs.queued_bytes() < max_queued_bytes && m_state.queue.accepts(priority);
 }
 
+bool run_executor::is_too_late(const owned_run& entry) const {
+    const duration left = entry.deadline - m_state.now();
+    if (left <= duration::zero()) {
+        return true;
+    }
+    // An idle server always gets a run: without one, a service time above the deadline could never fall.
+    const server_load load = m_state.runs.load(m_state.now());
+    return load.in_flight > 0 && left < m_state.load.service_time_now(load);
+}
+
 duration run_executor::age(const owned_run& entry) const {
     return m_state.now() - entry.handed_over;
 }
@@ -91,7 +101,7 @@
             return;
         }
         owned_run& entry = *m_state.runs.find(*id);
-        if (entry.deadline <= m_state.now()) {
+        if (is_too_late(entry)) {
             conclude_refused(*id, refusal::deadline);
             continue;
         }
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -37,6 +37,8 @@
 
   private:
     [[nodiscard]] bool may_start() const;
+    /// @return whether a queued run would probably be cancelled at its deadline if it started now.
+    [[nodiscard]] bool is_too_late(const owned_run& entry) const;
     [[nodiscard]] duration age(const owned_run& entry) const;
 
     void hand_over(owned_run& entry);
