--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -1,10 +1,13 @@
 #include "daemon/node/node_daemon.hpp"
 
-#include "cornelpier/pause/pause_detector.hpp"
-
-#include "daemon/net/clock.hpp"
+#include "daemon/log/event_clock.hpp"
+#include "daemon/log/recent_lines.hpp"
+#include "daemon/metrics/metrics.hpp"
 #include "daemon/node/control_runner.hpp"
+#include "daemon/node/periodic_timer.hpp"
 #include "daemon/node/traffic_runner.hpp"
+#include "daemon/operator/operator_pages.hpp"
+#include "daemon/operator/operator_server.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -26,6 +29,9 @@
 
 constexpr std::chrono::seconds omission_period{1};
 
+/// About 1 MB of log lines.
+constexpr std::size_t max_recent_lines = 2000;
+
 /// Answers to other nodes that were just handed to their links reach the kernel within this time.
 constexpr std::chrono::milliseconds flush_time{100};
 
@@ -50,28 +56,6 @@
     }
 }
 
-/// Calls a function at a fixed period on the control thread.
-class periodic_timer {
-  public:
-    periodic_timer(boost::asio::io_context& context, duration period, std::function<void()> on_tick)
-        : m_timer(context), m_period(period), m_on_tick(std::move(on_tick)) {}
-
-    void start() {
-        m_timer.expires_after(m_period);
-        m_timer.async_wait([this](error_code ec) {
-            if (!ec) {
-                m_on_tick();
-                start();
-            }
-        });
-    }
-
-  private:
-    boost::asio::steady_timer m_timer;
-    duration m_period;
-    std::function<void()> m_on_tick;
-};
-
 } // namespace
 
 /// Wiring of the parts. Members that post to others are declared after them.
@@ -79,7 +63,8 @@
   public:
     explicit implementation(node_settings settings)
         : m_settings(std::move(settings)), m_identity(make_identity(m_settings)),
-          m_log({m_settings.format, m_settings.level, m_identity.self, m_identity.process}),
+          m_log(
+              {m_settings.format, m_settings.level, m_identity.self, m_identity.process, m_clock, m_recent}),
           m_callers(m_traffic_context, caller_settings(), traffic_sink(), log_sink()),
           m_links(m_traffic_context, link_sinks()),
           m_server(m_traffic_context,
@@ -87,8 +72,8 @@
                    traffic_sink()),
           m_gossip(
               m_control_context,
-              [this](control_message message) {
-                  m_control.post(control_received{std::move(message), {}});
+              [this](control_message message, std::string address) {
+                  m_control.post(control_received{std::move(message), std::move(address)});
               },
               log_sink()),
           m_platform(m_control_context,
@@ -96,9 +81,12 @@
                       m_settings.vm_list_address, m_settings.vm_list_path},
                      [this](control_event event) { m_control.post(std::move(event)); }),
           m_traffic(m_traffic_context, m_identity, random_number(), traffic_sinks()),
-          m_control(m_control_context, m_identity, random_number(), control_sinks()),
+          m_control(m_control_context, m_identity, random_number(), control_sinks()), m_pages(page_sources()),
+          m_operators(m_control_context,
+                      [this](const std::string& path, operator_server::on_page respond) {
+                          m_pages.make(path, std::move(respond));
+                      }),
           m_signals(m_control_context, SIGTERM, SIGINT), m_flush_timer(m_control_context),
-          m_pause_timer(m_control_context, pause_tick, [this] { check_pause(); }),
           m_omission_timer(m_control_context, omission_period, [this] { m_log.write_omissions(); }) {}
 
     int run() {
@@ -128,8 +116,9 @@
   private:
     /// @return false after a message if an address cannot be used.
     bool bind() {
-        for (const auto& problem : {m_callers.bind(), m_links.bind(m_settings.node_address),
-                                    m_gossip.bind(m_settings.node_address)}) {
+        for (const auto& problem :
+             {m_callers.bind(), m_links.bind(m_settings.node_address), m_gossip.bind(m_settings.node_address),
+              m_operators.bind(m_settings.operator_address)}) {
             if (!problem.reason.empty()) {
                 std::cerr << "cornelpier-node: " << problem.place << ": " << problem.reason << '\n';
                 return false;
@@ -148,11 +137,19 @@
         m_gossip.start();
         m_control.start();
         m_traffic.start();
-        m_pause_timer.start();
         m_omission_timer.start();
+        m_operators.start();
         m_callers.start();
     }
 
+    void on_state(node_state state) {
+        m_control.post(own_state_changed{state});
+        // The node's own target is done. Calls for others would come for ever if callers could still connect.
+        if (state == node_state::stopped) {
+            m_callers.stop_accepting();
+        }
+    }
+
     /// Callers first: their last answers are still being written. The links follow after a short while.
     void on_drained() {
         m_callers.shut_down([this] {
@@ -171,14 +168,6 @@
         m_control_context.stop();
     }
 
-    void check_pause() {
-        const auto gap = m_pause.tick(monotonic_now().time_since_epoch(), boot_now().time_since_epoch());
-        if (gap) {
-            m_traffic.post(clock_gap{*gap});
-            m_control.post(clock_gap{*gap});
-        }
-    }
-
     caller_options caller_settings() const {
         caller_options options;
         options.address = m_settings.caller_address;
@@ -200,9 +189,19 @@
                     m_traffic.post(message_received{link, std::move(message)});
                 },
                 [this](control_message message) {
-                    m_control.post(control_received{std::move(message), {}});
+                    m_control.post(control_received{std::move(message), ""});
                 },
-                log_sink()};
+                log_sink(),
+                m_clock};
+    }
+
+    operator_sources page_sources() {
+        return {m_identity,
+                monotonic_now(),
+                [this](auto on_taken) { m_traffic.snapshot(std::move(on_taken)); },
+                [this](auto on_taken) { m_control.snapshot(std::move(on_taken)); },
+                m_metrics,
+                *m_recent};
     }
 
     traffic_outputs traffic_sinks() {
@@ -210,22 +209,26 @@
                 m_links,
                 m_server,
                 log_sink(),
-                [](const observe&) {},
-                [this](node_state state) { m_control.post(own_state_changed{state}); },
+                [this](const observe& it) { m_metrics.add(it, monotonic_now()); },
+                [this](node_state state) { on_state(state); },
                 [this] { on_drained(); }};
     }
 
     control_outputs control_sinks() {
-        return {m_gossip, m_links, m_platform, log_sink(),
-                [this](shared_fleet_view view) { m_traffic.post(fleet_changed{std::move(view)}); }};
+        return {m_gossip, m_links, m_platform, log_sink(), [this](shared_fleet_view view) {
+                    m_pages.set_view(view);
+                    m_traffic.post(fleet_changed{std::move(view)});
+                }};
     }
 
     node_settings m_settings;
     node_identity m_identity;
+    std::shared_ptr<event_clock> m_clock = std::make_shared<event_clock>();
+    std::shared_ptr<recent_lines> m_recent = std::make_shared<recent_lines>(max_recent_lines);
     event_log m_log;
+    metrics m_metrics;
     boost::asio::io_context m_control_context{1};
     boost::asio::io_context m_traffic_context;
-    pause_detector m_pause;
 
     caller_server m_callers;
     link_manager m_links;
@@ -234,9 +237,10 @@
     platform_reader m_platform;
     traffic_runner m_traffic;
     control_runner m_control;
+    operator_pages m_pages;
+    operator_server m_operators;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_flush_timer;
-    periodic_timer m_pause_timer;
     periodic_timer m_omission_timer;
 };
 
