--- a/tests/owner/admission_test.cpp
+++ b/tests/owner/admission_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace cornelpier::owner_test {
@@ -131,6 +132,34 @@
     CHECK(it.take<start_run>().empty());
 }
 
+// Under overload the server would otherwise spend its time on runs that are cancelled at their deadline.
+TEST_CASE("a queued run that would miss its deadline is refused instead of started", "[owner][admission]") {
+    owner_fixture it;
+    it.publish();
+    complete(it, 20, milliseconds{100}, 1);
+    const auto first = it.submit(it.lookup(100));
+    it.submit(it.lookup(101));
+    run message = it.lookup(102);
+    message.remaining = milliseconds{250};
+    REQUIRE_FALSE(it.submit(message));
+    it.sent<answer>();
+
+    SECTION("too little time is left") {
+        it.advance(milliseconds{160});
+        it.serve(*first);
+        const auto answers = it.sent<answer>();
+        REQUIRE(answers.size() == 2);
+        const auto refused = std::ranges::find(answers, it.attempt(102), &answer::attempt);
+        CHECK(refused->reason == refusal::deadline);
+        CHECK(it.take<start_run>().empty());
+    }
+    SECTION("enough time is left") {
+        it.advance(milliseconds{100});
+        it.serve(*first);
+        CHECK(it.take<start_run>().size() == 1);
+    }
+}
+
 TEST_CASE("a server that fails fast does not look attractive and is tried again", "[owner][admission]") {
     owner_fixture it;
     it.publish();
