Add measurements of the slopes for the capacity page

Cause: the budgets of control and the cost of a call had no measurement at more than a few sizes, and no test guarded them at 960 nodes.

--- a/tests/node/control_fleet.hpp
+++ b/tests/node/control_fleet.hpp
@@ -44,6 +44,7 @@
         std::vector<event_record> events;
         std::vector<std::size_t> pulled_from;
         std::size_t reads = 0;
+        std::size_t datagrams = 0; ///< Sent since the start.
         time_point wake_at{duration::max()};
     };
 
@@ -152,6 +153,8 @@
     std::size_t reads = 0;
     std::size_t gossip_count = 0;
     std::size_t gossip_bytes = 0; ///< Of every 16th message, with 28 bytes of headers, times 16.
+    std::size_t plan_bytes = 0;   ///< Of the sheets that nodes sent each other.
+    bool with_codec = false;      ///< Every message is encoded, counted and decoded.
 
   private:
     struct queued {
@@ -207,12 +210,26 @@
         schedule(n);
     }
 
+    void count_bytes(control_message& message, bool datagram) {
+        if (const auto* push = std::get_if<plan_push>(&message)) {
+            plan_bytes += push->sheet.size();
+        }
+        gossip_count += datagram ? 1U : 0U;
+        if (with_codec) {
+            const auto bytes = encode(message);
+            gossip_bytes += datagram ? bytes.size() + 28 : 0U;
+            auto decoded = std::get<node_message>(decode(bytes));
+            message = std::get<control_message>(std::move(decoded));
+        } else if (datagram && gossip_count % 16 == 0) {
+            gossip_bytes += 16 * (encode(message).size() + 28);
+        }
+    }
+
     void carry_out(std::size_t n, send_control& action) {
         const std::size_t to = std::stoul(action.to.value().substr(7));
         const bool datagram = std::holds_alternative<gossip>(action.message);
-        if (datagram && ++gossip_count % 16 == 0) {
-            gossip_bytes += 16 * (encode(action.message).size() + 28);
-        }
+        count_bytes(action.message, datagram);
+        nodes[n].datagrams += datagram ? 1U : 0U;
         if (std::holds_alternative<plan_pull>(action.message)) {
             nodes[n].pulled_from.push_back(to);
         }
