Announce a VM from the VM list only when it begins or ceases to leave

Cause: a reader sent a datagram to every node whose VM changed its state in the list. A first list makes all VMs live, so each reader sent one datagram per node at once.

Excluded: the announcement of leaving VMs, which a drain depends on, and recalled ones; both stay, and the time until they are known is tested as before. Other changes travel with the periodic gossip.

--- a/src/cornelpier/membership/member_manager.cpp
+++ b/src/cornelpier/membership/member_manager.cpp
@@ -188,7 +188,8 @@
         }
         const auto found = states.find(it.vm);
         const vm_state fact = found == states.end() ? vm_state::unlisted : found->second;
-        if (fact != it.vm_fact) {
+        // A first list makes every VM live; to tell every node would send one datagram per node at once.
+        if (fact != it.vm_fact && (fact == vm_state::leaving || it.vm_fact == vm_state::leaving)) {
             changed.push_back(it.id);
         }
         it.vm_seen_at = now;
--- a/src/cornelpier/membership/member_manager.hpp
+++ b/src/cornelpier/membership/member_manager.hpp
@@ -36,7 +36,7 @@
     void hear_of(const member_record& record, time_point now);
 
     /// Takes over the platform's list; VMs that it does not name are unlisted.
-    /// @return targets whose VM changed its state.
+    /// @return targets whose VM began or ceased to leave.
     std::vector<target_id> apply_vm_list(const std::vector<std::pair<vm_id, vm_state>>& vms, time_point now);
 
     /// @param state state of the own node.
--- a/tests/membership/member_manager_test.cpp
+++ b/tests/membership/member_manager_test.cpp
@@ -73,6 +73,22 @@
     CHECK(members.find(target_id{"a"})->vm_fact == vm_state::leaving);
 }
 
+// Guards against a first VM list that makes its reader send one datagram to every node.
+TEST_CASE("only VMs that begin or cease to leave are reported as changed", "[membership]") {
+    member_manager members{identity(), start};
+    plan current;
+    current.services.push_back({});
+    current.services[0].targets = {{target_id{"a"}, vm_id{"vm-a"}, data_centre_id{"dc"}, "10.0.0.1:1"},
+                                   {target_id{"b"}, vm_id{"vm-b"}, data_centre_id{"dc"}, "10.0.0.2:1"}};
+    members.apply_plan(current, start);
+    const vm_id leaving{"vm-a"};
+    const vm_id live{"vm-b"};
+    CHECK(members.apply_vm_list({{leaving, vm_state::live}, {live, vm_state::live}}, start).empty());
+    const auto began = members.apply_vm_list({{leaving, vm_state::leaving}, {live, vm_state::live}}, start);
+    CHECK(began == std::vector{target_id{"a"}});
+    CHECK(members.apply_vm_list({{leaving, vm_state::live}, {live, vm_state::live}}, start) == began);
+}
+
 TEST_CASE("a gossip message of many long names stays within a datagram", "[membership]") {
     member_manager members{identity(), start};
     for (std::uint64_t n = 0; n < 200; ++n) {
