--- a/src/daemon/operator/operator_pages.cpp
+++ b/src/daemon/operator/operator_pages.cpp
@@ -69,7 +69,7 @@
 
 void operator_pages::take_snapshots(on_snapshots on_taken) const {
     m_sources.traffic([this, on_taken = std::move(on_taken)](traffic_snapshot traffic) {
-        m_sources.control([this, on_taken, traffic = std::move(traffic)](control_snapshot control) {
+        m_sources.control([this, on_taken, traffic](control_snapshot control) {
             const service_plan* service =
                 m_view == nullptr ? nullptr : m_view->current_plan->service_of(m_sources.identity.self);
             const double budget = service == nullptr ? 0 : service->measuring.per_second;
--- a/src/daemon/report/fleet_inquiry.hpp
+++ b/src/daemon/report/fleet_inquiry.hpp
@@ -12,7 +12,7 @@
 namespace cornelpier {
 
 /// Largest state, plan or event page that a program reads from a node, in bytes.
-inline constexpr std::size_t max_page_bytes = 4 * 1024 * 1024;
+inline constexpr std::size_t max_page_bytes = std::size_t{4} * 1024 * 1024;
 
 /// Reads a page from one node and waits for it.
 /// @param address `IP:port` of the node's operators' port.
--- a/src/daemon/timeline/timeline.cpp
+++ b/src/daemon/timeline/timeline.cpp
@@ -46,7 +46,10 @@
 std::string describe_fields(const timeline_event& event) {
     std::string text;
     for (const auto& [name, value] : event.fields) {
-        text += (text.empty() ? "" : " ") + name + '=' + value;
+        text += text.empty() ? "" : " ";
+        text += name;
+        text += '=';
+        text += value;
     }
     if (event.left_out > 0) {
         text += " (" + std::to_string(event.left_out) + " more left out)";
