--- a/tests/capacity/capacity.cpp
+++ b/tests/capacity/capacity.cpp
@@ -8,19 +8,22 @@
 #include "tests/capacity/traffic_pair.hpp"
 #include "tests/node/control_fleet.hpp"
 
-#include <arpa/inet.h>
-#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <string>
-#include <sys/socket.h>
-#include <unistd.h>
 #include <vector>
 
 namespace {
 
 using namespace cornelpier;
+using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using testing::cpu_microseconds;
@@ -247,38 +250,35 @@
     return 0;
 }
 
-int open_websocket(std::uint16_t port) {
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(port);
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+bool open_websocket(tcp::socket& link, std::uint16_t port) {
     const std::string request =
         "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
         "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
-    std::array<char, 1024> buf{};
-    const bool open = connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0 &&
-                      send(fd, request.data(), request.size(), 0) > 0 &&
-                      recv(fd, buf.data(), buf.size(), 0) > 0;
-    return open && std::string_view{buf.data()}.starts_with("HTTP/1.1 101") ? fd : -1;
+    std::string answer(1024, '\0');
+    boost::system::error_code ec;
+    link.connect({boost::asio::ip::address_v4::loopback(), port}, ec);
+    if (!ec) {
+        boost::asio::write(link, boost::asio::buffer(request), ec);
+    }
+    if (!ec) {
+        link.read_some(boost::asio::buffer(answer), ec);
+    }
+    return !ec && answer.starts_with("HTTP/1.1 101");
 }
 
 /// Opens links to a running node and compares its resident memory.
 void measure_links(std::uint16_t port, const std::string& pid, int count) {
     const auto before = resident_kib(pid);
     int open = 0;
-    std::vector<int> sockets;
+    boost::asio::io_context context;
+    std::vector<tcp::socket> links;
     for (int n = 0; n < count; ++n) {
-        sockets.push_back(open_websocket(port));
-        open += sockets.back() >= 0 ? 1 : 0;
+        open += open_websocket(links.emplace_back(context), port) ? 1 : 0;
     }
     const auto after = resident_kib(pid);
     std::printf("links open=%d of %d rss %zu -> %zu KiB, %.1f KiB per accepted link load=%s\n", open, count,
                 before, after, (static_cast<double>(after) - static_cast<double>(before)) / std::max(open, 1),
                 load_average().c_str());
-    for (const int it : sockets) {
-        close(it);
-    }
 }
 
 } // namespace
--- a/tests/node/control_fleet.hpp
+++ b/tests/node/control_fleet.hpp
@@ -9,7 +9,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <string>
 #include <vector>
 
@@ -25,8 +24,12 @@
             sheet += (n == 0 ? "" : "]},") + std::string{R"({"id": "service-)"} + std::to_string(n / 20) +
                      R"(", "slots": 10, "targets": [)";
         }
-        sheet += (n % 20 == 0 ? "" : ",") + std::string{R"({"id": "target-)"} + id + R"(", "vm": "vm-)" + id +
-                 R"(", "data_centre": "dc-)" + std::to_string(n % data_centres) + R"(", "node": "10.0.)" +
+        sheet += n % 20 == 0 ? "" : ",";
+        sheet += R"({"id": "target-)";
+        sheet += id;
+        sheet += R"(", "vm": "vm-)";
+        sheet += id;
+        sheet += R"(", "data_centre": "dc-)" + std::to_string(n % data_centres) + R"(", "node": "10.0.)" +
                  std::to_string(n / 250) + "." + std::to_string(n % 250) + R"(:7100"})";
     }
     return sheet + (targets == 0 ? "]}" : "]}]}");
@@ -51,6 +54,9 @@
     explicit control_fleet(std::size_t data_centres = 5) : m_data_centres(data_centres) {}
     control_fleet(const control_fleet&) = delete;
     control_fleet& operator=(const control_fleet&) = delete;
+    control_fleet(control_fleet&&) = delete;
+    control_fleet& operator=(control_fleet&&) = delete;
+    ~control_fleet() = default;
 
     /// Starts a node, again with another incarnation if it was there.
     node& start(std::size_t n, const std::vector<std::size_t>& seeds) {
@@ -90,9 +96,10 @@
 
     void run_for(duration length) {
         const time_point end = now + length;
-        while (!m_queue.empty() && m_queue.top().at <= end) {
-            auto next = std::move(const_cast<queued&>(m_queue.top()));
-            m_queue.pop();
+        while (!m_queue.empty() && m_queue.front().at <= end) {
+            std::pop_heap(m_queue.begin(), m_queue.end());
+            const auto next = std::move(m_queue.back());
+            m_queue.pop_back();
             now = next.at;
             next.action();
         }
@@ -181,7 +188,8 @@
     }
 
     void at(time_point when, std::function<void()> action) {
-        m_queue.push({when, ++m_order, std::move(action)});
+        m_queue.push_back({when, ++m_order, std::move(action)});
+        std::push_heap(m_queue.begin(), m_queue.end());
     }
 
     duration delay() { return std::chrono::milliseconds{1 + m_random.below(30)}; }
@@ -298,7 +306,7 @@
     std::size_t m_data_centres;
     random_source m_random{7};
     std::uint64_t m_order = 0;
-    std::priority_queue<queued> m_queue;
+    std::vector<queued> m_queue; ///< A heap; the earliest is at the front.
     std::vector<std::pair<std::size_t, read_plan>> m_watches;
     std::map<std::string, shared_plan> m_parsed;
 };
