Move the benchmark out of the tests

Cause: the benchmark compares policies and proves nothing; among the tests it hid how large those are.

Excluded: changes of its code beyond the include paths.

--- a/tests/bench/balanced_fleet.hpp
+++ b/bench/balanced_fleet.hpp
@@ -2,7 +2,7 @@
 
 #include "cornelpier/base/verdict.hpp"
 
-#include "tests/bench/deployment.hpp"
+#include "bench/deployment.hpp"
 #include "tests/support/event_queue.hpp"
 
 #include <cstddef>
--- a/tests/bench/baseline_fleet.cpp
+++ b/bench/baseline_fleet.cpp
@@ -1,4 +1,4 @@
-#include "tests/bench/baseline_fleet.hpp"
+#include "bench/baseline_fleet.hpp"
 
 #include <algorithm>
 #include <limits>
--- a/tests/bench/bench_case.cpp
+++ b/bench/bench_case.cpp
@@ -1,4 +1,4 @@
-#include "tests/bench/bench_case.hpp"
+#include "bench/bench_case.hpp"
 
 #include <chrono>
 #include <memory>
--- a/tests/bench/bench_case.hpp
+++ b/bench/bench_case.hpp
@@ -2,7 +2,7 @@
 
 #include "cornelpier/base/random_source.hpp"
 
-#include "tests/bench/balanced_fleet.hpp"
+#include "bench/balanced_fleet.hpp"
 
 #include <functional>
 #include <string>
--- a/tests/bench/bench_run.cpp
+++ b/bench/bench_run.cpp
@@ -1,7 +1,7 @@
-#include "tests/bench/bench_run.hpp"
+#include "bench/bench_run.hpp"
 
-#include "tests/bench/baseline_fleet.hpp"
-#include "tests/bench/core_fleet.hpp"
+#include "bench/baseline_fleet.hpp"
+#include "bench/core_fleet.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/bench/bench_run.hpp
+++ b/bench/bench_run.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tests/bench/bench_case.hpp"
+#include "bench/bench_case.hpp"
 
 #include <cstdint>
 #include <string>
--- a/tests/bench/core_fleet.cpp
+++ b/bench/core_fleet.cpp
@@ -1,4 +1,4 @@
-#include "tests/bench/core_fleet.hpp"
+#include "bench/core_fleet.hpp"
 
 namespace cornelpier::testing {
 
--- a/tests/bench/core_fleet.hpp
+++ b/bench/core_fleet.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tests/bench/balanced_fleet.hpp"
+#include "bench/balanced_fleet.hpp"
 #include "tests/support/fleet.hpp"
 
 namespace cornelpier::testing {
--- a/tests/bench/cornelpier_bench.cpp
+++ b/bench/cornelpier_bench.cpp
@@ -1,4 +1,4 @@
-#include "tests/bench/bench_run.hpp"
+#include "bench/bench_run.hpp"
 
 #include <CLI/CLI.hpp>
 
--- a/tests/bench/deployment.cpp
+++ b/bench/deployment.cpp
@@ -1,4 +1,4 @@
-#include "tests/bench/deployment.hpp"
+#include "bench/deployment.hpp"
 
 #include "tests/support/plan_sheet.hpp"
 
--- a/tests/virtual_time.cmake
+++ b/tests/virtual_time.cmake
@@ -17,7 +17,3 @@
 add_executable(cornelpier-schedule-tests schedules/schedule_tests.cpp schedules/random_schedule.cpp)
 target_link_libraries(cornelpier-schedule-tests PRIVATE cornelpier_test_support cornelpier_options Threads::Threads)
 add_test(NAME schedules COMMAND cornelpier-schedule-tests)
-
-file(GLOB bench_sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/bench/*.cpp)
-add_executable(cornelpier-bench ${bench_sources})
-target_link_libraries(cornelpier-bench PRIVATE cornelpier_test_support cornelpier_options nlohmann_json::nlohmann_json Threads::Threads)
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -8,4 +8,4 @@
 build=${BUILD_DIR:-build}
 cmake -S . -B "$build" -G Ninja > /dev/null
 cmake --build "$build" --target cornelpier-bench > /dev/null
-exec "$build/tests/cornelpier-bench" "$@"
+exec "$build/bench/cornelpier-bench" "$@"
