Name the parts of fate queries and reports in the usual terms

Cause: 'desk', 'word' and 'hearsay' need explaining to a newcomer.

Result: fate_inquiries, reply, direct and indirect facts; reports say 'from the node itself' and 'reported by'. Unit, daemon and scenario tests pass; no behaviour changes apart from these texts.

--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -149,7 +149,7 @@
             m_context.draining};
 }
 
-/// Without a word of its home, a key may have been used before: the request may have run in an earlier
+/// Without a reply of its home, a key may have been used before: the request may have run in an earlier
 /// exchange.
 verdict answer_composer::reported_verdict(const call_state& call) {
     const verdict outcome = call.outcome();
--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -114,42 +114,42 @@
     flush(target);
 }
 
-bool attempt_dispatcher::on_answer(const target_id& target, const answer& word) {
-    auto* call = m_tables.calls.find(word.attempt);
+bool attempt_dispatcher::on_answer(const target_id& target, const answer& reply) {
+    auto* call = m_tables.calls.find(reply.attempt);
     if (call == nullptr) {
         return false;
     }
-    auto& attempt = *call->find(word.attempt.number);
+    auto& attempt = *call->find(reply.attempt.number);
     const bool awaited = attempt.phase == attempt_phase::sent || attempt.phase == attempt_phase::asking;
     // The owner got a second copy while the first one is running; the answer to that one is still to come.
-    const bool is_about_copy = word.reason == refusal::duplicate && word.outcome == verdict::unknown;
+    const bool is_about_copy = reply.reason == refusal::duplicate && reply.outcome == verdict::unknown;
     if (!awaited || is_about_copy || attempt.target != target) {
         return false;
     }
 
     if (attempt.phase == attempt_phase::sent) {
-        observe_distance(attempt, word);
+        observe_distance(attempt, reply);
     }
-    if (word.load && word.load->target == target) {
-        attempt.owner = word.load->leave.owner;
+    if (reply.load && reply.load->target == target) {
+        attempt.owner = reply.load->leave.owner;
     }
-    m_tables.health.on_answer(*call, attempt, word);
+    m_tables.health.on_answer(*call, attempt, reply);
     settle(*call, attempt,
-           {attempt_end::answered, word.outcome, word.reason, word.response, word.retry_after});
+           {attempt_end::answered, reply.outcome, reply.reason, reply.response, reply.retry_after});
     return true;
 }
 
-void attempt_dispatcher::on_fate(const target_id& target, const fate& word) {
-    auto* call = m_tables.calls.find(word.attempt);
+void attempt_dispatcher::on_fate(const target_id& target, const fate& reply) {
+    auto* call = m_tables.calls.find(reply.attempt);
     if (call == nullptr) {
         return;
     }
-    auto& attempt = *call->find(word.attempt.number);
+    auto& attempt = *call->find(reply.attempt.number);
     if (attempt.phase != attempt_phase::asking || attempt.target != target) {
         return;
     }
 
-    switch (word.outcome) {
+    switch (reply.outcome) {
     case fate_outcome::ran:
         settle(*call, attempt, {attempt_end::fate_ran, verdict::ran, refusal::none, {}, {}});
         return;
@@ -280,9 +280,9 @@
     attempt.phase = attempt_phase::asking;
 }
 
-void attempt_dispatcher::observe_distance(const attempt_state& attempt, const answer& word) {
-    const duration round_trip = m_context.now() - attempt.sent_at - word.served_in;
-    if (is_immediate(word.reason)) {
+void attempt_dispatcher::observe_distance(const attempt_state& attempt, const answer& reply) {
+    const duration round_trip = m_context.now() - attempt.sent_at - reply.served_in;
+    if (is_immediate(reply.reason)) {
         m_tables.distances.observe(attempt.target, attempt.data_centre, round_trip);
         return;
     }
--- a/src/cornelpier/entry/attempt_dispatcher.hpp
+++ b/src/cornelpier/entry/attempt_dispatcher.hpp
@@ -23,7 +23,7 @@
     link_set& links;
 };
 
-/// Sends attempts and follows each until the owner's final word, across losses of the link.
+/// Sends attempts and follows each until the owner's final reply, across losses of the link.
 class attempt_dispatcher {
   public:
     /// Told once per attempt; the call may be removed by it.
@@ -45,10 +45,10 @@
     void on_permit(const target_id& target);
 
     /// @return false if the answer matches no open attempt.
-    bool on_answer(const target_id& target, const answer& word);
-    void on_fate(const target_id& target, const fate& word);
+    bool on_answer(const target_id& target, const answer& reply);
+    void on_fate(const target_id& target, const fate& reply);
 
-    /// @return true if a word of the owner is awaited.
+    /// @return true if a reply of the owner is awaited.
     [[nodiscard]] bool is_busy(const target_id& target) const;
 
   private:
@@ -60,7 +60,7 @@
     void ask_fate_later(const attempt_state& attempt);
     void lose_waiting(const target_id& target, const attempt_id& id, link_loss cause);
     void lose_sent(const attempt_id& id);
-    void observe_distance(const attempt_state& attempt, const answer& word);
+    void observe_distance(const attempt_state& attempt, const answer& reply);
     void settle(call_state& call, attempt_state& attempt, const attempt_result& result);
     void release(attempt_state& attempt);
     [[nodiscard]] duration remaining(const call_state& call, const attempt_state& attempt) const;
--- a/src/cornelpier/entry/attempt_index.hpp
+++ b/src/cornelpier/entry/attempt_index.hpp
@@ -15,7 +15,7 @@
     /// Adds an attempt that waits for a link or a permit.
     void add_waiting(const target_id& target, const attempt_id& attempt);
 
-    /// Notes that the owner's word on an attempt is awaited.
+    /// Notes that the owner's reply on an attempt is awaited.
     void set_sent(const target_id& target, const attempt_id& attempt);
 
     void remove(const target_id& target, const attempt_id& attempt);
@@ -23,7 +23,7 @@
     /// @return attempts of the target that were not sent, in ascending order.
     [[nodiscard]] std::vector<attempt_id> waiting(const target_id& target) const;
 
-    /// @return attempts of the target whose word is awaited, in ascending order.
+    /// @return attempts of the target whose reply is awaited, in ascending order.
     [[nodiscard]] std::vector<attempt_id> sent(const target_id& target) const;
 
     [[nodiscard]] bool has_waiting(const target_id& target) const;
--- a/src/cornelpier/entry/call_state.hpp
+++ b/src/cornelpier/entry/call_state.hpp
@@ -21,7 +21,7 @@
 
 /// How an attempt was settled.
 enum class attempt_end : std::uint8_t {
-    answered, ///< The owner gave its final word.
+    answered, ///< The owner gave its final reply.
     not_sent, ///< The target could not be reached.
     lost,     ///< The link was lost after it was sent.
     fate_refused,
--- a/src/cornelpier/entry/entry_manager.cpp
+++ b/src/cornelpier/entry/entry_manager.cpp
@@ -4,7 +4,7 @@
 #include "cornelpier/entry/attempt_dispatcher.hpp"
 #include "cornelpier/entry/call_driver.hpp"
 #include "cornelpier/entry/call_table.hpp"
-#include "cornelpier/entry/fate_desk.hpp"
+#include "cornelpier/entry/fate_inquiries.hpp"
 #include "cornelpier/entry/health_reporter.hpp"
 #include "cornelpier/entry/link_set.hpp"
 #include "cornelpier/entry/probe_scheduler.hpp"
@@ -35,13 +35,13 @@
           probes(context, services, readings, links),
           dispatcher(context, {calls, readings, distances, reporter, links}, make_settled_callback()),
           driver(context, {calls, services, selector, dispatcher, composer, probes, reporter}),
-          desk(context, composer, links) {}
+          inquiries(context, composer, links) {}
 
     void on_message(link_id link, const traffic_message& message) {
         const auto* peer = links.on_received(link, message);
         if (peer == nullptr) {
-            if (const auto* word = std::get_if<answer>(&message)) {
-                discard(target_id{}, *word);
+            if (const auto* reply = std::get_if<answer>(&message)) {
+                discard(target_id{}, *reply);
             }
             return;
         }
@@ -78,21 +78,22 @@
     probe_scheduler probes;
     attempt_dispatcher dispatcher;
     call_driver driver;
-    fate_desk desk;
+    fate_inquiries inquiries;
 
   private:
     link_callbacks make_link_callbacks() {
-        return {
-            [this](const target_id& target) {
-                dispatcher.on_ready(target);
-                desk.on_ready(target);
-            },
-            [this](const target_id& target, link_loss cause) {
-                dispatcher.on_lost(target, cause);
-                desk.on_lost(target, cause);
-            },
-            [this](const target_id& target) { return dispatcher.is_busy(target) || desk.is_busy(target); },
-            [this](const target_id& target, duration round_trip) { on_round_trip(target, round_trip); }};
+        return {[this](const target_id& target) {
+                    dispatcher.on_ready(target);
+                    inquiries.on_ready(target);
+                },
+                [this](const target_id& target, link_loss cause) {
+                    dispatcher.on_lost(target, cause);
+                    inquiries.on_lost(target, cause);
+                },
+                [this](const target_id& target) {
+                    return dispatcher.is_busy(target) || inquiries.is_busy(target);
+                },
+                [this](const target_id& target, duration round_trip) { on_round_trip(target, round_trip); }};
     }
 
     attempt_dispatcher::settled_callback make_settled_callback() {
@@ -113,7 +114,7 @@
             return;
         }
         dispatcher.on_hello(target, message.process);
-        desk.on_hello(target, message.process);
+        inquiries.on_hello(target, message.process);
     }
 
     void on(const target_id& target, const reading& message) {
@@ -132,7 +133,7 @@
         } else if (message.reason == refusal::no_permit) {
             readings.drop_permit(target);
         }
-        if (!dispatcher.on_answer(target, message) && !desk.expects(message.attempt)) {
+        if (!dispatcher.on_answer(target, message) && !inquiries.expects(message.attempt)) {
             discard(target, message);
         }
         if (message.load) {
@@ -145,7 +146,7 @@
             accept(target, *message.load);
         }
         dispatcher.on_fate(target, message);
-        desk.on_fate(target, message);
+        inquiries.on_fate(target, message);
     }
 
     /// Requests and `ping` come on accepted links only; `pong` counts as progress and nothing else.
@@ -184,12 +185,12 @@
 }
 
 void entry_manager::on_fate_asked(const call_fate_asked& event) {
-    m_implementation->desk.on_asked(event);
+    m_implementation->inquiries.on_asked(event);
 }
 
 void entry_manager::on_abandoned(const call_abandoned& event) {
     m_implementation->driver.on_abandoned(event.call);
-    m_implementation->desk.on_abandoned(event.call);
+    m_implementation->inquiries.on_abandoned(event.call);
 }
 
 void entry_manager::on_link_opened(link_id link) {
@@ -217,7 +218,7 @@
 }
 
 std::size_t entry_manager::calls_in_progress() const {
-    return m_implementation->calls.size() + m_implementation->desk.size();
+    return m_implementation->calls.size() + m_implementation->inquiries.size();
 }
 
 std::size_t entry_manager::open_links() const {
--- a/src/cornelpier/entry/fate_desk.cpp
+++ b/src/cornelpier/entry/fate_inquiries.cpp
@@ -1,4 +1,4 @@
-#include "cornelpier/entry/fate_desk.hpp"
+#include "cornelpier/entry/fate_inquiries.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -16,10 +16,10 @@
 
 } // namespace
 
-fate_desk::fate_desk(entry_context& context, answer_composer& composer, link_set& links)
+fate_inquiries::fate_inquiries(entry_context& context, answer_composer& composer, link_set& links)
     : m_context(context), m_composer(composer), m_links(links) {}
 
-void fate_desk::on_asked(const call_fate_asked& event) {
+void fate_inquiries::on_asked(const call_fate_asked& event) {
     const auto token = parse_request_token(event.token);
     if (!token) {
         m_context.emit(
@@ -39,7 +39,7 @@
     ask(*token);
 }
 
-void fate_desk::on_abandoned(call_id call) {
+void fate_inquiries::on_abandoned(call_id call) {
     const auto it = m_inquiries.find(call);
     if (it != m_inquiries.end()) {
         m_context.timers.cancel(it->second.timer);
@@ -47,13 +47,13 @@
     }
 }
 
-void fate_desk::on_ready(const target_id& target) {
+void fate_inquiries::on_ready(const target_id& target) {
     for (const auto call : inquiries_to(target)) {
         ask(m_inquiries.at(call).token);
     }
 }
 
-void fate_desk::on_lost(const target_id& target, link_loss cause) {
+void fate_inquiries::on_lost(const target_id& target, link_loss cause) {
     if (cause == link_loss::unreachable) {
         answer_if(fate_outcome::unknown, [&](const request_token& it) { return it.owner == target; });
         return;
@@ -64,30 +64,30 @@
     }
 }
 
-void fate_desk::on_hello(const target_id& target, incarnation process) {
+void fate_inquiries::on_hello(const target_id& target, incarnation process) {
     answer_if(fate_outcome::unknown,
               [&](const request_token& it) { return it.owner == target && it.process != process; });
 }
 
-void fate_desk::on_fate(const target_id& target, const fate& word) {
-    answer_if(word.outcome,
-              [&](const request_token& it) { return it.owner == target && it.attempt == word.attempt; });
+void fate_inquiries::on_fate(const target_id& target, const fate& reply) {
+    answer_if(reply.outcome,
+              [&](const request_token& it) { return it.owner == target && it.attempt == reply.attempt; });
 }
 
-bool fate_desk::expects(const attempt_id& attempt) const {
+bool fate_inquiries::expects(const attempt_id& attempt) const {
     return std::ranges::any_of(m_inquiries,
                                [&](const auto& it) { return it.second.token.attempt == attempt; });
 }
 
-bool fate_desk::is_busy(const target_id& target) const {
+bool fate_inquiries::is_busy(const target_id& target) const {
     return std::ranges::any_of(m_inquiries, [&](const auto& it) { return it.second.token.owner == target; });
 }
 
-void fate_desk::ask(const request_token& token) {
+void fate_inquiries::ask(const request_token& token) {
     m_links.send(token.owner, fate_query{token.attempt, permit{token.process, long_ago}});
 }
 
-void fate_desk::answer_one(call_id call, fate_outcome outcome) {
+void fate_inquiries::answer_one(call_id call, fate_outcome outcome) {
     const auto it = m_inquiries.find(call);
     if (it == m_inquiries.end()) {
         return;
@@ -97,7 +97,8 @@
     m_inquiries.erase(it);
 }
 
-void fate_desk::answer_if(fate_outcome outcome, const std::function<bool(const request_token&)>& applies) {
+void fate_inquiries::answer_if(fate_outcome outcome,
+                               const std::function<bool(const request_token&)>& applies) {
     std::vector<call_id> calls;
     for (const auto& [call, it] : m_inquiries) {
         if (applies(it.token)) {
@@ -110,7 +111,7 @@
     }
 }
 
-std::vector<call_id> fate_desk::inquiries_to(const target_id& target) const {
+std::vector<call_id> fate_inquiries::inquiries_to(const target_id& target) const {
     std::vector<call_id> result;
     for (const auto& [call, it] : m_inquiries) {
         if (it.token.owner == target) {
--- a/src/cornelpier/entry/fate_desk.hpp
+++ b/src/cornelpier/entry/fate_inquiries.hpp
@@ -11,21 +11,21 @@
 namespace cornelpier {
 
 /// Answers callers who ask what became of a request.
-class fate_desk {
+class fate_inquiries {
   public:
-    fate_desk(entry_context& context, answer_composer& composer, link_set& links);
+    fate_inquiries(entry_context& context, answer_composer& composer, link_set& links);
 
     void on_asked(const call_fate_asked& event);
     void on_abandoned(call_id call);
     void on_ready(const target_id& target);
     void on_lost(const target_id& target, link_loss cause);
     void on_hello(const target_id& target, incarnation process);
-    void on_fate(const target_id& target, const fate& word);
+    void on_fate(const target_id& target, const fate& reply);
 
     /// @return true if a caller asked for that attempt.
     [[nodiscard]] bool expects(const attempt_id& attempt) const;
 
-    /// @return true if a word of the owner is awaited.
+    /// @return true if a reply of the owner is awaited.
     [[nodiscard]] bool is_busy(const target_id& target) const;
 
     /// @return callers without an answer.
--- a/src/cornelpier/entry/health_reporter.cpp
+++ b/src/cornelpier/entry/health_reporter.cpp
@@ -29,8 +29,8 @@
 health_reporter::health_reporter(entry_context& context, health_table& health, service_table& services)
     : m_context(context), m_health(health), m_services(services) {}
 
-void health_reporter::on_answer(const call_state& call, const attempt_state& attempt, const answer& word) {
-    if (const auto outcome = judge(call.event.service, word)) {
+void health_reporter::on_answer(const call_state& call, const attempt_state& attempt, const answer& reply) {
+    if (const auto outcome = judge(call.event.service, reply)) {
         note(call.event.service, attempt.target, *outcome);
     }
 }
@@ -74,19 +74,19 @@
 }
 
 /// Refusals for lack of capacity say nothing about health; they show in the readings.
-std::optional<health_outcome> health_reporter::judge(const service_id& service, const answer& word) {
-    if (word.reason == refusal::server_down || word.reason == refusal::server_refused) {
+std::optional<health_outcome> health_reporter::judge(const service_id& service, const answer& reply) {
+    if (reply.reason == refusal::server_down || reply.reason == refusal::server_refused) {
         return health_outcome::fast_failure;
     }
-    if (word.reason != refusal::none) {
+    if (reply.reason != refusal::none) {
         return std::nullopt;
     }
-    if (word.outcome == verdict::ran && (!word.response || word.response->status < first_server_error)) {
+    if (reply.outcome == verdict::ran && (!reply.response || reply.response->status < first_server_error)) {
         return health_outcome::success;
     }
     const auto* state = m_services.find(service);
     const auto usual = state == nullptr ? std::nullopt : state->hedges.median();
-    const bool fast = usual && word.served_in < *usual;
+    const bool fast = usual && reply.served_in < *usual;
     return fast ? health_outcome::fast_failure : health_outcome::failure;
 }
 
--- a/src/cornelpier/entry/health_reporter.hpp
+++ b/src/cornelpier/entry/health_reporter.hpp
@@ -15,10 +15,10 @@
   public:
     health_reporter(entry_context& context, health_table& health, service_table& services);
 
-    /// Notes the owner's final word on an attempt.
-    void on_answer(const call_state& call, const attempt_state& attempt, const answer& word);
+    /// Notes the owner's final reply on an attempt.
+    void on_answer(const call_state& call, const attempt_state& attempt, const answer& reply);
 
-    /// Notes that the deadline passed without a word of the owner.
+    /// Notes that the deadline passed without a reply of the owner.
     void on_timeout(const call_state& call, const attempt_state& attempt);
 
     /// Notes the loss of a link.
@@ -32,7 +32,7 @@
 
   private:
     void note(const service_id& service, const target_id& target, health_outcome outcome);
-    std::optional<health_outcome> judge(const service_id& service, const answer& word);
+    std::optional<health_outcome> judge(const service_id& service, const answer& reply);
 
     entry_context& m_context;
     health_table& m_health;
--- a/src/cornelpier/entry/link_set.hpp
+++ b/src/cornelpier/entry/link_set.hpp
@@ -20,7 +20,7 @@
 struct link_callbacks {
     std::function<void(const target_id&)> on_ready; ///< Messages can be sent; `hello` was.
     std::function<void(const target_id&, link_loss)> on_lost;
-    std::function<bool(const target_id&)> is_busy;                 ///< Whether a word of the peer is awaited.
+    std::function<bool(const target_id&)> is_busy; ///< Whether a reply of the peer is awaited.
     std::function<void(const target_id&, duration)> on_round_trip; ///< Of a message that is answered at once.
 };
 
--- a/src/cornelpier/message/traffic_messages.hpp
+++ b/src/cornelpier/message/traffic_messages.hpp
@@ -108,7 +108,7 @@
     not_home,     ///< By the owner's plan another target is the home of the key.
 };
 
-/// The owner's final word on an attempt.
+/// The owner's final answer to an attempt.
 struct answer {
     attempt_id attempt;
     verdict outcome = verdict::unknown;
--- a/src/daemon/report/fleet_report.cpp
+++ b/src/daemon/report/fleet_report.cpp
@@ -27,17 +27,17 @@
     totals.calls.p99 = std::max(totals.calls.p99, details.calls.p99);
 }
 
-/// Freshest word of other nodes on one node. The pointers are into the inquiries.
-struct hearsay {
+/// Freshest record of other nodes about one node. The pointers are into the inquiries.
+struct peer_record {
     const member_view* record = nullptr;
     const node_inquiry* from = nullptr;
     duration age{};
     const member_view* vm = nullptr;
 };
 
-using hearsay_index = std::unordered_map<target_id, hearsay>;
+using peer_record_index = std::unordered_map<target_id, peer_record>;
 
-void offer(hearsay& held, const member_view& record, const node_inquiry& from) {
+void offer(peer_record& held, const member_view& record, const node_inquiry& from) {
     const duration age = record.age + from.answer_age;
     if (held.record == nullptr || age < held.age) {
         held.record = &record;
@@ -51,8 +51,8 @@
 
 /// Each answer names all members. One pass over the answers keeps the work in proportion to what was read; a
 /// search per node would grow with the cube of the fleet.
-hearsay_index collect_hearsay(const std::vector<node_inquiry>& inquiries) {
-    hearsay_index index;
+peer_record_index index_peer_records(const std::vector<node_inquiry>& inquiries) {
+    peer_record_index index;
     index.reserve(inquiries.size());
     for (const auto& from : inquiries) {
         if (!from.answer) {
@@ -65,36 +65,36 @@
     return index;
 }
 
-void use_hearsay(node_line& line, const hearsay& heard) {
-    if (heard.record == nullptr) {
+void use_peer_record(node_line& line, const peer_record& known) {
+    if (known.record == nullptr) {
         return;
     }
-    line.source = fact_source::hearsay;
-    line.heard_from = heard.from->node;
-    line.state = heard.record->state;
-    line.vm_state = heard.record->vm_state;
-    line.age = heard.age;
-    line.stale = heard.age > stale_after;
+    line.source = fact_source::indirect;
+    line.reported_by = known.from->node;
+    line.state = known.record->state;
+    line.vm_state = known.record->vm_state;
+    line.age = known.age;
+    line.stale = known.age > stale_after;
 }
 
-node_line make_line(const node_inquiry& inquiry, const hearsay& heard) {
+node_line make_line(const node_inquiry& inquiry, const peer_record& known) {
     node_line line;
     line.node = inquiry.node;
     line.service = inquiry.service;
     line.data_centre = inquiry.data_centre;
 
     if (!inquiry.answer) {
-        use_hearsay(line, heard);
+        use_peer_record(line, known);
         return line;
     }
-    line.source = fact_source::own;
+    line.source = fact_source::direct;
     line.state = inquiry.answer->state;
     // A node does not know the state of its own VM better than others do.
-    line.vm_state = heard.vm == nullptr ? "unknown" : heard.vm->vm_state;
+    line.vm_state = known.vm == nullptr ? "unknown" : known.vm->vm_state;
     line.age = inquiry.answer_age;
     line.stale = line.age > stale_after;
     line.details = inquiry.answer;
-    line.details->members = std::vector<member_view>{}; // Already merged into the hearsay.
+    line.details->members = std::vector<member_view>{}; // Already merged into the peer records.
     return line;
 }
 
@@ -126,7 +126,7 @@
 } // namespace
 
 bool needs_attention(const node_line& line) {
-    return line.source != fact_source::own || line.stale || line.state != "serving" ||
+    return line.source != fact_source::direct || line.stale || line.state != "serving" ||
            line.vm_state == "leaving";
 }
 
@@ -135,7 +135,7 @@
     report.taken_at = std::move(taken_at);
     summarize_plan(report, inquiries);
 
-    auto index = collect_hearsay(inquiries);
+    auto index = index_peer_records(inquiries);
     for (const auto& it : inquiries) {
         const auto& line = report.lines.emplace_back(make_line(it, index[it.node]));
         add_to(report.all, line);
--- a/src/daemon/report/fleet_report.hpp
+++ b/src/daemon/report/fleet_report.hpp
@@ -22,9 +22,9 @@
 
 /// Where a fact about a node comes from.
 enum class fact_source : std::uint8_t {
-    own,     ///< The node said so itself.
-    hearsay, ///< Another node said so.
-    none,    ///< Nobody knows.
+    direct,   ///< The node said so itself.
+    indirect, ///< Another node said so.
+    none,     ///< Nobody knows.
 };
 
 /// One line of the report.
@@ -33,7 +33,7 @@
     service_id service;
     data_centre_id data_centre;
     fact_source source = fact_source::none;
-    target_id heard_from; ///< Set for hearsay.
+    target_id reported_by; ///< Set for indirect facts.
     std::string state = "unknown";
     std::string vm_state = "unknown";
     duration age{};
--- a/src/daemon/report/report_html.cpp
+++ b/src/daemon/report/report_html.cpp
@@ -75,7 +75,7 @@
 
     for (std::size_t n = 0; n < std::min(count, max_listed_nodes); ++n) {
         const auto& line = report.lines[n];
-        const bool current = line.source == fact_source::own && !line.stale;
+        const bool current = line.source == fact_source::direct && !line.stale;
         out << "<div class=\"bad\"><b>" << escape_html(line.node.value()) << "</b> ("
             << escape_html(line.data_centre.value()) << "): " << (current ? "" : "last known ")
             << escape_html(line.state) << (line.vm_state == "leaving" ? ", VM leaving" : "")
--- a/src/daemon/report/report_json.cpp
+++ b/src/daemon/report/report_json.cpp
@@ -24,10 +24,10 @@
 
 const char* name_of(fact_source source) {
     switch (source) {
-    case fact_source::own:
-        return "own";
-    case fact_source::hearsay:
-        return "hearsay";
+    case fact_source::direct:
+        return "direct";
+    case fact_source::indirect:
+        return "indirect";
     case fact_source::none:
         break;
     }
@@ -46,8 +46,8 @@
     }
     item["age_us"] = line.age.count();
     item["stale"] = line.stale;
-    if (line.source == fact_source::hearsay) {
-        item["heard_from"] = line.heard_from.value();
+    if (line.source == fact_source::indirect) {
+        item["reported_by"] = line.reported_by.value();
     }
     return item;
 }
--- a/src/daemon/report/report_text.cpp
+++ b/src/daemon/report/report_text.cpp
@@ -27,7 +27,7 @@
 }
 
 void write_line(std::ostream& out, const node_line& line) {
-    const bool current = line.source == fact_source::own && !line.stale;
+    const bool current = line.source == fact_source::direct && !line.stale;
     out << "  " << line.node.value() << " (" << line.data_centre.value()
         << "): " << (current ? "" : "last known ") << line.state;
     if (line.vm_state == "leaving") {
@@ -57,10 +57,11 @@
 
 std::string format_source(const node_line& line) {
     if (line.source == fact_source::none) {
-        return "no answer, nothing heard";
+        return "no answer, no report by another node";
     }
-    std::string text =
-        line.source == fact_source::own ? "own word" : "no answer; heard from " + line.heard_from.value();
+    std::string text = line.source == fact_source::direct
+                           ? "from the node itself"
+                           : "no answer; reported by " + line.reported_by.value();
     text += ", " + format_age(line.age) + " old";
     return line.stale ? text + ", STALE" : text;
 }
--- a/tests/daemon/fleet_report_test.cpp
+++ b/tests/daemon/fleet_report_test.cpp
@@ -29,7 +29,7 @@
             "no answer within 1 s"};
 }
 
-/// Three data centres, the third cut off; one silent node is known by hearsay, one by nobody.
+/// Three data centres, the third cut off; one silent node is known to a peer, one to nobody.
 std::vector<node_inquiry> fleet_with_a_cut() {
     auto first = answering("comenzi-1", "brasov-1");
     first.answer->members = {{target_id{"comenzi-3"}, "serving", "live", 45s, 3s}};
@@ -45,22 +45,22 @@
 
     REQUIRE(report.lines.size() == 4);
     CHECK(report.lines[0].node == target_id{"comenzi-3"});
-    CHECK(report.lines[0].source == fact_source::hearsay);
-    CHECK(report.lines[0].heard_from == target_id{"comenzi-2"});
+    CHECK(report.lines[0].source == fact_source::indirect);
+    CHECK(report.lines[0].reported_by == target_id{"comenzi-2"});
     CHECK(report.lines[0].state == "draining");
     CHECK(report.lines[0].age == 12s + 200ms);
     CHECK(report.lines[1].source == fact_source::none);
     CHECK(needs_attention(report.lines[1]));
 }
 
-TEST_CASE("hearsay older than the limit is stale", "[report]") {
+TEST_CASE("a record of a peer older than the limit is stale", "[report]") {
     auto fleet = fleet_with_a_cut();
     fleet[1] = silent("comenzi-2", "brasov-2");
 
     const auto report = make_fleet_report(fleet, "2026-01-01T06:00:00Z");
     const auto it = std::ranges::find(report.lines, target_id{"comenzi-3"}, &node_line::node);
     CHECK(it->stale);
-    CHECK(format_source(*it) == "no answer; heard from comenzi-1, 45 s old, STALE");
+    CHECK(format_source(*it) == "no answer; reported by comenzi-1, 45 s old, STALE");
 }
 
 TEST_CASE("totals count only nodes that answered and say how many did", "[report]") {
