Count calls in reports for the service that was called

Cause: a report of a fleet with a data centre cut off showed 111 calls for atelier although all 360 calls went to comenzi; calls were summed by the service beside the entry. A service without calls showed a p99 of 0.0 ms.

Excluded: the counters of the nodes; /metrics named the right service.

--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -95,7 +95,7 @@
         latency_series& series = m_latencies[{observation.service, observation.outcome}];
         series.buckets(to_seconds(latency));
         series.sum += to_seconds(latency);
-        m_window.add(observation.outcome, latency, now);
+        m_windows[observation.service].add(observation.outcome, latency, now);
     }
 
     [[nodiscard]] std::string exposition(const metrics_gauges& gauges) const {
@@ -108,9 +108,13 @@
         return out.str();
     }
 
-    [[nodiscard]] latency_window::summary last_minute(time_point now) const {
+    [[nodiscard]] std::map<service_id, latency_window::summary> last_minute(time_point now) const {
         const std::lock_guard lock(m_mutex);
-        return m_window.last_minute(now);
+        std::map<service_id, latency_window::summary> summaries;
+        for (const auto& [service, window] : m_windows) {
+            summaries.emplace(service, window.last_minute(now));
+        }
+        return summaries;
     }
 
   private:
@@ -174,7 +178,7 @@
     mutable std::mutex m_mutex;
     std::map<std::pair<metric, service_id>, double> m_counters;
     std::map<std::pair<service_id, verdict>, latency_series> m_latencies;
-    latency_window m_window;
+    std::map<service_id, latency_window> m_windows;
 };
 
 metrics::metrics() : m_implementation(std::make_unique<implementation>()) {}
@@ -189,7 +193,7 @@
     return m_implementation->exposition(gauges);
 }
 
-latency_window::summary metrics::last_minute(time_point now) const {
+std::map<service_id, latency_window::summary> metrics::last_minute(time_point now) const {
     return m_implementation->last_minute(now);
 }
 
--- a/src/daemon/metrics/metrics.hpp
+++ b/src/daemon/metrics/metrics.hpp
@@ -7,6 +7,7 @@
 
 #include "daemon/metrics/latency_window.hpp"
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -37,8 +38,8 @@
     /// @return all metrics in the Prometheus text format 0.0.4; times in seconds.
     [[nodiscard]] std::string exposition(const metrics_gauges& gauges) const;
 
-    /// @return calls of the last minute.
-    [[nodiscard]] latency_window::summary last_minute(time_point now) const;
+    /// @return calls of the last minute by the service that was called.
+    [[nodiscard]] std::map<service_id, latency_window::summary> last_minute(time_point now) const;
 
   private:
     class implementation;
--- a/src/daemon/operator/operator_pages.cpp
+++ b/src/daemon/operator/operator_pages.cpp
@@ -80,7 +80,6 @@
 
 node_report operator_pages::make_report(const metrics_gauges& gauges) const {
     const time_point now = monotonic_now();
-    const auto calls = m_sources.counts.last_minute(now);
 
     node_report report;
     report.node = m_sources.identity.self;
@@ -99,7 +98,9 @@
     report.service_time = gauges.traffic.service_time;
     report.measurements_per_second = gauges.traffic.measurements_last_second;
     report.measuring_budget = gauges.measuring_budget;
-    report.calls = {calls.ran, calls.not_run, calls.unknown, calls.p50, calls.p99};
+    for (const auto& [service, calls] : m_sources.counts.last_minute(now)) {
+        report.calls[service] = {calls.ran, calls.not_run, calls.unknown, calls.p50, calls.p99};
+    }
     report.members = make_members(gauges.control.members);
     return report;
 }
--- a/src/daemon/report/fleet_report.cpp
+++ b/src/daemon/report/fleet_report.cpp
@@ -20,11 +20,25 @@
     totals.serving += details.state == "serving" ? 1 : 0;
     totals.running += details.running;
     totals.queued += details.queued;
-    totals.calls.ran += details.calls.ran;
-    totals.calls.not_run += details.calls.not_run;
-    totals.calls.unknown += details.calls.unknown;
-    totals.calls.p50 = std::max(totals.calls.p50, details.calls.p50);
-    totals.calls.p99 = std::max(totals.calls.p99, details.calls.p99);
+}
+
+void add_to(call_counts& totals, const call_counts& calls) {
+    totals.ran += calls.ran;
+    totals.not_run += calls.not_run;
+    totals.unknown += calls.unknown;
+    totals.p50 = std::max(totals.p50, calls.p50);
+    totals.p99 = std::max(totals.p99, calls.p99);
+}
+
+/// Any entry may be called for any service, so calls count for the service called, not for that of the entry.
+void add_calls(fleet_report& report, const node_line& line) {
+    if (!line.details) {
+        return;
+    }
+    for (const auto& [service, calls] : line.details->calls) {
+        add_to(report.all.calls, calls);
+        add_to(report.services[service].calls, calls);
+    }
 }
 
 /// Freshest record of other nodes about one node. The pointers are into the inquiries.
@@ -141,6 +155,7 @@
         add_to(report.all, line);
         add_to(report.services[line.service], line);
         add_to(report.data_centres[line.data_centre], line);
+        add_calls(report, line);
     }
     // Nodes about which something is known come before silent ones, which may be a whole data centre.
     const auto rank = [](const node_line& line) {
--- a/src/daemon/report/fleet_report.hpp
+++ b/src/daemon/report/fleet_report.hpp
@@ -48,7 +48,8 @@
     std::size_t serving = 0; ///< Of those that answered.
     std::uint64_t running = 0;
     std::uint64_t queued = 0;
-    call_counts calls; ///< `p50` and `p99` are the largest of any entry.
+    call_counts calls; ///< Calls to a service through any entry; `p50` and `p99` of the worst entry. Not
+                       ///< filled in for data centres.
 };
 
 /// State of a fleet as far as it is known at one moment.
--- a/src/daemon/report/node_report.cpp
+++ b/src/daemon/report/node_report.cpp
@@ -66,7 +66,9 @@
     report.uptime = microseconds(item, "uptime_us");
     parse_plan(item.at("plan"), report);
     parse_load(item.at("load"), report);
-    report.calls = parse_calls(item.at("calls_last_minute"));
+    for (const auto& [service, calls] : item.at("calls_last_minute").items()) {
+        report.calls[service_id{service}] = parse_calls(calls);
+    }
     for (const auto& it : item.at("members")) {
         report.members.push_back(parse_member(it));
     }
@@ -76,6 +78,10 @@
 } // namespace
 
 std::string to_json(const node_report& report) {
+    json calls = json::object();
+    for (const auto& [service, counts] : report.calls) {
+        calls[service.value()] = to_item(counts);
+    }
     json members = json::array();
     for (const auto& it : report.members) {
         members.push_back(to_item(it));
@@ -99,7 +105,7 @@
                       {"service_time_us", report.service_time.count()},
                       {"measurements_per_second", report.measurements_per_second},
                       {"measuring_budget", report.measuring_budget}}},
-                    {"calls_last_minute", to_item(report.calls)},
+                    {"calls_last_minute", calls},
                     {"members", members}};
     return item.dump();
 }
--- a/src/daemon/report/node_report.hpp
+++ b/src/daemon/report/node_report.hpp
@@ -5,6 +5,7 @@
 #include "cornelpier/base/units.hpp"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,8 +47,8 @@
     std::uint64_t limit = 0;
     duration service_time{};
     double measurements_per_second = 0;
-    double measuring_budget = 0; ///< Per second.
-    call_counts calls;
+    double measuring_budget = 0;             ///< Per second.
+    std::map<service_id, call_counts> calls; ///< By the service that was called through this entry.
     std::vector<member_view> members;
 };
 
--- a/src/daemon/report/report_html.cpp
+++ b/src/daemon/report/report_html.cpp
@@ -47,10 +47,11 @@
     for (const auto& [id, totals] : report.services) {
         out << "<tr><td>" << escape_html(id.value()) << " <span class=\"old\">" << totals.answered << '/'
             << totals.nodes << "</span></td><td>" << totals.calls.ran << "</td><td>" << totals.calls.not_run
-            << "</td><td>" << totals.calls.unknown << "</td><td>" << format_age(totals.calls.p99)
-            << "</td></tr>\n";
+            << "</td><td>" << totals.calls.unknown << "</td><td>"
+            << format_latency(totals.calls, totals.calls.p99) << "</td></tr>\n";
     }
-    out << "</table>\n<p class=\"old\">p99 of the worst entry that answered; n/m: nodes that answered.</p>\n";
+    out << "</table>\n<p class=\"old\">Calls through all entries that answered, p99 of the worst. n/m: nodes "
+           "of the service that answered.</p>\n";
 }
 
 void write_data_centres(std::ostream& out, const fleet_report& report) {
--- a/src/daemon/report/report_json.cpp
+++ b/src/daemon/report/report_json.cpp
@@ -13,13 +13,17 @@
             {"answered", totals.answered},
             {"serving", totals.serving},
             {"running", totals.running},
-            {"queued", totals.queued},
-            {"last_minute",
-             {{"ran", totals.calls.ran},
-              {"not_run", totals.calls.not_run},
-              {"unknown", totals.calls.unknown},
-              {"worst_entry_p50_us", totals.calls.p50.count()},
-              {"worst_entry_p99_us", totals.calls.p99.count()}}}};
+            {"queued", totals.queued}};
+}
+
+json to_item_with_calls(const group_totals& totals) {
+    json item = to_item(totals);
+    item["last_minute"] = {{"ran", totals.calls.ran},
+                           {"not_run", totals.calls.not_run},
+                           {"unknown", totals.calls.unknown},
+                           {"worst_entry_p50_us", totals.calls.p50.count()},
+                           {"worst_entry_p99_us", totals.calls.p99.count()}};
+    return item;
 }
 
 const char* name_of(fact_source source) {
@@ -53,10 +57,10 @@
 }
 
 template <typename Id>
-json to_items(const std::map<Id, group_totals>& groups) {
+json to_items(const std::map<Id, group_totals>& groups, json (*convert)(const group_totals&)) {
     json items = json::object();
     for (const auto& [id, totals] : groups) {
-        items[id.value()] = to_item(totals);
+        items[id.value()] = convert(totals);
     }
     return items;
 }
@@ -78,9 +82,9 @@
 
     const json item{{"taken_at", report.taken_at},
                     {"plan", plan},
-                    {"fleet", to_item(report.all)},
-                    {"services", to_items(report.services)},
-                    {"data_centres", to_items(report.data_centres)},
+                    {"fleet", to_item_with_calls(report.all)},
+                    {"services", to_items(report.services, to_item_with_calls)},
+                    {"data_centres", to_items(report.data_centres, to_item)},
                     {"nodes", lines}};
     return item.dump(1) + '\n';
 }
--- a/src/daemon/report/report_text.cpp
+++ b/src/daemon/report/report_text.cpp
@@ -22,8 +22,8 @@
         << "  running " << totals.running << ", queued " << totals.queued << '\n'
         << "  last minute: ran " << totals.calls.ran << ", not run " << totals.calls.not_run << ", unknown "
         << totals.calls.unknown << '\n'
-        << "  worst entry: p50 " << format_age(totals.calls.p50) << ", p99 " << format_age(totals.calls.p99)
-        << '\n';
+        << "  worst entry: p50 " << format_latency(totals.calls, totals.calls.p50) << ", p99 "
+        << format_latency(totals.calls, totals.calls.p99) << '\n';
 }
 
 void write_line(std::ostream& out, const node_line& line) {
@@ -55,6 +55,11 @@
     return std::to_string(duration_cast<hours>(age).count()) + " h";
 }
 
+std::string format_latency(const call_counts& calls, duration quantile) {
+    const bool any = calls.ran + calls.not_run + calls.unknown > 0;
+    return any ? format_age(quantile) : "no calls";
+}
+
 std::string format_source(const node_line& line) {
     if (line.source == fact_source::none) {
         return "no answer, no report by another node";
--- a/src/daemon/report/report_text.hpp
+++ b/src/daemon/report/report_text.hpp
@@ -12,6 +12,9 @@
 /// @return a length of time in the largest unit that keeps two digits, such as `850 ms`, `12 s`, `3 min`.
 std::string format_age(duration age);
 
+/// @return the quantile, or `no calls` if there is nothing to take one of.
+std::string format_latency(const call_counts& calls, duration quantile);
+
 /// @return where the facts of a line come from and how old they are, such as `reported by a-2, 40 s old,
 /// stale`.
 std::string format_source(const node_line& line);
--- a/tests/daemon/fleet_report_test.cpp
+++ b/tests/daemon/fleet_report_test.cpp
@@ -20,7 +20,8 @@
     inquiry.answer->plan_hash = "aa";
     inquiry.answer->plan_confirmed_age = 4s;
     inquiry.answer->running = 3;
-    inquiry.answer->calls = {100, 2, 1, 20ms, 80ms};
+    inquiry.answer->calls = {{service_id{"atelier"}, {100, 2, 1, 20ms, 80ms}},
+                             {service_id{"comenzi"}, {7, 0, 0, 2ms, 5ms}}};
     return inquiry;
 }
 
@@ -63,6 +64,23 @@
     CHECK(format_source(*it) == "no answer; reported by comenzi-1, 45 s old, STALE");
 }
 
+TEST_CASE("calls count for the service that was called, not for that of the entry", "[report]") {
+    const auto report = make_fleet_report(fleet_with_a_cut(), "2026-01-01T06:00:00Z");
+    CHECK(report.services.at(service_id{"atelier"}).calls.ran == 200);
+    CHECK(report.services.at(service_id{"atelier"}).nodes == 0);
+    CHECK(report.services.at(service_id{"comenzi"}).calls.ran == 14);
+    CHECK(report.all.calls.ran == 214);
+}
+
+TEST_CASE("a service without calls shows no latency", "[report]") {
+    auto fleet = fleet_with_a_cut();
+    fleet[0].answer->calls.clear();
+    fleet[1].answer->calls.clear();
+    const auto report = make_fleet_report(fleet, "2026-01-01T06:00:00Z");
+    CHECK(to_text(report).find("p99 no calls") != std::string::npos);
+    CHECK(to_html(report).find("<td>no calls</td>") != std::string::npos);
+}
+
 TEST_CASE("totals count only nodes that answered and say how many did", "[report]") {
     const auto report = make_fleet_report(fleet_with_a_cut(), "2026-01-01T06:00:00Z");
     CHECK(report.all.answered == 2);
@@ -101,7 +119,8 @@
     REQUIRE(has_value(received));
     const auto& report = std::get<node_report>(received);
     CHECK(report.members.size() == 1);
-    CHECK(report.calls.p99 == sent.calls.p99);
+    CHECK(report.calls.at(service_id{"atelier"}).p99 == 80ms);
+    CHECK(report.calls.at(service_id{"comenzi"}).ran == 7);
     CHECK(report.plan_hash == "aa");
     CHECK_FALSE(has_value(parse_node_report(R"({"node": 3})")));
     CHECK_FALSE(has_value(parse_node_report("<html>")));
--- a/tests/daemon/metrics_test.cpp
+++ b/tests/daemon/metrics_test.cpp
@@ -40,12 +40,13 @@
         values.add(latency(20ms), time_point{65s});
     }
 
-    const auto summary = values.last_minute(time_point{70s});
+    const service_id service{"comenzi"};
+    const auto summary = values.last_minute(time_point{70s}).at(service);
     CHECK(summary.unknown == 0);
     CHECK(summary.ran == 100);
     CHECK(summary.p99 >= 20ms);
     CHECK(summary.p99 <= 23ms);
-    CHECK(values.last_minute(time_point{200s}).ran == 0);
+    CHECK(values.last_minute(time_point{200s}).at(service).ran == 0);
 }
 
 } // namespace cornelpier
--- a/tests/entry/retry_test.cpp
+++ b/tests/entry/retry_test.cpp
@@ -281,4 +281,22 @@
     CHECK(serve(20) == 1); // One trial request, which fails.
 }
 
+// A late copy of an answer must not end a call whose next attempt is still running.
+TEST_CASE("a second answer to an attempt that was refused is dropped", "[entry][retry]") {
+    entry_fixture it{2};
+    it.call("GET");
+    it.open_links();
+    const auto first = it.sent<run>().at(0);
+    it.answer_run(first, verdict::not_run, refusal::wait_limit);
+    const auto second = it.sent<run>().at(0);
+    it.take<observe>();
+
+    it.answer_run(first, verdict::ran, refusal::none, 200);
+    CHECK(it.take<answer_caller>().empty());
+    CHECK(it.count(metric::answer_discarded) == 1);
+
+    it.answer_run(second, verdict::ran, refusal::none, 200);
+    CHECK(it.take<answer_caller>().size() == 1);
+}
+
 } // namespace cornelpier::test
