--- a/src/cornelpier/node/control_core.hpp
+++ b/src/cornelpier/node/control_core.hpp
@@ -26,7 +26,9 @@
 /// Plan and membership of one node without I/O. Not thread-safe: the control thread drives it.
 class control_core {
   public:
-    /// @copydoc traffic_core::traffic_core
+    /// @param identity who the node is.
+    /// @param seed seed of the random numbers.
+    /// @param start current time on the node's monotonic clock.
     /// @param reader parses plan sheets; empty for `parse_plan`.
     control_core(node_identity identity, std::uint64_t seed, time_point start, plan_reader reader = {});
     ~control_core();
--- a/src/cornelpier/owner/owner_manager.hpp
+++ b/src/cornelpier/owner/owner_manager.hpp
@@ -14,7 +14,9 @@
 /// Owns the runs of this node's target: admission, queue, ledger, hand-over to the server, drain.
 class owner_manager {
   public:
-    /// @copydoc entry_manager::entry_manager
+    /// @param identity who the node is.
+    /// @param timers outlives the manager; its `now()` is the current time.
+    /// @param random seeded generator of its own.
     /// @param adaptive_limit false: the server always gets as many runs as the plan's slots.
     owner_manager(const node_identity& identity, timer_service& timers, random_source random,
                   bool adaptive_limit = true);
--- a/tools/mutation_check.sh
+++ b/tools/mutation_check.sh
@@ -36,7 +36,7 @@
   for target in "${targets[@]}"; do
     filter=()
     [ "$target" = cornelpier-tests ] && filter=('~[fleet]')
-    timeout 120 "build/tests/$target" "${filter[@]}" > "$target.log" 2>&1 || noticed+=("${target#cornelpier-}")
+    timeout 120 prlimit --as=4000000000 "build/tests/$target" "${filter[@]}" > "$target.log" 2>&1 || noticed+=("${target#cornelpier-}")
   done
   echo "$name (point$point): ${noticed[*]:-NOT NOTICED}"
   [ ${#noticed[@]} -gt 0 ] || missed=$((missed + 1))
