--- a/tests/capacity/capacity.cpp
+++ b/bench/capacity/capacity.cpp
@@ -2,10 +2,10 @@
 
 #include "cornelpier/routing/subset.hpp"
 
+#include "bench/capacity/heap.hpp"
+#include "bench/capacity/traffic_pair.hpp"
 #include "daemon/report/fleet_report.hpp"
 #include "daemon/report/node_report.hpp"
-#include "tests/capacity/heap.hpp"
-#include "tests/capacity/traffic_pair.hpp"
 #include "tests/node/control_fleet.hpp"
 
 #include <boost/asio/buffer.hpp>
--- a/tests/capacity/traffic_pair.hpp
+++ b/bench/capacity/traffic_pair.hpp
@@ -4,7 +4,7 @@
 #include "cornelpier/node/traffic_core.hpp"
 #include "cornelpier/plan/plan.hpp"
 
-#include "tests/capacity/heap.hpp"
+#include "bench/capacity/heap.hpp"
 
 #include <cstdint>
 #include <map>
--- a/tests/capacity/budget_test.cpp
+++ b/tests/capacity/budget_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/capacity/heap.hpp"
+#include "bench/capacity/heap.hpp"
 #include "tests/node/control_fleet.hpp"
 
 #include <catch2/catch.hpp>
--- a/tools/capacity.sh
+++ b/tools/capacity.sh
@@ -72,7 +72,7 @@
     "state=$(curl -s -m 5 -o /dev/null -w '%{size_download}' "http://127.0.0.1:$((base + 201))/state") B" \
     "metrics=$(curl -s -m 5 -o /dev/null -w '%{size_download}' "http://127.0.0.1:$((base + 201))/metrics") B load=$(load)"
   [ "$1" != 960 ] || for n in 100 400 800; do
-    timeout 20 "$build/tests/capacity/cornelpier-capacity" "$((base + 101))" "$pid" "$n"
+    timeout 20 "$build/bench/cornelpier-capacity" "$((base + 101))" "$pid" "$n"
     sleep 1
   done
   /usr/bin/time -f "report targets=$1 live=1 elapsed=%e s cpu=%U+%S s memory=%M KiB load=$(load)" \
@@ -121,7 +121,7 @@
 cmake -S . -B "$build" -G Ninja > /dev/null
 cmake --build "$build" > /dev/null
 echo "start: load $(cat /proc/loadavg), $(nproc) cores"
-[[ $part == all || $part == cores ]] && timeout 120 "$build/tests/capacity/cornelpier-capacity"
+[[ $part == all || $part == cores ]] && timeout 120 "$build/bench/cornelpier-capacity"
 [[ $part == all || $part == node ]] && for size in 100 960; do measure_single_node "$size"; done
 [[ $part == all || $part == fleet ]] && measure_fleet
 [[ $part == all || $part == latency ]] && timeout 60 "$build/tests/process/cornelpier-latency-load" --calls 2000
