Tell servers the caller's deadline, not the limit for late orders

Cause: an order may finish up to 10 s after its deadline so that its result reaches the ledger, and the server was told this longer limit in Cornelpier-Deadline-Ms, found by reading.

Excluded: a shorter limit; the result of a late order is what a repeat needs.

Result: start_run carries both; a test holds that they differ for orders and agree for lookups.

--- a/src/cornelpier/node/traffic_actions.hpp
+++ b/src/cornelpier/node/traffic_actions.hpp
@@ -48,9 +48,10 @@
     run_id run;
     http_request request;
     bool fresh_connection = false; ///< Use a new connection or one that answered within 100 ms.
-    duration timeout{};
+    duration timeout{};            ///< Time after which the answer is given up on.
     std::uint32_t depth = 0;
     bool outer_retry = false;
+    duration deadline{}; ///< Time left to the caller's deadline; told to the server.
 };
 
 /// Gives up on a run. Its connection is closed; no event follows.
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -85,7 +85,8 @@
     action.run = entry.id;
     action.request = std::move(entry.request);
     action.fresh_connection = !entry.idempotent;
-    action.timeout = entry.deadline - m_state.now();
+    action.deadline = entry.deadline - m_state.now();
+    action.timeout = action.deadline;
     if (!entry.idempotent) {
         action.timeout += late_result_time;
     }
--- a/src/daemon/server/server_client.cpp
+++ b/src/daemon/server/server_client.cpp
@@ -120,7 +120,7 @@
                    field.first.starts_with("cornelpier-");
         });
         request.fields.emplace_back("host", m_options.service.value());
-        request.fields.emplace_back("cornelpier-deadline-ms", whole_milliseconds(action.timeout));
+        request.fields.emplace_back("cornelpier-deadline-ms", whole_milliseconds(action.deadline));
         request.fields.emplace_back("cornelpier-depth", std::to_string(action.depth));
         if (action.outer_retry) {
             request.fields.emplace_back("cornelpier-retry", "1");
--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -93,6 +93,7 @@
             method, "/orders/1", {{"host", "other"}, {"x-a", "1"}, {"upgrade", "x"}}, make_body()};
         action.fresh_connection = fresh;
         action.timeout = timeout;
+        action.deadline = std::chrono::seconds{2};
         action.depth = 2;
         action.outer_retry = true;
         client.start(std::move(action));
--- a/tests/owner/runs_test.cpp
+++ b/tests/owner/runs_test.cpp
@@ -35,6 +35,20 @@
     CHECK(it.ask<reading>(hello{}).state == node_state::starting);
 }
 
+// A server that believes in a later deadline goes on with work that nobody waits for.
+TEST_CASE("the server is told the caller's deadline, although a late order may still finish", "[owner]") {
+    owner_fixture it;
+    it.publish();
+    it.receive(it.order(1));
+    const auto order = it.take<start_run>().at(0);
+    CHECK(order.deadline == seconds{2});
+    CHECK(order.timeout > order.deadline);
+
+    it.receive(it.lookup(2));
+    const auto lookup = it.take<start_run>().at(0);
+    CHECK(lookup.timeout == lookup.deadline);
+}
+
 TEST_CASE("the server's status decides the verdict", "[owner]") {
     owner_fixture it;
     it.publish();
