--- /dev/null
+++ b/src/cornelpier/base/hexadecimal.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace cornelpier {
+
+/// @return the number in lower-case hexadecimal digits without leading zeros.
+std::string to_hexadecimal(std::uint64_t value);
+
+} // namespace cornelpier
--- a/src/cornelpier/entry/request_token.cpp
+++ b/src/cornelpier/entry/request_token.cpp
@@ -1,6 +1,7 @@
 #include "cornelpier/entry/request_token.hpp"
 
-#include <array>
+#include "cornelpier/base/hexadecimal.hpp"
+
 #include <charconv>
 #include <cstdint>
 #include <limits>
@@ -11,12 +12,6 @@
 
 constexpr int hexadecimal = 16;
 
-std::string to_hexadecimal(std::uint64_t value) {
-    std::array<char, hexadecimal> buf{};
-    const auto end = std::to_chars(buf.data(), buf.data() + buf.size(), value, hexadecimal).ptr;
-    return {buf.data(), end};
-}
-
 /// Removes the last field from the text.
 std::optional<std::uint64_t> take_number(std::string_view& text) {
     const auto dot = text.rfind('.');
--- a/src/cornelpier/node/traffic_core.cpp
+++ b/src/cornelpier/node/traffic_core.cpp
@@ -33,6 +33,8 @@
 
     [[nodiscard]] std::optional<time_point> next_due() const { return m_timers.next_due(); }
 
+    [[nodiscard]] node_state state() const { return m_owner.state(); }
+
     [[nodiscard]] traffic_snapshot snapshot() const {
         traffic_snapshot result;
         m_owner.describe(result);
@@ -191,6 +193,10 @@
     return m_implementation->next_due();
 }
 
+node_state traffic_core::state() const {
+    return m_implementation->state();
+}
+
 traffic_snapshot traffic_core::snapshot() const {
     return m_implementation->snapshot();
 }
--- a/src/cornelpier/node/traffic_core.hpp
+++ b/src/cornelpier/node/traffic_core.hpp
@@ -52,6 +52,9 @@
     /// @return when `advance` has something to do.
     [[nodiscard]] std::optional<time_point> next_due() const;
 
+    /// @return whether the node takes new work.
+    [[nodiscard]] node_state state() const;
+
     /// @return counts for reports.
     [[nodiscard]] traffic_snapshot snapshot() const;
 
--- a/src/daemon/log/event_formatter.cpp
+++ b/src/daemon/log/event_formatter.cpp
@@ -1,5 +1,7 @@
 #include "daemon/log/event_formatter.hpp"
 
+#include "cornelpier/base/hexadecimal.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -29,16 +31,10 @@
     return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-std::string hexadecimal(std::uint64_t value) {
-    std::array<char, 17> buf{};
-    std::snprintf(buf.data(), buf.size(), "%llx", static_cast<unsigned long long>(value));
-    return buf.data();
-}
-
 } // namespace
 
 event_formatter::event_formatter(log_format format, target_id node, incarnation process)
-    : m_format(format), m_node(std::move(node)), m_incarnation(hexadecimal(process.value())) {}
+    : m_format(format), m_node(std::move(node)), m_incarnation(to_hexadecimal(process.value())) {}
 
 std::string event_formatter::format(const log_entry& entry) const {
     return m_format == log_format::json ? as_json(entry) : as_text(entry);
--- a/src/daemon/node/traffic_runner.cpp
+++ b/src/daemon/node/traffic_runner.cpp
@@ -23,7 +23,7 @@
 }
 
 void traffic_runner::report_state() {
-    const node_state state = m_runner.core().snapshot().state;
+    const node_state state = m_runner.core().state();
     if (state != m_state) {
         m_state = state;
         m_outputs.state_changed(state);
--- a/src/daemon/operator/operator_pages.cpp
+++ b/src/daemon/operator/operator_pages.cpp
@@ -1,9 +1,10 @@
 #include "daemon/operator/operator_pages.hpp"
 
+#include "cornelpier/base/hexadecimal.hpp"
+
 #include "daemon/net/clock.hpp"
 
 #include <array>
-#include <cstdio>
 #include <utility>
 
 namespace cornelpier {
@@ -20,12 +21,6 @@
     return names.at(static_cast<std::size_t>(state));
 }
 
-std::string hexadecimal(std::uint64_t value) {
-    std::array<char, 17> buf{};
-    std::snprintf(buf.data(), buf.size(), "%llx", static_cast<unsigned long long>(value));
-    return buf.data();
-}
-
 std::vector<member_view> make_members(const std::vector<member_record>& records) {
     std::vector<member_view> members;
     members.reserve(records.size());
@@ -89,7 +84,7 @@
     report.state = name_of(gauges.traffic.state);
     report.uptime = now - m_sources.started;
     report.plan_version = gauges.control.digest.version;
-    report.plan_hash = hexadecimal(gauges.control.digest.content_hash);
+    report.plan_hash = to_hexadecimal(gauges.control.digest.content_hash);
     report.plan_confirmed_age = gauges.control.plan_confirmed_age;
     report.plan_conflict = gauges.control.conflict;
     report.running = gauges.traffic.runs_at_server;
--- a/tests/support/node_host.cpp
+++ b/tests/support/node_host.cpp
@@ -159,7 +159,7 @@
 
 /// Tells the control side about the drain.
 void node_host::forward_state() {
-    const auto state = alive() ? m_traffic->snapshot().state : m_state;
+    const auto state = alive() ? m_traffic->state() : m_state;
     if (state != std::exchange(m_state, state)) {
         deliver(control_event{own_state_changed{state}});
     }
