--- a/bench/cornelpier_bench.cpp
+++ b/bench/cornelpier_bench.cpp
@@ -49,7 +49,7 @@
         {"hedging", &options.entry.hedging},
         {"slow_start", &options.entry.slow_start},
         {"ejection", &options.entry.ejection},
-        {"adaptive_limit", &options.adaptive_limit}};
+        {"adaptive_limit", &options.owner.adaptive_limit}};
     const auto it = switches.find(mechanism);
     if (it == switches.end()) {
         return false;
--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -30,12 +30,18 @@
                       "A plan above the size limit was refused."},
     event_description{configuration_unreachable, severity::warning, "configuration_unreachable",
                       "The configuration service did not answer."},
+    event_description{configuration_regained, severity::info, "configuration_regained",
+                      "The configuration service answers again."},
     event_description{member_joined, severity::info, "member_joined", "A node was heard for the first time."},
     event_description{member_restarted, severity::info, "member_restarted",
                       "A node is back with a new incarnation."},
     event_description{vm_leaving, severity::info, "vm_leaving", "The VM list marks a VM as leaving."},
     event_description{vm_list_unreachable, severity::warning, "vm_list_unreachable",
                       "The VM list could not be read."},
+    event_description{directory_changed, severity::info, "directory_changed",
+                      "A target was added or removed or changed its state."},
+    event_description{directory_entry_refused, severity::warning, "directory_entry_refused",
+                      "An entry of the target directory names no usable target."},
     event_description{target_ejected, severity::warning, "target_ejected",
                       "A target was ejected from the choice."},
     event_description{target_trial, severity::info, "target_trial",
@@ -71,6 +77,8 @@
     event_description{gossip_malformed, severity::warning, "gossip_malformed",
                       "A datagram that is no gossip message was dropped."},
     event_description{settings_invalid, severity::error, "settings_invalid", "The settings file is invalid."},
+    event_description{settings_reloaded, severity::info, "settings_reloaded",
+                      "The settings file was read again."},
 };
 
 } // namespace
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -22,10 +22,13 @@
     plan_refused_invalid = 203,
     plan_refused_too_large = 204,
     configuration_unreachable = 205,
+    configuration_regained = 206,
     member_joined = 300,
     member_restarted = 301,
     vm_leaving = 302,
     vm_list_unreachable = 303,
+    directory_changed = 304,
+    directory_entry_refused = 305,
     target_ejected = 400,
     target_trial = 401,
     target_recovered = 402,
@@ -45,6 +48,7 @@
     link_queue_full = 611,
     gossip_malformed = 612,
     settings_invalid = 700,
+    settings_reloaded = 701,
 };
 
 /// Severity of an event.
--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -47,7 +47,10 @@
 }
 
 /// Status for an attempt result without a response of the server.
-int status_for(const attempt_result& result, verdict outcome) {
+int status_for(const attempt_result& result, verdict outcome, bool statuses_promise) {
+    if (statuses_promise) {
+        return outcome == verdict::not_run ? status_unavailable : status_bad_gateway;
+    }
     if (result.reason == refusal::key_conflict) {
         return status_unprocessable;
     }
@@ -101,12 +104,13 @@
 
     const attempt_result& last = *call.last_result;
     auto result = base(call);
-    if (last.response) {
+    const bool may_pass_on = !m_context.options.statuses_promise || last.outcome != verdict::not_run;
+    if (last.response && may_pass_on) {
         result.response = *last.response;
     } else if (result.outcome == verdict::unknown && call.failure_response) {
         result.response = *call.failure_response;
     } else {
-        result.response = text_response(status_for(last, result.outcome), describe(last));
+        result.response = text_response(status_for(last, result.outcome, m_context.options.statuses_promise), describe(last));
     }
 
     result.retry_after = retry_after(call, last, result.outcome);
@@ -130,9 +134,11 @@
 
 answer_caller answer_composer::time_out(const call_state& call) const {
     auto result = base(call);
+    const bool promises = m_context.options.statuses_promise && result.outcome == verdict::not_run;
+    const int status = promises ? status_unavailable : status_gateway_timeout;
     result.response = result.outcome == verdict::unknown && call.failure_response
                           ? *call.failure_response
-                          : text_response(status_gateway_timeout, "the deadline has passed");
+                          : text_response(status, "the deadline has passed");
     if (result.outcome == verdict::not_run) {
         result.retry_after = spread(default_retry_after);
     }
--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -214,6 +214,9 @@
     message.depth = call.event.depth + 1;
     message.outer_retry = attempt.outer_retry;
     message.plan_version = m_context.view->current_plan->version;
+    if (const auto* planned = m_context.find_target(attempt.target)) {
+        message.instance = planned->instance;
+    }
 
     attempt.sent_at = m_context.now();
     m_tables.links.send(attempt.target, std::move(message));
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -60,7 +60,29 @@
     if (turned_away(event)) {
         return;
     }
-    start(admit(event, *m_context.find_service(event.service)));
+    const destination where = find_destination(event);
+    if (where.service == nullptr) {
+        const verdict outcome = event.key ? verdict::unknown : verdict::not_run;
+        const bool known = where.via != nullptr;
+        m_context.emit(m_parts.composer.turn_away(
+            event.call, outcome, known ? status_unavailable : status_not_found,
+            known ? "the service of the route is not known" : "no such service or route",
+            known ? unplanned_retry_after : duration::zero()));
+        return;
+    }
+    start(admit(event, where));
+}
+
+call_driver::destination call_driver::find_destination(const call_arrived& event) {
+    const auto& sheet = *m_context.view->current_plan;
+    if (sheet.routes == nullptr) {
+        return {sheet.find_service(event.service), nullptr};
+    }
+    const route* via = sheet.routes->find(event.host, event.request.path);
+    if (via == nullptr) {
+        return {};
+    }
+    return {sheet.find_service(m_shares.pick(*via, m_context.random)), via};
 }
 
 bool call_driver::turned_away(const call_arrived& event) {
@@ -76,9 +98,6 @@
     if (m_context.view == nullptr || m_context.view->current_plan == nullptr) {
         return answer(status_unavailable, "no plan is known yet", unplanned_retry_after);
     }
-    if (m_context.find_service(event.service) == nullptr) {
-        return answer(status_not_found, "unknown service", {});
-    }
     if (event.deadline && *event.deadline <= duration::zero()) {
         return answer(status_gateway_timeout, "the deadline has passed", {});
     }
@@ -90,18 +109,29 @@
     return false;
 }
 
-call_state& call_driver::admit(const call_arrived& event, const service_plan& service) {
+call_state& call_driver::admit(const call_arrived& event, const destination& where) {
     auto& call = m_parts.calls.add(event, m_context.now());
-    const auto* rule = service.match(event.request.method, event.request.path);
-    call.idempotent = rule != nullptr && rule->idempotent;
-    call.priority = rule == nullptr ? request_class::order : rule->priority;
+    call.event.service = where.service->id;
+    if (where.via != nullptr) {
+        call.idempotent = where.via->idempotent;
+        call.priority = where.via->priority;
+        call.max_runs = where.via->max_attempts;
+    } else if (const auto* rule = where.service->match(event.request.method, event.request.path)) {
+        call.idempotent = rule->idempotent;
+        call.priority = rule->priority;
+    }
 
-    call.deadline = call.arrived_at + std::min(event.deadline.value_or(service.deadline), service.deadline);
+    call.deadline = call.arrived_at + time_allowed(event, where);
     const auto id = m_parts.calls.id_of(call);
     call.deadline_timer = m_context.timers.call_at(call.deadline, [this, id] { on_deadline(id); });
     return call;
 }
 
+duration call_driver::time_allowed(const call_arrived& event, const destination& where) const {
+    const duration limit = where.via != nullptr ? where.via->timeout : where.service->deadline;
+    return std::min(event.deadline.value_or(limit), limit);
+}
+
 void call_driver::start(call_state& call) {
     const auto& service = *m_context.find_service(call.event.service);
     auto& state = m_parts.services.at(service);
@@ -194,6 +224,9 @@
     if (call.is_keyed() && is_lasting(result)) {
         return std::nullopt;
     }
+    if (call.possible_runs() >= call.max_runs) {
+        return std::nullopt;
+    }
     if (is_free(attempt, result) && call.tries < max_tries) {
         return attempt_kind::rechoice;
     }
@@ -242,7 +275,8 @@
     }
     call->hedge_timer = 0;
     auto* service = m_parts.services.find(call->event.service);
-    if (!call->has_open_attempt() || service == nullptr || !service->hedges.take()) {
+    const bool may_run_again = call->has_open_attempt() && call->possible_runs() < call->max_runs;
+    if (!may_run_again || service == nullptr || !service->take_hedge()) {
         return;
     }
     if (begin_attempt(*call, attempt_kind::hedge)) {
--- a/src/cornelpier/entry/call_driver.hpp
+++ b/src/cornelpier/entry/call_driver.hpp
@@ -6,6 +6,7 @@
 #include "cornelpier/entry/entry_context.hpp"
 #include "cornelpier/entry/probe_scheduler.hpp"
 #include "cornelpier/entry/service_table.hpp"
+#include "cornelpier/entry/share_picker.hpp"
 #include "cornelpier/entry/target_selector.hpp"
 
 #include <optional>
@@ -41,7 +42,17 @@
     /// Answers calls that no target may get.
     /// @return true if the call was answered.
     bool turned_away(const call_arrived& event);
-    call_state& admit(const call_arrived& event, const service_plan& service);
+
+    /// Where a call goes. Without routes in the plan, `via` is null.
+    struct destination {
+        const service_plan* service = nullptr;
+        const route* via = nullptr;
+    };
+
+    /// @return the destination; `service` is null if there is none.
+    destination find_destination(const call_arrived& event);
+    call_state& admit(const call_arrived& event, const destination& where);
+    [[nodiscard]] duration time_allowed(const call_arrived& event, const destination& where) const;
     void start(call_state& call);
     bool begin_attempt(call_state& call, attempt_kind kind);
     std::optional<selection> select(const call_state& call, attempt_kind kind);
@@ -58,6 +69,7 @@
 
     entry_context& m_context;
     driver_parts m_parts;
+    share_picker m_shares;
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/entry/call_state.cpp
+++ b/src/cornelpier/entry/call_state.cpp
@@ -21,6 +21,13 @@
     return it == attempts.end() ? nullptr : &*it;
 }
 
+std::uint32_t call_state::possible_runs() const {
+    const auto may_run = [](const attempt_state& it) {
+        return it.phase != attempt_phase::settled || it.outcome != verdict::not_run;
+    };
+    return static_cast<std::uint32_t>(std::ranges::count_if(attempts, may_run));
+}
+
 bool call_state::has_open_attempt() const {
     return std::ranges::any_of(attempts,
                                [](const attempt_state& it) { return it.phase != attempt_phase::settled; });
--- a/src/cornelpier/entry/call_state.hpp
+++ b/src/cornelpier/entry/call_state.hpp
@@ -6,6 +6,7 @@
 #include "cornelpier/timer/timer_service.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -64,6 +65,7 @@
     time_point deadline;
     bool idempotent = false;
     request_class priority = request_class::order;
+    std::uint32_t max_runs = std::numeric_limits<std::uint32_t>::max(); ///< Servers that it may reach.
     std::vector<attempt_state> attempts;
     std::vector<target_id> avoided;            ///< Targets that refused for a reason that will not pass soon.
     std::uint32_t tries = 0;                   ///< Attempts but for hedges and retries from the budget.
@@ -80,6 +82,9 @@
     /// @return the attempt with that number, or nullptr.
     [[nodiscard]] attempt_state* find(std::uint32_t number);
 
+    /// @return attempts that ran or may still run.
+    [[nodiscard]] std::uint32_t possible_runs() const;
+
     /// @return true if an attempt is not settled.
     [[nodiscard]] bool has_open_attempt() const;
 
--- a/src/cornelpier/entry/service_state.hpp
+++ b/src/cornelpier/entry/service_state.hpp
@@ -35,6 +35,11 @@
     time_point last_call_at;
     time_point exhaustion_recorded_at{duration::min()}; ///< Of the last event about the retry budget.
     timer_service::timer_id probe_timer = 0;            ///< 0 while no probes are sent.
+    bool shares_repeats = false; ///< Hedges draw on `retries` too: the fleet bounds both together.
+
+    /// Takes what one hedge costs.
+    /// @return false if a budget is empty.
+    bool take_hedge() { return hedges.take() && (!shares_repeats || retries.take()); }
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/entry/service_table.cpp
+++ b/src/cornelpier/entry/service_table.cpp
@@ -35,7 +35,14 @@
     state.subset.clear();
     state.data_centres.clear();
     state.addresses.clear();
-    state.has_lookups = std::ranges::any_of(service.rules, &request_rule::idempotent);
+    const auto& sheet = *m_context.view->current_plan;
+    state.has_lookups =
+        sheet.routes != nullptr || std::ranges::any_of(service.rules, &request_rule::idempotent);
+    state.shares_repeats = sheet.repeats.has_value();
+    if (sheet.repeats) {
+        const auto entries = static_cast<double>(std::max<std::size_t>(m_entries.size(), 1));
+        state.retries.configure(sheet.repeats->share, std::max(1.0, sheet.repeats->reserve / entries));
+    }
     const auto& identity = m_context.identity;
     for (const auto i : choose_subset(service, m_entries, identity.self, identity.data_centre)) {
         state.subset.push_back(service.targets[i].id);
--- /dev/null
+++ b/src/cornelpier/entry/share_picker.cpp
@@ -0,0 +1,33 @@
+#include "cornelpier/entry/share_picker.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <numeric>
+
+namespace cornelpier {
+
+const service_id& share_picker::pick(const route& via, random_source& random) {
+    if (via.shares.size() == 1) {
+        return via.shares.front().service;
+    }
+
+    std::vector<std::uint32_t> weights;
+    std::ranges::transform(via.shares, std::back_inserter(weights), &route_share::weight);
+    auto& state = m_tallies[via.name];
+    const double total = std::max(1.0, std::accumulate(weights.begin(), weights.end(), 0.0));
+    if (state.weights != weights) {
+        state = {weights, std::vector<double>(weights.size())};
+        for (std::size_t i = 0; i < weights.size(); ++i) {
+            state.credits[i] = random.unit() * weights[i] / total;
+        }
+    }
+
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        state.credits[i] += weights[i] / total;
+    }
+    const auto chosen = std::ranges::max_element(state.credits);
+    *chosen -= 1;
+    return via.shares[static_cast<std::size_t>(std::distance(state.credits.begin(), chosen))].service;
+}
+
+} // namespace cornelpier
--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -109,6 +109,9 @@
         best = std::min(best, current);
         result.push_back({i, current});
     }
+    if (best == group::leaving && !m_context.options.use_leaving) {
+        best = group::excluded;
+    }
     if (best == group::excluded || (hedge && best > group::cold)) {
         return {};
     }
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -97,6 +97,7 @@
     visit(it.depth);
     visit(it.outer_retry);
     visit(it.plan_version);
+    visit(it.instance);
 }
 
 template <typename Message, typename Visitor>
@@ -194,7 +195,7 @@
 }
 
 constexpr request_class last_value(request_class /*tag*/) {
-    return request_class::patient_lookup;
+    return lowest_request_class;
 }
 
 constexpr fate_outcome last_value(fate_outcome /*tag*/) {
--- a/src/cornelpier/message/traffic_messages.hpp
+++ b/src/cornelpier/message/traffic_messages.hpp
@@ -86,6 +86,7 @@
     std::uint32_t depth = 0;            ///< Nesting of calls, 1 for a call from outside.
     bool outer_retry = false;           ///< An outer call is itself a retry.
     std::uint64_t plan_version = 0;
+    std::string instance; ///< Server process that the entry means; empty: whichever stands there.
 };
 
 /// Why an owner refused a run.
--- a/src/cornelpier/node/traffic_actions.hpp
+++ b/src/cornelpier/node/traffic_actions.hpp
@@ -52,6 +52,7 @@
     std::uint32_t depth = 0;
     bool outer_retry = false;
     duration deadline{}; ///< Time left to the caller's deadline; told to the server.
+    std::string instance = {}; ///< Server process that may run it; empty: any.
 };
 
 /// Gives up on a run. Its connection is closed; no event follows.
@@ -60,7 +61,9 @@
 };
 
 /// Reads the server's report. Ends in `server_report` or `server_report_failed`.
-struct read_server_report {};
+struct read_server_report {
+    std::string path = {}; ///< Empty: the one of the settings.
+};
 
 /// Writes a numbered event to the log.
 struct record_event {
--- a/src/cornelpier/node/traffic_events.hpp
+++ b/src/cornelpier/node/traffic_events.hpp
@@ -15,12 +15,13 @@
 /// A complete and well-formed request of a caller.
 struct call_arrived {
     call_id call;
-    service_id service;
+    service_id service; ///< By the first label of the host; a route of the plan replaces it.
     http_request request;
     std::optional<std::string> key;   ///< Idempotency-Key.
     std::optional<duration> deadline; ///< Cornelpier-Deadline-Ms; the plan's deadline caps it.
     std::uint32_t depth = 0;          ///< Cornelpier-Depth; 0 for a call from outside.
     bool outer_retry = false;         ///< Cornelpier-Retry.
+    std::string host = {};            ///< Value of the Host field.
 };
 
 /// A caller asks what became of a request, by the token of an earlier answer.
@@ -50,10 +51,20 @@
     traffic_message message;
 };
 
+/// What a server said about its load with an answer.
+struct server_load_figures {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    double slowness = 1; ///< How many times as long as usual work takes at this moment.
+};
+
 /// The server's complete answer to a run.
 struct server_answered {
     run_id run;
     http_response response;
+    bool refused = false; ///< The server states that it did not run the request.
+    std::optional<server_load_figures> load = std::nullopt;
 };
 
 /// How a run failed at the server.
@@ -73,6 +84,7 @@
     bool healthy = true;
     bool draining = false;
     std::uint32_t in_flight = 0;
+    std::optional<server_load_figures> load = std::nullopt;
 };
 
 /// The server's report could not be read.
--- a/src/cornelpier/owner/measuring_schedule.cpp
+++ b/src/cornelpier/owner/measuring_schedule.cpp
@@ -56,7 +56,7 @@
     m_report_due = false;
     m_last_report = now;
     m_state.outbox.count(metric::measurement);
-    m_state.outbox.act(read_server_report{});
+    m_state.outbox.act(read_server_report{m_state.service()->report_path});
     schedule(now + m_period);
 }
 
--- a/src/cornelpier/owner/owned_run.hpp
+++ b/src/cornelpier/owner/owned_run.hpp
@@ -17,6 +17,7 @@
     std::optional<std::string> key; ///< Key in the key ledger; nothing if it has no record there.
     std::uint32_t depth = 0;
     bool outer_retry = false;
+    std::string instance; ///< Server process that may run it; empty: any.
     time_point deadline;
     std::optional<link_id> reply_to; ///< Nothing if nobody waits for the answer.
     bool at_server = false;
--- a/src/cornelpier/owner/owner_lifecycle.cpp
+++ b/src/cornelpier/owner/owner_lifecycle.cpp
@@ -100,6 +100,9 @@
 }
 
 duration owner_lifecycle::drain_limit() const {
+    if (m_drain_limit) {
+        return *m_drain_limit;
+    }
     duration limit = least_drain_limit;
     if (m_state.view != nullptr) {
         for (const auto& service : m_state.view->current_plan->services) {
--- a/src/cornelpier/owner/owner_lifecycle.hpp
+++ b/src/cornelpier/owner/owner_lifecycle.hpp
@@ -2,13 +2,17 @@
 
 #include "cornelpier/owner/owner_state.hpp"
 
+#include <optional>
+
 namespace cornelpier {
 
 /// Drives the drain of the owner: causes, announcement to the entries, end.
 class owner_lifecycle {
   public:
     /// @param state outlives the object.
-    explicit owner_lifecycle(owner_state& state) : m_state(state) {}
+    /// @param drain_limit time for the runs in progress after a termination; nothing: by the plan.
+    explicit owner_lifecycle(owner_state& state, std::optional<duration> drain_limit = std::nullopt)
+        : m_state(state), m_drain_limit(drain_limit) {}
 
     /// Takes the state of the own VM from a view that came into force.
     void on_view();
@@ -34,6 +38,7 @@
     [[nodiscard]] const char* cause_name() const;
 
     owner_state& m_state;
+    std::optional<duration> m_drain_limit;
     bool m_server_down = false;
     time_point m_drain_began;
     scoped_timer m_limit_timer;
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -23,10 +23,10 @@
 class owner_manager::implementation {
   public:
     implementation(const node_identity& identity, timer_service& timers, random_source random,
-                   bool adaptive_limit)
-        : m_state(identity, timers, random), m_lifecycle(m_state), m_executor(m_state, m_lifecycle),
+                   const owner_options& options)
+        : m_state(identity, timers, random), m_lifecycle(m_state, options.drain_limit), m_executor(m_state, m_lifecycle),
           m_intake(m_state, m_executor), m_fates(m_state), m_measuring(m_state) {
-        m_state.load.set_adaptive(adaptive_limit);
+        m_state.load.set_adaptive(options.adaptive_limit);
     }
 
     void receive(link_id link, const traffic_message& message) {
@@ -46,8 +46,9 @@
         m_state.set_view(view);
         const service_plan* service = m_state.service();
         if (service != nullptr) {
-            m_state.load.configure(service->slots, service->deadline);
-            m_state.queue.set_capacity(queued_per_slot * service->slots);
+            const std::uint32_t slots = m_state.slots();
+            m_state.load.configure(slots, service->deadline);
+            m_state.queue.set_capacity(queued_per_slot * slots);
         }
         m_state.homes.update(service, m_state.now());
         const rate measuring = service != nullptr ? service->measuring : rate{};
@@ -113,8 +114,8 @@
 };
 
 owner_manager::owner_manager(const node_identity& identity, timer_service& timers, random_source random,
-                             bool adaptive_limit)
-    : m_implementation(std::make_unique<implementation>(identity, timers, random, adaptive_limit)) {}
+                             const owner_options& options)
+    : m_implementation(std::make_unique<implementation>(identity, timers, random, options)) {}
 
 owner_manager::~owner_manager() = default;
 
--- a/src/cornelpier/owner/owner_manager.hpp
+++ b/src/cornelpier/owner/owner_manager.hpp
@@ -5,6 +5,7 @@
 #include "cornelpier/node/traffic_actions.hpp"
 #include "cornelpier/node/traffic_core.hpp"
 #include "cornelpier/node/traffic_events.hpp"
+#include "cornelpier/owner/owner_options.hpp"
 #include "cornelpier/timer/timer_service.hpp"
 
 #include <memory>
@@ -17,9 +18,9 @@
     /// @param identity who the node is.
     /// @param timers outlives the manager; its `now()` is the current time.
     /// @param random seeded generator of its own.
-    /// @param adaptive_limit false: the server always gets as many runs as the plan's slots.
+    /// @param options replaces parts of the decisions.
     owner_manager(const node_identity& identity, timer_service& timers, random_source random,
-                  bool adaptive_limit = true);
+                  const owner_options& options = {});
     ~owner_manager();
 
     owner_manager(const owner_manager&) = delete;
--- /dev/null
+++ b/src/cornelpier/owner/owner_options.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "cornelpier/base/units.hpp"
+
+#include <optional>
+
+namespace cornelpier {
+
+/// Replaces parts of the owner's decisions.
+struct owner_options {
+    bool adaptive_limit = true; ///< The concurrency limit is adapted; otherwise it is the plan's slots.
+    /// Time that a node which was asked to stop has for its runs; nothing: the largest deadline of the plan.
+    std::optional<duration> drain_limit = std::nullopt;
+};
+
+} // namespace cornelpier
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -23,6 +23,11 @@
     m_service = view->current_plan->service_of(identity.self);
 }
 
+std::uint32_t owner_state::slots() const {
+    const target_plan* own = view->current_plan->find_target(identity.self);
+    return own != nullptr && own->slots > 0 ? own->slots : m_service->slots;
+}
+
 reading owner_state::make_reading() {
     const server_load now_at_server = runs.load(now());
     reading result;
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -25,6 +25,9 @@
     /// @return the plan's entry for the own service, or nullptr if the plan does not list the own target.
     [[nodiscard]] const service_plan* service() const { return m_service; }
 
+    /// @return requests that the own server works on at a time; `service` must not be null.
+    [[nodiscard]] std::uint32_t slots() const;
+
     /// Takes a view that came into force.
     void set_view(shared_fleet_view next);
 
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -62,6 +62,7 @@
     entry.key = std::move(key);
     entry.depth = message.depth;
     entry.outer_retry = message.outer_retry;
+    entry.instance = message.instance;
     entry.deadline = deadline;
     entry.reply_to = link;
 
@@ -92,6 +93,7 @@
     }
     action.depth = entry.depth;
     action.outer_retry = entry.outer_retry;
+    action.instance = entry.instance;
     m_state.outbox.act(std::move(action));
 }
 
@@ -124,21 +126,21 @@
         return;
     }
     const int status = event.response.status;
-    const bool error = status >= first_server_error || status == status_too_many_requests ||
-                       is_refusal(m_state.service(), status);
+    const bool refused = event.refused || is_refusal(m_state.service(), status);
+    const bool error = status >= first_server_error || status == status_too_many_requests || refused;
     const std::uint32_t in_flight = m_state.runs.load(m_state.now()).in_flight;
     m_state.load.on_answered(age(*entry), error, in_flight, m_state.now());
     m_lifecycle.on_server_up();
 
-    conclude(event.run, judge(*entry, event.response));
+    conclude(event.run, judge(*entry, event.response, refused));
     after_end();
 }
 
-answer run_executor::judge(const owned_run& entry, const http_response& response) const {
+answer run_executor::judge(const owned_run& entry, const http_response& response, bool refused) const {
     answer result;
     result.response = response;
     result.served_in = age(entry);
-    if (is_refusal(m_state.service(), response.status)) {
+    if (refused) {
         result.outcome = verdict::not_run;
         result.reason = refusal::server_refused;
     } else if (response.status < first_server_error) {
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -48,7 +48,7 @@
     void abandon(run_id id, bool answer_wanted);
     void conclude(run_id id, answer final_answer);
     void conclude_refused(run_id id, refusal reason);
-    [[nodiscard]] answer judge(const owned_run& entry, const http_response& response) const;
+    [[nodiscard]] answer judge(const owned_run& entry, const http_response& response, bool refused) const;
 
     [[nodiscard]] duration key_retention() const;
 
--- a/src/cornelpier/owner/run_intake.cpp
+++ b/src/cornelpier/owner/run_intake.cpp
@@ -40,8 +40,7 @@
         message.plan_version >= m_state.view->current_plan->version) {
         return false;
     }
-    const request_rule* rule = service->match(message.request.method, message.request.path);
-    return rule == nullptr || !rule->idempotent;
+    return !m_state.view->current_plan->is_idempotent(*service, message.request);
 }
 
 void run_intake::take(link_id link, const run& message) {
--- a/src/cornelpier/plan/plan.cpp
+++ b/src/cornelpier/plan/plan.cpp
@@ -11,6 +11,19 @@
     return it == rules.end() ? nullptr : &*it;
 }
 
+bool plan::is_idempotent(const service_plan& service, const http_request& request) const {
+    if (routes == nullptr) {
+        const request_rule* rule = service.match(request.method, request.path);
+        return rule != nullptr && rule->idempotent;
+    }
+    const auto host = std::ranges::find(request.fields, "host", &http_fields::value_type::first);
+    if (host == request.fields.end()) {
+        return false;
+    }
+    const route* found = routes->find(host->second, request.path);
+    return found != nullptr && found->idempotent;
+}
+
 const service_plan* plan::find_service(const service_id& id) const {
     const auto it = std::ranges::find(services, id, &service_plan::id);
     return it == services.end() ? nullptr : &*it;
--- a/src/cornelpier/plan/plan.hpp
+++ b/src/cornelpier/plan/plan.hpp
@@ -2,9 +2,12 @@
 
 #include "cornelpier/base/ids.hpp"
 #include "cornelpier/base/units.hpp"
+#include "cornelpier/message/http_fields.hpp"
+#include "cornelpier/plan/route.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,13 +18,6 @@
 /// Largest plan sheet that is accepted, in bytes.
 inline constexpr std::size_t max_plan_bytes = 1'000'000;
 
-/// Order in which requests are served and, reversed, shed.
-enum class request_class : std::uint8_t {
-    order,          ///< Must not be lost; served first.
-    urgent_lookup,  ///< Its tail latency matters.
-    patient_lookup, ///< May wait; shed first.
-};
-
 /// Classifies requests by method and path.
 struct request_rule {
     std::string method;      ///< HTTP method; `*` matches any.
@@ -38,6 +34,10 @@
     std::string node_address; ///< `IP:port` of the node, for node links (TCP) and gossip (UDP).
     /// `IP:port` of the operators' port; nothing if reports cannot ask the node.
     std::optional<std::string> operator_address = std::nullopt;
+    /// Name of the server process that stands there now; empty if the source of the plan does not tell.
+    std::string instance = {};
+    std::uint32_t slots = 0;  ///< Requests that this server works on at a time; 0: as the service says.
+    duration warm_up_left{}; ///< Time for which the server was still slow when it was first seen.
 };
 
 /// What the plan says about a service.
@@ -51,6 +51,7 @@
     std::vector<int> refusal_statuses; ///< Statuses by which the server promises that it did not execute.
     std::vector<request_rule> rules;   ///< First match counts. No match: not idempotent, class order.
     std::vector<target_plan> targets;
+    std::string report_path; ///< Of the servers' own report; empty: the path of the settings.
 
     /// @return the first rule that matches, or nullptr.
     [[nodiscard]] const request_rule* match(std::string_view method, std::string_view path) const;
@@ -61,9 +62,16 @@
     std::uint64_t version = 0;
     std::string deployment;
     std::vector<service_plan> services;
+    std::shared_ptr<const route_table> routes; ///< Null: the first label of `Host` names the service.
+    std::optional<caller_limits> limits;       ///< Nothing: the node's own.
+    std::optional<repeat_allowance> repeats;   ///< Nothing: each entry's own budget.
     std::string sheet;              ///< Text as published, for handing it on unchanged.
     std::uint64_t content_hash = 0; ///< `stable_hash` of the sheet.
 
+    /// @return whether a request of the service may run more than once.
+    /// @param request with the field `host` if the plan has routes.
+    [[nodiscard]] bool is_idempotent(const service_plan& service, const http_request& request) const;
+
     /// @return the service, or nullptr.
     [[nodiscard]] const service_plan* find_service(const service_id& id) const;
 
--- /dev/null
+++ b/src/cornelpier/plan/route.cpp
@@ -0,0 +1,44 @@
+#include "cornelpier/plan/route.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+std::string host_name(std::string_view host) {
+    std::string name{host.substr(0, host.rfind(':'))};
+    for (char& c : name) {
+        if (c >= 'A' && c <= 'Z') {
+            c = static_cast<char>(c - 'A' + 'a');
+        }
+    }
+    return name;
+}
+
+} // namespace
+
+route_table::route_table(std::vector<route> routes) : m_size(routes.size()) {
+    for (auto& it : routes) {
+        auto& list = m_hosts[host_name(it.host)];
+        list.push_back(std::move(it));
+    }
+    for (auto& [host, list] : m_hosts) {
+        std::ranges::stable_sort(list, std::ranges::greater{},
+                                 [](const route& it) { return it.path_prefix.size(); });
+    }
+}
+
+const route* route_table::find(std::string_view host, std::string_view path) const {
+    const auto found = m_hosts.find(host_name(host));
+    if (found == m_hosts.end()) {
+        return nullptr;
+    }
+    const auto plain = path.substr(0, path.find('?'));
+    const auto it = std::ranges::find_if(
+        found->second, [plain](const route& candidate) { return plain.starts_with(candidate.path_prefix); });
+    return it == found->second.end() ? nullptr : &*it;
+}
+
+} // namespace cornelpier
--- a/src/cornelpier/retry/retry_budget.cpp
+++ b/src/cornelpier/retry/retry_budget.cpp
@@ -4,6 +4,12 @@
 
 namespace cornelpier {
 
+void retry_budget::configure(double share, double capacity) {
+    m_share = share;
+    m_capacity = capacity;
+    m_tokens = std::min(m_tokens, capacity);
+}
+
 void retry_budget::on_call() {
     m_tokens = std::min(m_tokens + m_share, m_capacity);
 }
--- a/src/cornelpier/retry/retry_budget.hpp
+++ b/src/cornelpier/retry/retry_budget.hpp
@@ -11,6 +11,9 @@
     retry_budget(double share, double start, double capacity)
         : m_share(share), m_capacity(capacity), m_tokens(start) {}
 
+    /// Changes share and capacity; tokens above the new capacity are lost.
+    void configure(double share, double capacity);
+
     /// Notes a call.
     void on_call();
 
--- a/src/daemon/caller/answer_writer.cpp
+++ b/src/daemon/caller/answer_writer.cpp
@@ -28,34 +28,46 @@
     return std::to_string(std::chrono::ceil<std::chrono::seconds>(length).count());
 }
 
+std::string fractional_seconds(duration length) {
+    const auto ms = std::chrono::ceil<std::chrono::milliseconds>(length).count();
+    constexpr int ms_per_second = 1000;
+    constexpr std::size_t digits = 3;
+    const std::string rest = std::to_string(ms % ms_per_second);
+    return std::to_string(ms / ms_per_second) + '.' + std::string(digits - rest.size(), '0') + rest;
+}
+
 } // namespace
 
-answer_writer::answer_writer(answer_caller answer, bool head_request, bool close)
+answer_writer::answer_writer(answer_caller answer, bool head_request, bool close, const wire_names& names)
     : m_body(answer.response.body), m_close(close || answer.close), m_serializer(m_message) {
     m_message.version(11);
     m_message.result(static_cast<unsigned>(valid_status(answer.response.status)));
     remove_hop_by_hop(answer.response.fields);
-    set_fields(answer);
+    set_fields(answer, names);
     set_body(head_request);
     m_message.keep_alive(!m_close);
 }
 
-void answer_writer::set_fields(const answer_caller& answer) {
+void answer_writer::set_fields(const answer_caller& answer, const wire_names& names) {
     for (const auto& [name, value] : answer.response.fields) {
-        const bool replaced = name == "cornelpier-verdict" || name == "cornelpier-request" ||
+        const bool replaced = name == lower_case(names.verdict) || name == lower_case(names.token) ||
                               (name == "retry-after" && answer.retry_after > duration::zero());
         if (!replaced) {
             m_message.insert(name, value);
         }
     }
 
-    const auto verdict_text = to_string(answer.outcome);
-    m_message.set("Cornelpier-Verdict", boost::beast::string_view{verdict_text.data(), verdict_text.size()});
-    if (!answer.token.empty()) {
-        m_message.set("Cornelpier-Request", answer.token);
+    if (!names.verdict.empty()) {
+        const auto text = to_string(answer.outcome);
+        m_message.set(names.verdict, boost::beast::string_view{text.data(), text.size()});
+    }
+    if (!names.token.empty() && !answer.token.empty()) {
+        m_message.set(names.token, answer.token);
     }
     if (answer.retry_after > duration::zero()) {
-        m_message.set(http::field::retry_after, whole_seconds(answer.retry_after));
+        m_message.set(http::field::retry_after, names.fractional_retry_after
+                                                    ? fractional_seconds(answer.retry_after)
+                                                    : whole_seconds(answer.retry_after));
     }
 }
 
--- a/src/daemon/caller/answer_writer.hpp
+++ b/src/daemon/caller/answer_writer.hpp
@@ -3,6 +3,8 @@
 #include "cornelpier/base/verdict.hpp"
 #include "cornelpier/node/traffic_actions.hpp"
 
+#include "daemon/wire/wire_names.hpp"
+
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/span_body.hpp>
@@ -15,7 +17,8 @@
     /// @param answer what to send.
     /// @param head_request the request was HEAD, so no body is sent.
     /// @param close the connection ends after this answer.
-    answer_writer(answer_caller answer, bool head_request, bool close);
+    /// @param names of the fields to send.
+    answer_writer(answer_caller answer, bool head_request, bool close, const wire_names& names = {});
 
     /// @return the serializer; it refers to this object.
     auto& serializer() noexcept { return m_serializer; }
@@ -26,7 +29,7 @@
   private:
     using body_type = boost::beast::http::span_body<const char>;
 
-    void set_fields(const answer_caller& answer);
+    void set_fields(const answer_caller& answer, const wire_names& names);
     void set_body(bool head_request);
 
     shared_body m_body;
--- a/src/daemon/caller/caller_context.hpp
+++ b/src/daemon/caller/caller_context.hpp
@@ -4,6 +4,7 @@
 #include "cornelpier/node/traffic_events.hpp"
 
 #include "daemon/log/event_log.hpp"
+#include "daemon/wire/wire_names.hpp"
 
 #include <atomic>
 #include <chrono>
@@ -19,6 +20,9 @@
 
 class caller_session;
 
+/// Least bound on the head of a caller's request, in bytes.
+inline constexpr std::size_t least_max_head_bytes = std::size_t{16} * 1024;
+
 /// Limits of the caller side.
 struct caller_options {
     std::string address; ///< `IP:port` to listen on.
@@ -28,6 +32,8 @@
     std::chrono::milliseconds write_limit{
         10000};                                  ///< A caller that reads nothing for so long is disconnected.
     std::chrono::milliseconds idle_limit{60000}; ///< A connection without a request is closed after this.
+    wire_names names;
+    service_id own_service; ///< Of the VM on which the requests begin.
 };
 
 /// Receives calls and abandonments; callable on any thread.
@@ -65,6 +71,17 @@
     /// @return its session, or nullptr if the call has ended already.
     std::shared_ptr<caller_session> take_call(call_id call);
 
+    /// Takes the plan's limits; they widen the node's own.
+    void set_limits(const caller_limits& limits);
+
+    /// @return largest head of a request, in bytes.
+    [[nodiscard]] std::size_t max_head_bytes() const { return m_max_head_bytes; }
+
+    /// @return time that a connection may stay without a request.
+    [[nodiscard]] std::chrono::milliseconds idle_limit() const {
+        return std::chrono::milliseconds{m_idle_limit_ms.load()};
+    }
+
     /// From now on no request is handed to the decision core.
     void stop() { m_stopping = true; }
 
@@ -76,6 +93,8 @@
     caller_event_handler m_handler;
     event_sink m_sink;
     std::atomic<bool> m_stopping = false;
+    std::atomic<std::size_t> m_max_head_bytes = least_max_head_bytes;
+    std::atomic<std::chrono::milliseconds::rep> m_idle_limit_ms;
 
     mutable std::mutex m_mutex;
     std::unordered_map<const caller_session*, std::weak_ptr<caller_session>> m_sessions;
--- a/src/daemon/caller/caller_server.cpp
+++ b/src/daemon/caller/caller_server.cpp
@@ -47,6 +47,8 @@
         }
     }
 
+    void set_limits(const caller_limits& limits) { m_context->set_limits(limits); }
+
     void stop_accepting() {
         boost::asio::post(m_strand, [self = shared_from_this()] { self->accept_backlog(); });
     }
@@ -163,6 +165,10 @@
     m_implementation->answer(std::move(answer));
 }
 
+void caller_server::set_limits(const caller_limits& limits) {
+    m_implementation->set_limits(limits);
+}
+
 void caller_server::stop_accepting() {
     m_implementation->stop_accepting();
 }
--- a/src/daemon/caller/caller_server.hpp
+++ b/src/daemon/caller/caller_server.hpp
@@ -39,6 +39,9 @@
     /// Sends an answer; ignored if the caller is gone. Callable on any thread.
     void answer(answer_caller answer);
 
+    /// Takes the plan's limits on what callers send. Callable on any thread.
+    void set_limits(const caller_limits& limits);
+
     /// Takes no new connections; those that are open or wait in the backlog are served.
     void stop_accepting();
 
--- a/src/daemon/caller/caller_session.cpp
+++ b/src/daemon/caller/caller_session.cpp
@@ -50,6 +50,15 @@
            is_digit(version[7]) && version != "HTTP/1.1";
 }
 
+/// @return true if a line of the head continues the one before it, which parsers read in different ways.
+bool has_folded_line(std::string_view head) {
+    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
+bool is_lookup_method(std::string_view method) {
+    return method == "GET" || method == "HEAD";
+}
+
 template <typename Message>
 raw_head copy_head(const Message& message) {
     raw_head head;
@@ -69,7 +78,8 @@
 };
 
 caller_session::caller_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<caller_context> context)
-    : m_socket(std::move(socket)), m_context(std::move(context)), m_deadline(m_socket.get_executor()) {}
+    : m_socket(std::move(socket)), m_context(std::move(context)), m_input_deadline(m_socket.get_executor()),
+      m_write_deadline(m_socket.get_executor()) {}
 
 caller_session::~caller_session() {
     m_context->remove_session(this);
@@ -79,40 +89,44 @@
     boost::asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] {
         error_code ec;
         self->m_socket.non_blocking(true, ec);
-        self->m_deadline.set(self->m_context->options().head_limit, self, &caller_session::on_expired);
+        self->m_input_deadline.set(self->m_context->options().head_limit, self,
+                                   &caller_session::on_input_expired);
         self->read();
     });
 }
 
 void caller_session::reject() {
     boost::asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] {
-        self->write(refusal_answer(503, "too many connections"), true);
+        self->refuse(refusal_answer(503, "too many connections"));
     });
 }
 
 void caller_session::read() {
-    if (m_reading || m_phase == phase::closed || m_buffer.size() >= max_buffered_bytes) {
+    if (m_reading || m_input == input::closed || m_buffer.size() >= max_buffered_bytes) {
         return;
     }
     m_reading = true;
     m_socket.async_read_some(
-        boost::asio::buffer(m_input),
+        boost::asio::buffer(m_chunk),
         [self = shared_from_this()](error_code ec, std::size_t n) { self->on_read(ec, n); });
 }
 
 void caller_session::on_read(error_code ec, std::size_t n) {
     m_reading = false;
+    if (m_input == input::closed) {
+        return;
+    }
     if (ec) {
         on_gone();
         return;
     }
 
-    if (m_phase == phase::lingering) {
+    if (m_input == input::lingering || m_input == input::ended) {
         read();
         return;
     }
-    m_buffer.commit(boost::asio::buffer_copy(m_buffer.prepare(n), boost::asio::buffer(m_input, n)));
-    if (m_phase == phase::in_call || m_phase == phase::writing) {
+    m_buffer.commit(boost::asio::buffer_copy(m_buffer.prepare(n), boost::asio::buffer(m_chunk, n)));
+    if (m_input == input::blocked) {
         read();
         return;
     }
@@ -120,59 +134,72 @@
 }
 
 void caller_session::on_gone() {
-    if (m_phase == phase::writing) {
+    if (m_writer != nullptr && m_exchanges.empty()) {
         // The caller may have closed its half only; the write shows whether it still reads.
         m_keep_alive = false;
+        m_input = input::ended;
         return;
     }
-    if (m_phase == phase::in_call && m_context->take_call(m_call) != nullptr) {
-        m_context->report(call_abandoned{m_call});
+    for (const auto& it : m_exchanges) {
+        if (!it.ready && m_context->take_call(it.call) != nullptr) {
+            m_context->report(call_abandoned{it.call});
+        }
     }
     close();
 }
 
 void caller_session::feed() {
-    if (m_phase == phase::idle) {
-        while (view(m_buffer).starts_with("\r\n")) {
-            m_buffer.consume(2);
-        }
-        if (m_buffer.size() == 0) {
-            read();
-            return;
-        }
-        m_phase = phase::head;
-        if (!m_first_request) {
-            m_deadline.set(m_context->options().head_limit, shared_from_this(), &caller_session::on_expired);
-        }
+    if (m_input == input::idle) {
+        begin_request();
     }
-    if (m_phase == phase::head) {
+    if (m_input == input::head) {
         read_head();
         return;
     }
-    if (m_phase == phase::body) {
+    if (m_input == input::body) {
         read_body();
     }
 }
 
+void caller_session::begin_request() {
+    while (view(m_buffer).starts_with("\r\n")) {
+        m_buffer.consume(2);
+    }
+    if (m_buffer.size() == 0) {
+        read();
+        return;
+    }
+    m_input = input::head;
+    if (!m_first_request) {
+        m_input_deadline.set(m_context->options().head_limit, shared_from_this(),
+                             &caller_session::on_input_expired);
+    }
+}
+
 void caller_session::read_head() {
     constexpr std::string_view end_of_head = "\r\n\r\n";
-    const auto head = view(m_buffer).substr(0, max_head_bytes);
+    const std::size_t limit = m_context->max_head_bytes();
+    const auto head = view(m_buffer).substr(0, limit);
     const auto end = head.find(end_of_head);
     if (end != std::string_view::npos) {
         parse_head(end + end_of_head.size());
         return;
     }
-    if (m_buffer.size() >= max_head_bytes) {
-        fail({431, "the head is larger than 16 KiB"});
+    if (m_buffer.size() >= limit) {
+        fail({431, "the head is too large"});
         return;
     }
     read();
 }
 
 void caller_session::parse_head(std::size_t head_size) {
+    if (has_folded_line(view(m_buffer).substr(0, head_size))) {
+        fail({400, "a line of the head is folded"});
+        return;
+    }
     m_parser = std::make_unique<request_parser>();
     auto& parser = m_parser->http;
-    parser.header_limit(max_head_bytes + 1);
+    parser.header_limit(static_cast<std::uint32_t>(m_context->max_head_bytes() + 1));
     parser.body_limit(max_body_bytes);
     parser.eager(false);
 
@@ -193,7 +220,8 @@
 
     m_buffer.consume(n);
     m_keep_alive = parser.keep_alive();
-    auto checked = check_request(copy_head(parser.get()));
+    const auto& options = m_context->options();
+    auto checked = check_request(copy_head(parser.get()), options.names, options.own_service);
     if (const auto* problem = std::get_if<request_problem>(&checked)) {
         fail(*problem);
         return;
@@ -215,8 +243,9 @@
 
 void caller_session::accept_head(checked_head head) {
     m_head = std::move(head);
-    m_phase = phase::body;
-    m_deadline.set(m_context->options().body_limit, shared_from_this(), &caller_session::on_expired);
+    m_input = input::body;
+    m_input_deadline.set(m_context->options().body_limit, shared_from_this(),
+                         &caller_session::on_input_expired);
 
     if (m_head.expects_continue && !m_parser->http.is_done() && m_buffer.size() == 0) {
         // The socket does not block; if this cannot be sent, the caller sends its body after a while anyway.
@@ -256,20 +285,42 @@
 void caller_session::dispatch() {
     m_head.request.body = make_body(std::move(m_parser->http.get().body()));
     m_parser.reset();
-    m_deadline.clear();
+    m_input_deadline.clear();
     m_first_request = false;
     if (m_context->stopping()) {
-        write(refusal_answer(503, "the node stops"), true);
+        refuse(refusal_answer(503, "the node stops"));
         return;
     }
+    if (must_wait()) {
+        m_input = input::blocked;
+        read();
+        return;
+    }
+    hand_over();
+}
+
+/// Only lookups overtake each other: a caller may build on the order of the rest.
+bool caller_session::must_wait() const {
+    const bool side_by_side =
+        is_lookup_method(m_head.request.method) && std::ranges::all_of(m_exchanges, &exchange::is_lookup);
+    return !m_exchanges.empty() && (!side_by_side || m_exchanges.size() >= max_pipelined_calls);
+}
+
+void caller_session::hand_over() {
+    const call_id call = m_context->add_call(shared_from_this());
+    const auto& method = m_head.request.method;
+    m_exchanges.push_back({call, is_lookup_method(method), method == "HEAD", std::nullopt});
 
-    m_phase = phase::in_call;
-    m_call = m_context->add_call(shared_from_this());
     if (m_head.fate_token) {
-        m_context->report(call_fate_asked{m_call, *m_head.fate_token});
+        m_context->report(call_fate_asked{call, *m_head.fate_token});
     } else {
-        m_context->report(call_arrived{m_call, m_head.service, m_head.request, m_head.key, m_head.deadline,
-                                       m_head.depth, m_head.outer_retry});
+        m_context->report(call_arrived{call, m_head.service, std::move(m_head.request), m_head.key,
+                                       m_head.deadline, m_head.depth, m_head.outer_retry, m_head.host});
+    }
+    m_head = {};
+    m_input = m_keep_alive ? input::idle : input::ended;
+    if (m_input == input::idle) {
+        feed();
     }
     read();
 }
@@ -277,8 +328,11 @@
 void caller_session::answer(answer_caller answer) {
     boost::asio::post(m_socket.get_executor(),
                       [self = shared_from_this(), answer = std::move(answer)]() mutable {
-                          if (self->m_phase == phase::in_call && self->m_call == answer.call) {
-                              self->write(std::move(answer), !self->m_keep_alive);
+                          auto& exchanges = self->m_exchanges;
+                          const auto it = std::ranges::find(exchanges, answer.call, &exchange::call);
+                          if (it != exchanges.end() && self->m_input != input::closed) {
+                              it->ready = std::move(answer);
+                              self->write_next();
                           }
                       });
 }
@@ -286,25 +340,52 @@
 void caller_session::fail(const request_problem& problem) {
     m_context->record({event_number::bad_request,
                        {{"status", std::to_string(problem.status)}, {"reason", problem.reason}}});
-    write(refusal_answer(problem.status, problem.reason), true);
+    refuse(refusal_answer(problem.status, problem.reason));
 }
 
-void caller_session::write(answer_caller answer, bool close) {
-    m_phase = phase::writing;
-    m_writer = std::make_unique<answer_writer>(std::move(answer), m_head.request.method == "HEAD",
-                                               close || m_context->stopping());
+/// Answers the request that is being read, after those before it, and ends the connection.
+void caller_session::refuse(answer_caller answer) {
+    m_input = input::ended;
+    m_keep_alive = false;
+    m_input_deadline.clear();
+    m_exchanges.push_back({call_id{}, false, m_head.request.method == "HEAD", std::move(answer)});
+    write_next();
+    read();
+}
+
+/// A request behind an answer that closes the connection counts as not read by its sender, so that the answer
+/// that closes is the last one of all that were taken.
+void caller_session::write_next() {
+    if (m_writer != nullptr || m_exchanges.empty() || !m_exchanges.front().ready) {
+        return;
+    }
+    exchange next = std::move(m_exchanges.front());
+    m_exchanges.pop_front();
+
+    answer_caller answer = *std::move(next.ready);
+    const bool wants_close = answer.close || m_context->stopping();
+    if (wants_close) {
+        m_keep_alive = false;
+        m_input = input::ended;
+        m_input_deadline.clear();
+    }
+    const bool is_last = m_exchanges.empty() && m_input == input::ended;
+    answer.close = false;
+    m_writer = std::make_unique<answer_writer>(std::move(answer), next.head_request, is_last,
+                                               m_context->options().names);
     write_some();
 }
 
 void caller_session::write_some() {
-    m_deadline.set(m_context->options().write_limit, shared_from_this(), &caller_session::on_expired);
+    m_write_deadline.set(m_context->options().write_limit, shared_from_this(),
+                         &caller_session::on_write_expired);
     http::async_write_some(m_socket, m_writer->serializer(),
                            [self = shared_from_this()](error_code ec, std::size_t) {
-                               if (self->m_phase != phase::writing) {
+                               if (self->m_input == input::closed) {
                                    return;
                                }
                                if (ec) {
-                                   self->close();
+                                   self->on_gone_while_writing();
                                    return;
                                }
                                if (!self->m_writer->serializer().is_done()) {
@@ -315,45 +396,80 @@
                            });
 }
 
+void caller_session::on_gone_while_writing() {
+    m_writer.reset();
+    on_gone();
+}
+
 void caller_session::on_written() {
-    const bool ends = m_writer->closes() || !m_keep_alive || m_context->stopping();
+    const bool ends = m_writer->closes();
     m_writer.reset();
-    m_head = {};
+    m_write_deadline.clear();
     if (ends) {
         linger();
         return;
     }
-    m_phase = phase::idle;
-    m_deadline.set(m_context->options().idle_limit, shared_from_this(), &caller_session::on_expired);
+    if (m_input == input::blocked && m_exchanges.empty()) {
+        hand_over();
+        return;
+    }
+    if (!m_exchanges.empty()) {
+        write_next();
+        return;
+    }
+    if (m_input == input::ended) {
+        linger();
+        return;
+    }
+    wait_for_request();
+}
+
+void caller_session::wait_for_request() {
+    if (m_input != input::idle) {
+        return;
+    }
+    m_input_deadline.set(m_context->idle_limit(), shared_from_this(), &caller_session::on_input_expired);
+    if (m_context->stopping()) {
+        on_stopping();
+        return;
+    }
     feed();
 }
 
 void caller_session::linger() {
-    m_phase = phase::lingering;
+    m_input = input::lingering;
     error_code ec;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
     m_buffer.clear();
-    m_deadline.set(linger_limit, shared_from_this(), &caller_session::on_expired);
+    m_input_deadline.set(linger_limit, shared_from_this(), &caller_session::on_input_expired);
     read();
 }
 
 void caller_session::close() {
-    m_phase = phase::closed;
-    m_deadline.stop();
+    m_input = input::closed;
+    m_input_deadline.stop();
+    m_write_deadline.stop();
+    m_exchanges.clear();
     error_code ec;
     m_socket.close(ec);
 }
 
-void caller_session::on_expired() {
-    if (m_phase == phase::head || (m_phase == phase::idle && m_first_request && !m_context->stopping())) {
+void caller_session::on_input_expired() {
+    if (m_input == input::head || (m_input == input::idle && m_first_request && !m_context->stopping())) {
         fail({408, "the head was not complete in time"});
         return;
     }
-    if (m_phase == phase::body) {
+    if (m_input == input::body) {
         fail({408, "the body was not complete in time"});
         return;
     }
-    close();
+    if (m_exchanges.empty() && m_writer == nullptr) {
+        close();
+    }
+}
+
+void caller_session::on_write_expired() {
+    on_gone_while_writing();
 }
 
 void caller_session::shut_down() {
@@ -361,12 +477,12 @@
 }
 
 void caller_session::on_stopping() {
-    if (m_phase != phase::idle) {
+    if (m_input != input::idle || !m_exchanges.empty() || m_writer != nullptr) {
         return;
     }
     error_code ec;
     if (m_first_request || m_socket.available(ec) > 0) {
-        m_deadline.set(stop_limit, shared_from_this(), &caller_session::on_expired);
+        m_input_deadline.set(stop_limit, shared_from_this(), &caller_session::on_input_expired);
         return;
     }
     linger();
--- a/src/daemon/caller/caller_session.hpp
+++ b/src/daemon/caller/caller_session.hpp
@@ -10,18 +10,21 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <array>
+#include <deque>
 #include <memory>
+#include <optional>
 
 namespace cornelpier {
 
-/// Largest head of a caller's request, in bytes.
-inline constexpr std::size_t max_head_bytes = std::size_t{16} * 1024;
-
 /// Largest body of a caller's request, in bytes.
 inline constexpr std::size_t max_body_bytes = std::size_t{1024} * 1024;
 
-/// One caller's connection. Requests are handled one at a time, in order. Everything runs on the strand of
-/// the socket; a read is pending at all times, so that a caller that goes away is noticed.
+/// Calls of one connection that may be in progress at a time.
+inline constexpr std::size_t max_pipelined_calls = 16;
+
+/// One caller's connection. Lookups that a caller sends ahead are handled side by side, anything else one at a
+/// time; answers go out in the order of the requests. Everything runs on the strand of the socket; a read is
+/// pending at all times, so that a caller that goes away is noticed.
 class caller_session : public std::enable_shared_from_this<caller_session> {
   public:
     /// @param socket connected, with a strand as executor.
@@ -39,46 +42,64 @@
     /// Refuses the connection with 503.
     void reject();
 
-    /// Sends the answer to the call in progress. Callable on any thread.
+    /// Sends the answer to a call in progress when its turn comes. Callable on any thread.
     void answer(answer_caller answer);
 
     /// Ends the connection as soon as no request is in progress. Callable on any thread.
     void shut_down();
 
   private:
-    enum class phase : std::uint8_t { idle, head, body, in_call, writing, lingering, closed };
+    /// Where the input stands. `blocked`: the next request waits until the calls in progress have ended;
+    /// `ended`: no further request is taken.
+    enum class input : std::uint8_t { idle, head, body, blocked, ended, lingering, closed };
     struct request_parser;
 
+    /// A request that was taken and whose answer has not been written.
+    struct exchange {
+        call_id call;
+        bool is_lookup = false;
+        bool head_request = false;
+        std::optional<answer_caller> ready;
+    };
+
     void read();
     void on_read(boost::system::error_code ec, std::size_t n);
     void on_gone();
     void feed();
+    void begin_request();
     void read_head();
     void parse_head(std::size_t head_size);
     void fail_head(boost::system::error_code ec);
     void accept_head(checked_head head);
     void read_body();
     void dispatch();
+    void hand_over();
+    [[nodiscard]] bool must_wait() const;
 
     void fail(const request_problem& problem);
-    void write(answer_caller answer, bool close);
+    void refuse(answer_caller answer);
+    void write_next();
     void write_some();
+    void on_gone_while_writing();
     void on_written();
+    void wait_for_request();
     void linger();
     void close();
-    void on_expired();
+    void on_input_expired();
+    void on_write_expired();
     void on_stopping();
 
     boost::asio::ip::tcp::socket m_socket;
     std::shared_ptr<caller_context> m_context;
-    lazy_deadline m_deadline;
-    std::array<char, 4096> m_input{}; ///< The pending read writes here, so that the buffer can be consumed.
+    lazy_deadline m_input_deadline;
+    lazy_deadline m_write_deadline;
+    std::array<char, 4096> m_chunk{}; ///< The pending read writes here, so that the buffer can be consumed.
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<request_parser> m_parser;
     std::unique_ptr<class answer_writer> m_writer;
     checked_head m_head;
-    call_id m_call;
-    phase m_phase = phase::idle;
+    std::deque<exchange> m_exchanges; ///< In the order of the requests.
+    input m_input = input::idle;
     bool m_reading = false;
     bool m_keep_alive = true;
     bool m_first_request = true;
--- a/src/daemon/caller/request_check.cpp
+++ b/src/daemon/caller/request_check.cpp
@@ -78,7 +78,7 @@
     return ec == std::errc{} && value <= limit;
 }
 
-problem read_host(http_fields& fields, service_id& service) {
+problem read_host(http_fields& fields, checked_head& result) {
     std::optional<std::string> host;
     if (!take_single(fields, "host", host)) {
         return bad("more than one Host");
@@ -95,16 +95,20 @@
     if (label.empty() || !plain) {
         return bad("malformed Host");
     }
-    service = service_id{label};
+    result.service = service_id{label};
+    result.host = *std::move(host);
     return std::nullopt;
 }
 
-problem read_key(http_fields& fields, std::optional<std::string>& key) {
+problem read_key(http_fields& fields, const std::string& name, std::optional<std::string>& key) {
+    if (name.empty()) {
+        return std::nullopt;
+    }
     // The server may use the key too, so the field stays in the request.
-    if (count(fields, "idempotency-key") > 1) {
+    if (count(fields, name) > 1) {
         return bad("more than one Idempotency-Key");
     }
-    const auto* value = find_field(fields, "idempotency-key");
+    const auto* value = find_field(fields, name);
     if (value == nullptr) {
         return std::nullopt;
     }
@@ -117,6 +121,9 @@
 
 problem read_number(http_fields& fields, std::string_view name, std::uint64_t limit,
                     std::optional<std::uint64_t>& number) {
+    if (name.empty()) {
+        return std::nullopt;
+    }
     std::optional<std::string> text;
     if (!take_single(fields, name, text)) {
         return bad("more than one " + std::string{name});
@@ -132,17 +139,17 @@
     return std::nullopt;
 }
 
-problem read_project_fields(http_fields& fields, checked_head& result) {
+problem read_project_fields(http_fields& fields, const wire_names& names, checked_head& result) {
     std::optional<std::uint64_t> deadline_ms;
     std::optional<std::uint64_t> depth;
     std::optional<std::uint64_t> retry;
-    if (auto it = read_number(fields, "cornelpier-deadline-ms", max_deadline_ms, deadline_ms)) {
+    if (auto it = read_number(fields, names.deadline, max_deadline_ms, deadline_ms)) {
         return it;
     }
-    if (auto it = read_number(fields, "cornelpier-depth", max_depth_value, depth)) {
+    if (auto it = read_number(fields, names.depth, max_depth_value, depth)) {
         return it;
     }
-    if (auto it = read_number(fields, "cornelpier-retry", 1, retry)) {
+    if (auto it = read_number(fields, names.retry, 1, retry)) {
         return it;
     }
 
@@ -169,19 +176,24 @@
     return std::nullopt;
 }
 
-problem read_fields(http_fields& fields, checked_head& result) {
-    if (auto it = read_host(fields, result.service)) {
+problem read_fields(http_fields& fields, const wire_names& names, checked_head& result) {
+    if (auto it = read_host(fields, result)) {
         return it;
     }
-    if (auto it = read_key(fields, result.key)) {
+    if (auto it = read_key(fields, names.key, result.key)) {
         return it;
     }
-    if (auto it = read_project_fields(fields, result)) {
+    if (auto it = read_project_fields(fields, names, result)) {
         return it;
     }
     return read_expectation(fields, result.expects_continue);
 }
 
+/// @return whether only the project may set the field.
+bool is_reserved(const std::string& field, const wire_names& names) {
+    return field == names.origin_service || field == names.expected_instance;
+}
+
 void read_fate_token(const raw_head& head, checked_head& result) {
     if (head.method == "GET" && head.target.starts_with(fate_path)) {
         result.fate_token = head.target.substr(fate_path.size());
@@ -190,7 +202,8 @@
 
 } // namespace
 
-std::variant<checked_head, request_problem> check_request(raw_head head) {
+std::variant<checked_head, request_problem> check_request(raw_head head, const wire_names& names,
+                                                          const service_id& own_service) {
     if (auto it = check_framing(head.fields)) {
         return *std::move(it);
     }
@@ -199,15 +212,24 @@
     }
 
     checked_head result;
-    if (auto it = read_fields(head.fields, result)) {
+    if (auto it = read_fields(head.fields, names, result)) {
         return *std::move(it);
     }
-    read_fate_token(head, result);
+    if (!names.token.empty()) {
+        read_fate_token(head, result);
+    }
 
     remove_hop_by_hop(head.fields);
-    std::erase_if(head.fields, [](const auto& field) {
-        return field.first == "content-length" || field.first.starts_with("cornelpier-");
+    std::erase_if(head.fields, [&](const auto& field) {
+        return field.first == "content-length" || field.first.starts_with(names.own_prefix) ||
+               is_reserved(field.first, names);
     });
+    if (names.keeps_host) {
+        head.fields.emplace_back("host", result.host);
+    }
+    if (!names.origin_service.empty()) {
+        head.fields.emplace_back(names.origin_service, own_service.value());
+    }
     result.request.method = std::move(head.method);
     result.request.path = std::move(head.target);
     result.request.fields = std::move(head.fields);
--- a/src/daemon/caller/request_check.hpp
+++ b/src/daemon/caller/request_check.hpp
@@ -4,6 +4,8 @@
 #include "cornelpier/base/units.hpp"
 #include "cornelpier/message/http_fields.hpp"
 
+#include "daemon/wire/wire_names.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,7 +29,8 @@
 /// Head of a well-formed request.
 struct checked_head {
     http_request request; ///< Without hop-by-hop, framing and Cornelpier fields; the body is still empty.
-    service_id service;
+    service_id service; ///< First label of the host.
+    std::string host;
     std::optional<std::string> key;
     std::optional<duration> deadline;
     std::uint32_t depth = 0;
@@ -41,7 +44,10 @@
 
 /// Checks framing, path, Host and the fields of the project. It is stricter than the HTTP parser, because a
 /// request that two parsers frame differently could run as another caller's.
+/// @param names of the fields to read.
+/// @param own_service of the VM on which the requests begin.
 /// @return the head, or why the request is refused.
-std::variant<checked_head, request_problem> check_request(raw_head head);
+std::variant<checked_head, request_problem> check_request(raw_head head, const wire_names& names = {},
+                                                          const service_id& own_service = {});
 
 } // namespace cornelpier
--- /dev/null
+++ b/src/daemon/fleet/gossip_fleet_source.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "daemon/fleet/fleet_source.hpp"
+#include "daemon/gossip/gossip_socket.hpp"
+#include "daemon/node/control_runner.hpp"
+#include "daemon/platform/platform_reader.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace cornelpier {
+
+/// Plans of the configuration service, spread by gossip between the nodes, together with the list of VMs.
+class gossip_fleet_source final : public fleet_source {
+  public:
+    /// @param context of the node; what it refers to outlives the source.
+    /// @param node_address `IP:port` for gossip.
+    /// @param platform where plan and VM list are read.
+    /// @param seed of the random numbers.
+    gossip_fleet_source(fleet_source_context context, std::string node_address, platform_options platform,
+                        std::uint64_t seed);
+
+    error bind() override { return m_gossip.bind(m_node_address); }
+    void start() override;
+    void stop() override { m_gossip.stop(); }
+    void on_state(node_state state) override { m_control.post(own_state_changed{state}); }
+    void on_message(control_message message) override;
+    void snapshot(std::function<void(control_snapshot)> on_taken) override;
+
+  private:
+    std::string m_node_address;
+    gossip_socket m_gossip;
+    platform_reader m_platform;
+    control_runner m_control;
+};
+
+} // namespace cornelpier
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -1,9 +1,9 @@
 #include "daemon/node/node_daemon.hpp"
 
+#include "daemon/fleet/gossip_fleet_source.hpp"
 #include "daemon/log/event_clock.hpp"
 #include "daemon/log/recent_lines.hpp"
 #include "daemon/metrics/metrics.hpp"
-#include "daemon/node/control_runner.hpp"
 #include "daemon/node/periodic_timer.hpp"
 #include "daemon/node/traffic_runner.hpp"
 #include "daemon/operator/operator_pages.hpp"
@@ -13,8 +13,11 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <iostream>
+#include <memory>
+#include <optional>
 #include <random>
 #include <sys/resource.h>
 #include <thread>
@@ -61,32 +64,31 @@
 /// Wiring of the parts. Members that post to others are declared after them.
 class node_daemon::implementation {
   public:
-    explicit implementation(node_settings settings)
-        : m_settings(std::move(settings)), m_identity(make_identity(m_settings)),
+    implementation(node_settings settings, node_options options)
+        : m_settings(std::move(settings)), m_options(std::move(options)),
+          m_identity(make_identity(m_settings)),
           m_log(
               {m_settings.format, m_settings.level, m_identity.self, m_identity.process, m_clock, m_recent}),
+          m_traffic_context(m_options.single_thread ? m_control_context : m_own_traffic_context),
           m_callers(m_traffic_context, caller_settings(), traffic_sink(), log_sink()),
           m_links(m_traffic_context, link_sinks()),
           m_server(m_traffic_context,
-                   {m_settings.server_address, m_settings.server_report_path, m_settings.service},
+                   {m_settings.server_address, m_settings.server_report_path, m_settings.service,
+                    m_options.names},
                    traffic_sink()),
-          m_gossip(
-              m_control_context,
-              [this](control_message message, std::string address) {
-                  m_control.post(control_received{std::move(message), std::move(address)});
-              },
-              log_sink()),
-          m_platform(m_control_context,
-                     {m_settings.configuration_address, m_settings.configuration_path,
-                      m_settings.vm_list_address, m_settings.vm_list_path},
-                     [this](control_event event) { m_control.post(std::move(event)); }),
-          m_traffic(m_traffic_context, m_identity, random_number(), traffic_sinks()),
-          m_control(m_control_context, m_identity, random_number(), control_sinks()), m_pages(page_sources()),
+          m_source(make_source()),
+          m_traffic(m_traffic_context, m_identity, random_number(), traffic_sinks(), m_options.traffic),
+          m_pages(page_sources()),
           m_operators(m_control_context,
                       [this](const std::string& path, operator_server::on_page respond) {
                           m_pages.make(path, std::move(respond));
                       }),
-          m_signals(m_control_context, SIGTERM, SIGINT), m_flush_timer(m_control_context),
+          m_readiness(m_control_context,
+                      [this](const std::string& path, const operator_server::on_page& respond) {
+                          respond(readiness_page(path));
+                      }),
+          m_signals(m_control_context, SIGTERM, SIGINT), m_reload_signal(m_control_context, SIGHUP), m_stop_timer(m_control_context),
+          m_limit_timer(m_control_context),
           m_omission_timer(m_control_context, omission_period, [this] { m_log.write_omissions(); }) {}
 
     int run() {
@@ -102,7 +104,7 @@
         const auto traffic_work = boost::asio::make_work_guard(m_traffic_context);
         const auto control_work = boost::asio::make_work_guard(m_control_context);
         std::vector<std::thread> threads;
-        for (std::uint32_t n = 0; n < m_settings.traffic_threads; ++n) {
+        for (std::uint32_t n = 0; !m_options.single_thread && n < m_settings.traffic_threads; ++n) {
             threads.emplace_back([this] { m_traffic_context.run(); });
         }
         m_control_context.run();
@@ -116,9 +118,11 @@
   private:
     /// @return false after a message if an address cannot be used.
     bool bind() {
+        const bool asked = !m_options.readiness_address.empty();
         for (const auto& problem :
-             {m_callers.bind(), m_links.bind(m_settings.node_address), m_gossip.bind(m_settings.node_address),
-              m_operators.bind(m_settings.operator_address)}) {
+             {m_callers.bind(), m_links.bind(m_settings.node_address), m_source->bind(),
+              m_operators.bind(m_settings.operator_address),
+              asked ? m_readiness.bind(m_options.readiness_address) : error{}}) {
             if (!problem.reason.empty()) {
                 std::cerr << "cornelpier-node: " << problem.place << ": " << problem.reason << '\n';
                 return false;
@@ -130,47 +134,101 @@
     void start() {
         m_signals.async_wait([this](error_code ec, int) {
             if (!ec) {
-                m_traffic.post(terminate_requested{});
+                on_terminate();
             }
         });
+        wait_for_reload();
         m_links.start();
-        m_gossip.start();
-        m_control.start();
+        m_source->start();
         m_traffic.start();
         m_omission_timer.start();
         m_operators.start();
+        if (!m_options.readiness_address.empty()) {
+            m_readiness.start();
+        }
         m_callers.start();
     }
 
+    void wait_for_reload() {
+        m_reload_signal.async_wait([this](error_code ec, int) {
+            if (ec) {
+                return;
+            }
+            reload();
+            wait_for_reload();
+        });
+    }
+
+    void reload() {
+        const auto outcome = m_options.reload ? m_options.reload() : result<bool>{false};
+        if (const auto* problem = std::get_if<error>(&outcome)) {
+            m_log.write(
+                {event_number::settings_invalid, {{"place", problem->place}, {"reason", problem->reason}}});
+            return;
+        }
+        const bool changed = std::get<bool>(outcome);
+        m_log.write({event_number::settings_reloaded, {{"changed", changed ? "yes" : "no"}}});
+    }
+
+    void on_terminate() {
+        m_terminated_at = std::chrono::steady_clock::now();
+        m_traffic.post(terminate_requested{});
+        if (m_options.stop_limit > std::chrono::milliseconds{0}) {
+            m_limit_timer.expires_at(*m_terminated_at + m_options.stop_limit);
+            m_limit_timer.async_wait([this](error_code ec) {
+                if (!ec) {
+                    stop();
+                }
+            });
+        }
+    }
+
     void on_state(node_state state) {
-        m_control.post(own_state_changed{state});
+        m_source->on_state(state);
         // The node's own target is done. Calls for others would come for ever if callers could still connect.
-        if (state == node_state::stopped) {
+        if (state == node_state::stopped && m_options.entry_linger == std::chrono::milliseconds{0}) {
             m_callers.stop_accepting();
         }
     }
 
     /// Callers first: their last answers are still being written. The links follow after a short while.
     void on_drained() {
+        boost::asio::post(m_control_context, [this] {
+            m_stop_timer.expires_at(*m_terminated_at + m_options.entry_linger);
+            m_stop_timer.async_wait([this](error_code) { stop_callers(); });
+        });
+    }
+
+    void stop_callers() {
         m_callers.shut_down([this] {
             boost::asio::post(m_control_context, [this] {
-                m_flush_timer.expires_after(flush_time);
-                m_flush_timer.async_wait([this](error_code) { stop(); });
+                m_stop_timer.expires_after(flush_time);
+                m_stop_timer.async_wait([this](error_code) { stop(); });
             });
         });
     }
 
     void stop() {
-        m_gossip.stop();
+        m_source->stop();
         m_links.stop();
         m_server.stop();
         m_traffic_context.stop();
         m_control_context.stop();
     }
 
+    operator_page readiness_page(const std::string& path) const {
+        if (path != m_options.readiness_path) {
+            return {404, "text/plain", ""};
+        }
+        const bool ready = m_has_view && !m_terminated_at;
+        return {ready ? 200 : 503, "text/plain", ""};
+    }
+
     caller_options caller_settings() const {
         caller_options options;
         options.address = m_settings.caller_address;
+        options.names = m_options.names;
+        options.own_service = m_settings.service;
         return options;
     }
 
@@ -188,9 +246,7 @@
                 [this](link_id link, traffic_message message) {
                     m_traffic.post(message_received{link, std::move(message)});
                 },
-                [this](control_message message) {
-                    m_control.post(control_received{std::move(message), ""});
-                },
+                [this](control_message message) { m_source->on_message(std::move(message)); },
                 log_sink(),
                 m_clock};
     }
@@ -199,7 +255,7 @@
         return {m_identity,
                 monotonic_now(),
                 [this](auto on_taken) { m_traffic.snapshot(std::move(on_taken)); },
-                [this](auto on_taken) { m_control.snapshot(std::move(on_taken)); },
+                [this](auto on_taken) { m_source->snapshot(std::move(on_taken)); },
                 m_metrics,
                 *m_recent};
     }
@@ -214,38 +270,58 @@
                 [this] { on_drained(); }};
     }
 
-    control_outputs control_sinks() {
-        return {m_gossip, m_links, m_platform, log_sink(), [this](shared_fleet_view view) {
-                    m_pages.set_view(view);
-                    m_traffic.post(fleet_changed{std::move(view)});
-                }};
+    std::unique_ptr<fleet_source> make_source() {
+        fleet_source_context context{m_control_context, m_identity, m_links, log_sink(),
+                                     [this](shared_fleet_view view) { take_view(std::move(view)); }};
+        if (m_options.make_source) {
+            return m_options.make_source(std::move(context));
+        }
+        return std::make_unique<gossip_fleet_source>(
+            std::move(context), m_settings.node_address,
+            platform_options{m_settings.configuration_address, m_settings.configuration_path,
+                             m_settings.vm_list_address, m_settings.vm_list_path},
+            random_number());
+    }
+
+    void take_view(shared_fleet_view view) {
+        if (view->current_plan->limits) {
+            m_callers.set_limits(*view->current_plan->limits);
+        }
+        m_has_view = true;
+        m_pages.set_view(view);
+        m_traffic.post(fleet_changed{std::move(view)});
     }
 
     node_settings m_settings;
+    node_options m_options;
     node_identity m_identity;
     std::shared_ptr<event_clock> m_clock = std::make_shared<event_clock>();
     std::shared_ptr<recent_lines> m_recent = std::make_shared<recent_lines>(max_recent_lines);
     event_log m_log;
     metrics m_metrics;
     boost::asio::io_context m_control_context{1};
-    boost::asio::io_context m_traffic_context;
+    boost::asio::io_context m_own_traffic_context;
+    boost::asio::io_context& m_traffic_context;
 
     caller_server m_callers;
     link_manager m_links;
     server_client m_server;
-    gossip_socket m_gossip;
-    platform_reader m_platform;
+    std::unique_ptr<fleet_source> m_source;
     traffic_runner m_traffic;
-    control_runner m_control;
     operator_pages m_pages;
     operator_server m_operators;
+    operator_server m_readiness;
     boost::asio::signal_set m_signals;
-    boost::asio::steady_timer m_flush_timer;
+    boost::asio::signal_set m_reload_signal;
+    boost::asio::steady_timer m_stop_timer;
+    boost::asio::steady_timer m_limit_timer;
     periodic_timer m_omission_timer;
+    bool m_has_view = false; ///< Control thread only, as the next one.
+    std::optional<std::chrono::steady_clock::time_point> m_terminated_at;
 };
 
-node_daemon::node_daemon(node_settings settings)
-    : m_implementation(std::make_unique<implementation>(std::move(settings))) {}
+node_daemon::node_daemon(node_settings settings, node_options options)
+    : m_implementation(std::make_unique<implementation>(std::move(settings), std::move(options))) {}
 
 node_daemon::~node_daemon() = default;
 
--- a/src/daemon/node/node_daemon.hpp
+++ b/src/daemon/node/node_daemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/node/node_options.hpp"
 #include "daemon/settings/node_settings.hpp"
 
 #include <memory>
@@ -11,7 +12,8 @@
 class node_daemon {
   public:
     /// @param settings checked.
-    explicit node_daemon(node_settings settings);
+    /// @param options replace parts of the node.
+    explicit node_daemon(node_settings settings, node_options options = {});
     ~node_daemon();
 
     node_daemon(const node_daemon&) = delete;
--- a/src/daemon/node/traffic_runner.cpp
+++ b/src/daemon/node/traffic_runner.cpp
@@ -5,9 +5,9 @@
 namespace cornelpier {
 
 traffic_runner::traffic_runner(boost::asio::io_context& context_threads, node_identity identity,
-                               std::uint64_t seed, traffic_outputs outputs)
+                               std::uint64_t seed, traffic_outputs outputs, traffic_options options)
     : m_strand(make_strand(context_threads)), m_outputs(std::move(outputs)),
-      m_runner(m_strand, traffic_core{std::move(identity), seed, monotonic_now()},
+      m_runner(m_strand, traffic_core{std::move(identity), seed, monotonic_now(), std::move(options)},
                [this](traffic_actions& actions) { carry_out(actions); }) {}
 
 void traffic_runner::snapshot(std::function<void(traffic_snapshot)> on_taken) {
--- a/src/daemon/node/traffic_runner.hpp
+++ b/src/daemon/node/traffic_runner.hpp
@@ -34,8 +34,9 @@
     /// @param identity who the node is.
     /// @param seed seed of the core's random numbers.
     /// @param outputs callable on any thread; must stay valid until the threads have ended.
+    /// @param options replaces parts of the decisions.
     traffic_runner(boost::asio::io_context& context_threads, node_identity identity, std::uint64_t seed,
-                   traffic_outputs outputs);
+                   traffic_outputs outputs, traffic_options options = {});
 
     /// Hands the core an event. Callable on any thread; events of one thread are handled in order.
     void post(traffic_event event) { m_runner.post(std::move(event)); }
@@ -58,7 +59,7 @@
     void execute(answer_caller& action) { m_outputs.callers.answer(std::move(action)); }
     void execute(start_run& action) { m_outputs.server.start(std::move(action)); }
     void execute(const cancel_run& action) { m_outputs.server.cancel(action.run); }
-    void execute(const read_server_report& /*action*/) { m_outputs.server.read_report(); }
+    void execute(const read_server_report& action) { m_outputs.server.read_report(action.path); }
     void execute(const record_event& action) { m_outputs.record(action.record); }
     void execute(const observe& action) { m_outputs.measure(action); }
     void execute(const drained& /*action*/) { m_outputs.drained(); }
--- a/src/daemon/program/program.cpp
+++ b/src/daemon/program/program.cpp
@@ -1,7 +1,9 @@
 #include "daemon/program/program.hpp"
 
 #include <exception>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 
 namespace cornelpier {
 
@@ -15,6 +17,14 @@
     return std::nullopt;
 }
 
+std::optional<std::string> read_file(const std::string& path) {
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    return std::string{std::istreambuf_iterator<char>(file), {}};
+}
+
 int run_guarded(const std::string& name, const std::function<int()>& run) {
     try {
         return run();
--- a/src/daemon/server/connection_pool.cpp
+++ b/src/daemon/server/connection_pool.cpp
@@ -21,7 +21,7 @@
 
 connection_pool::socket_ptr connection_pool::take(bool fresh_only) {
     const auto now = clock::now();
-    std::erase_if(m_idle, [&](const auto& it) { return now - it.since > max_idle_time; });
+    std::erase_if(m_idle, [&](const auto& it) { return now > it.until; });
 
     while (!m_idle.empty()) {
         if (fresh_only && now - m_idle.back().since > fresh_for) {
@@ -36,11 +36,12 @@
     return nullptr;
 }
 
-void connection_pool::put(socket_ptr socket) {
+void connection_pool::put(socket_ptr socket, clock::duration idle_time) {
     if (m_idle.size() == max_idle) {
         m_idle.erase(m_idle.begin());
     }
-    m_idle.push_back({std::move(socket), clock::now()});
+    const auto now = clock::now();
+    m_idle.push_back({std::move(socket), now, now + idle_time});
 }
 
 } // namespace cornelpier
--- a/src/daemon/server/connection_pool.hpp
+++ b/src/daemon/server/connection_pool.hpp
@@ -29,7 +29,8 @@
     socket_ptr take(bool fresh_only);
 
     /// Keeps a connection that has just completed an answer.
-    void put(socket_ptr socket);
+    /// @param idle_time time after which it is not used again.
+    void put(socket_ptr socket, clock::duration idle_time = max_idle_time);
 
     /// Closes everything.
     void clear() { m_idle.clear(); }
@@ -41,9 +42,16 @@
     struct idle_connection {
         socket_ptr socket;
         clock::time_point since;
+        clock::time_point until;
     };
 
     std::vector<idle_connection> m_idle;
 };
 
+/// Connection that completed an answer and may carry another request.
+struct kept_connection {
+    connection_pool::socket_ptr socket; ///< Null: the connection cannot be used again.
+    connection_pool::clock::duration idle_time = connection_pool::max_idle_time;
+};
+
 } // namespace cornelpier
--- a/src/daemon/server/server_client.cpp
+++ b/src/daemon/server/server_client.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <unordered_map>
 #include <utility>
 
@@ -16,6 +17,7 @@
 
 constexpr std::chrono::seconds report_limit{1};
 constexpr int status_ok = 200;
+constexpr int status_misdirected = 421;
 
 /// @return the report, or `server_report_failed` for anything that is no report.
 traffic_event parse_report(const http_response& response) {
@@ -63,10 +65,11 @@
         const run_id run = action.run;
         auto exchange = std::make_shared<server_exchange>(
             m_strand, std::move(action.request),
-            [self = shared_from_this(), run](server_exchange::outcome result,
-                                             connection_pool::socket_ptr socket) {
-                self->on_done(run, std::move(result), std::move(socket));
-            });
+            [self = shared_from_this(), run](server_exchange::outcome result, kept_connection connection) {
+                self->on_done(run, std::move(result), std::move(connection));
+            },
+            server_exchange::answer_rules{m_options.names.request_id, m_options.names.seal,
+                                          m_options.names.not_run, m_options.names.unframed_answers});
         m_runs.insert_or_assign(run, exchange);
         launch(*exchange, action.fresh_connection, action.timeout);
     }
@@ -80,16 +83,20 @@
         m_runs.erase(it);
     }
 
-    void read_report() {
-        http_request request{
-            "GET", m_options.report_path, {{"host", m_options.service.value()}}, make_body()};
+    void read_report(const std::string& path) {
+        http_request request{"GET",
+                             path.empty() ? m_options.report_path : path,
+                             {{"host", m_options.service.value()}},
+                             make_body()};
         const auto exchange = std::make_shared<server_exchange>(
             m_strand, std::move(request),
-            [self = shared_from_this()](server_exchange::outcome result, connection_pool::socket_ptr socket) {
-                self->keep(std::move(socket));
+            [self = shared_from_this()](server_exchange::outcome result, kept_connection connection) {
                 const auto* response = std::get_if<http_response>(&result);
-                self->m_on_event(response != nullptr ? parse_report(*response) : server_report_failed{});
-            });
+                self->keep(std::move(connection));
+                self->m_on_event(response != nullptr ? self->read_report_answer(*response)
+                                                     : server_report_failed{});
+            },
+            server_exchange::answer_rules{});
         launch(*exchange, false, report_limit);
     }
 
@@ -114,16 +121,27 @@
     /// Completes the fields of a request for the server.
     void prepare(start_run& action) const {
         auto& request = action.request;
+        const auto& names = m_options.names;
         remove_hop_by_hop(request.fields);
-        std::erase_if(request.fields, [](const auto& field) {
-            return field.first == "host" || field.first == "content-length" ||
-                   field.first.starts_with("cornelpier-");
+        std::erase_if(request.fields, [&](const auto& field) {
+            return (field.first == "host" && !names.keeps_host) || field.first == "content-length" ||
+                   field.first.starts_with(names.own_prefix);
         });
-        request.fields.emplace_back("host", m_options.service.value());
-        request.fields.emplace_back("cornelpier-deadline-ms", whole_milliseconds(action.deadline));
-        request.fields.emplace_back("cornelpier-depth", std::to_string(action.depth));
+        const auto add = [&](const std::string& name, std::string value) {
+            if (!name.empty()) {
+                request.fields.emplace_back(name, std::move(value));
+            }
+        };
+        if (!names.keeps_host) {
+            add("host", m_options.service.value());
+        }
+        add(names.deadline, whole_milliseconds(action.deadline));
+        add(names.depth, std::to_string(action.depth));
         if (action.outer_retry) {
-            request.fields.emplace_back("cornelpier-retry", "1");
+            add(names.retry, "1");
+        }
+        if (!action.instance.empty()) {
+            add(names.expected_instance, action.instance);
         }
         const bool has_body = !request.body->empty() || request.method == "POST" || request.method == "PUT" ||
                               request.method == "PATCH";
@@ -132,19 +150,48 @@
         }
     }
 
-    void on_done(run_id run, server_exchange::outcome result, connection_pool::socket_ptr socket) {
+    void on_done(run_id run, server_exchange::outcome result, kept_connection connection) {
         m_runs.erase(run);
-        keep(std::move(socket));
-        if (auto* response = std::get_if<http_response>(&result)) {
-            m_on_event(server_answered{run, std::move(*response)});
+        auto* response = std::get_if<http_response>(&result);
+        keep(std::move(connection));
+        if (response == nullptr) {
+            m_on_event(server_failed{run, std::get<server_failure>(result)});
             return;
         }
-        m_on_event(server_failed{run, std::get<server_failure>(result)});
+        server_answered event{run, std::move(*response)};
+        event.refused = states_refusal(event.response);
+        event.load = load_of(event.response);
+        m_on_event(std::move(event));
+    }
+
+    [[nodiscard]] bool states_refusal(const http_response& response) const {
+        const auto& names = m_options.names;
+        if (names.not_run.empty()) {
+            return false;
+        }
+        return response.status == status_misdirected || find_field(response.fields, names.not_run) != nullptr;
+    }
+
+    [[nodiscard]] std::optional<server_load_figures> load_of(const http_response& response) const {
+        const auto& names = m_options.names;
+        const auto* text = names.load.empty() ? nullptr : find_field(response.fields, names.load);
+        return text == nullptr || names.parse_load == nullptr ? std::nullopt : names.parse_load(*text);
+    }
+
+    [[nodiscard]] traffic_event read_report_answer(const http_response& response) const {
+        if (m_options.names.load.empty()) {
+            return parse_report(response);
+        }
+        server_report report;
+        report.healthy = response.status == status_ok;
+        report.load = load_of(response);
+        report.in_flight = report.load ? report.load->running : 0;
+        return report;
     }
 
-    void keep(connection_pool::socket_ptr socket) {
-        if (socket && !m_stopped) {
-            m_pool.put(std::move(socket));
+    void keep(kept_connection connection) {
+        if (connection.socket && !m_stopped) {
+            m_pool.put(std::move(connection.socket), connection.idle_time);
         }
     }
 
@@ -172,8 +219,8 @@
     m_implementation->post([run](auto& it) { it.cancel(run); });
 }
 
-void server_client::read_report() {
-    m_implementation->post([](auto& it) { it.read_report(); });
+void server_client::read_report(const std::string& path) {
+    m_implementation->post([path](auto& it) { it.read_report(path); });
 }
 
 void server_client::stop() {
--- a/src/daemon/server/server_client.hpp
+++ b/src/daemon/server/server_client.hpp
@@ -4,6 +4,8 @@
 #include "cornelpier/node/traffic_actions.hpp"
 #include "cornelpier/node/traffic_events.hpp"
 
+#include "daemon/wire/wire_names.hpp"
+
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
@@ -20,6 +22,7 @@
     std::string address;     ///< `IP:port`.
     std::string report_path; ///< Path of the server's own report.
     service_id service;      ///< Sent as Host.
+    wire_names names;
 };
 
 /// HTTP/1.1 client of the node's one server, with a pool of connections. All functions may be called on any
@@ -47,7 +50,8 @@
     void cancel(run_id run);
 
     /// Reads the server's report. One event follows.
-    void read_report();
+    /// @param path of the report; empty: the one of the options.
+    void read_report(const std::string& path = {});
 
     /// Closes all connections; no event follows.
     void stop();
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -11,7 +11,10 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <charconv>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace cornelpier {
@@ -25,6 +28,10 @@
 constexpr std::uint32_t max_answer_head_bytes = 32 * 1024;
 constexpr int first_final_status = 200;
 constexpr int switching_protocols = 101;
+constexpr int first_refusal_status = 400;
+
+/// Allowance for the way of an answer and of the next request.
+constexpr std::chrono::milliseconds keep_alive_margin{500};
 
 http::request<http::span_body<const char>> make_message(const http_request& request) {
     http::request<http::span_body<const char>> message;
@@ -38,6 +45,25 @@
     return message;
 }
 
+/// @param keep_alive value of the field Keep-Alive.
+/// @return time for which the server will keep the connection, counted from now.
+connection_pool::clock::duration announced_idle_time(std::string_view keep_alive) {
+    constexpr std::string_view prefix = "timeout=";
+    const auto start = keep_alive.find(prefix);
+    if (start == std::string_view::npos) {
+        return connection_pool::max_idle_time;
+    }
+    const auto digits = keep_alive.substr(start + prefix.size());
+    std::int64_t seconds = 0;
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc{}) {
+        return connection_pool::max_idle_time;
+    }
+    const std::chrono::milliseconds announced = std::chrono::seconds{seconds};
+    return std::clamp<connection_pool::clock::duration>(announced - keep_alive_margin,
+                                                        std::chrono::milliseconds{0},
+                                                        connection_pool::max_idle_time);
+}
+
 template <typename Message>
 http_response copy_response(Message& message, bool keep_length) {
     http_response result;
@@ -65,8 +91,10 @@
     std::optional<http::response_parser<http::string_body>> parser;
 };
 
-server_exchange::server_exchange(const executor& strand, http_request request, callback on_done)
-    : m_strand(strand), m_request(std::move(request)), m_on_done(std::move(on_done)), m_deadline(strand),
+server_exchange::server_exchange(const executor& strand, http_request request, callback on_done,
+                                 answer_rules rules)
+    : m_strand(strand), m_request(std::move(request)), m_rules(std::move(rules)),
+      m_on_done(std::move(on_done)), m_deadline(strand),
       m_http(std::make_unique<http_state>(m_request)) {}
 
 server_exchange::~server_exchange() = default;
@@ -106,15 +134,10 @@
     m_written = true;
     m_deadline.set(remaining, shared_from_this(), &server_exchange::on_expired);
     http::async_write(*m_socket, m_http->serializer, [self = shared_from_this()](error_code ec, std::size_t) {
-        if (!self->m_on_done) {
-            return;
-        }
-        if (ec) {
-            self->fail(server_failure::lost);
-            return;
-        }
-        self->read();
+        // The read tells of a lost connection; a server may also answer before it has taken a long body.
+        self->m_write_ended = !ec;
     });
+    read();
 }
 
 void server_exchange::read() {
@@ -145,8 +168,8 @@
         return;
     }
     auto& parser = *m_http->parser;
-    // The end of an answer without a length looks like a lost connection, so it cannot be trusted.
-    if (ec || parser.need_eof()) {
+    // The end of an answer without a length looks like a lost connection.
+    if (ec || (parser.need_eof() && !m_rules.unframed)) {
         fail(server_failure::lost);
         return;
     }
@@ -161,9 +184,54 @@
         return;
     }
 
-    const bool reusable = parser.keep_alive() && m_http->buffer.size() == 0;
+    take_answer();
+}
+
+void server_exchange::take_answer() {
+    auto& parser = *m_http->parser;
+    const bool framed = !parser.need_eof();
+    const bool clean = parser.keep_alive() && m_http->buffer.size() == 0 && m_write_ended && !m_strays_seen;
+    const auto idle_time = announced_idle_time(std::string{parser.get()[http::field::keep_alive]});
     auto response = copy_response(parser.get(), m_request.method == "HEAD");
-    finish(std::move(response), reusable ? std::move(m_socket) : nullptr);
+    if (is_stray(response) && framed) {
+        m_strays_seen = true;
+        read();
+        return;
+    }
+    if (is_stray(response) || !is_trusted(response)) {
+        fail(server_failure::lost);
+        return;
+    }
+    kept_connection connection;
+    if (framed && clean) {
+        connection = {std::move(m_socket), idle_time};
+    }
+    finish(std::move(response), std::move(connection));
+}
+
+/// An answer to an earlier request may come twice or late.
+bool server_exchange::is_stray(const http_response& response) const {
+    if (m_rules.request_id_field.empty()) {
+        return false;
+    }
+    const auto* sent = find_field(m_request.fields, m_rules.request_id_field);
+    const auto* repeated = find_field(response.fields, m_rules.request_id_field);
+    if (sent == nullptr) {
+        return false;
+    }
+    if (repeated == nullptr) {
+        return response.status < first_refusal_status;
+    }
+    return *repeated != *sent;
+}
+
+/// A success without the server's seal or in another encoding than the request allowed is not its answer.
+bool server_exchange::is_trusted(const http_response& response) const {
+    if (m_rules.seal_field.empty() || response.status >= first_refusal_status) {
+        return true;
+    }
+    return find_field(response.fields, m_rules.seal_field) != nullptr &&
+           find_field(response.fields, "content-encoding") == nullptr;
 }
 
 void server_exchange::on_expired() {
@@ -173,13 +241,13 @@
 }
 
 void server_exchange::fail(server_failure kind) {
-    finish(kind, nullptr);
+    finish(kind, {});
 }
 
-void server_exchange::finish(outcome result, connection_pool::socket_ptr reusable) {
+void server_exchange::finish(outcome result, kept_connection connection) {
     const auto on_done = std::exchange(m_on_done, nullptr);
     abandon();
-    on_done(std::move(result), std::move(reusable));
+    on_done(std::move(result), std::move(connection));
 }
 
 void server_exchange::abandon() {
--- a/src/daemon/server/server_exchange.hpp
+++ b/src/daemon/server/server_exchange.hpp
@@ -25,7 +25,15 @@
     using outcome = std::variant<http_response, server_failure>;
 
     /// Receives the outcome and the connection if it can be used again.
-    using callback = std::function<void(outcome, connection_pool::socket_ptr)>;
+    using callback = std::function<void(outcome, kept_connection)>;
+
+    /// How answers are told from bytes that belong to no request.
+    struct answer_rules {
+        std::string request_id_field; ///< Repeated by the server; empty: not checked.
+        std::string seal_field;       ///< Present on every success; empty: not checked.
+        std::string not_run_field;    ///< Its answers need not repeat the id.
+        bool unframed = false;        ///< An answer may end with its connection.
+    };
 
     /// Time limit for a new connection.
     static constexpr std::chrono::milliseconds connect_limit{250};
@@ -33,7 +41,8 @@
     /// @param strand runs the exchange.
     /// @param request its fields are sent as they are, with Host and Content-Length among them.
     /// @param on_done see `callback`.
-    server_exchange(const executor& strand, http_request request, callback on_done);
+    /// @param rules for the answer.
+    server_exchange(const executor& strand, http_request request, callback on_done, answer_rules rules);
     ~server_exchange();
 
     server_exchange(const server_exchange&) = delete;
@@ -58,17 +67,23 @@
     void read();
     void on_head(boost::system::error_code ec);
     void on_read(boost::system::error_code ec);
+    void take_answer();
+    [[nodiscard]] bool is_stray(const http_response& response) const;
+    [[nodiscard]] bool is_trusted(const http_response& response) const;
     void on_expired();
     void fail(server_failure kind);
-    void finish(outcome result, connection_pool::socket_ptr reusable);
+    void finish(outcome result, kept_connection connection);
 
     executor m_strand;
     http_request m_request;
+    answer_rules m_rules;
     callback m_on_done;
     lazy_deadline m_deadline;
     connection_pool::socket_ptr m_socket;
     std::unique_ptr<http_state> m_http;
-    bool m_written = false;
+    bool m_written = false;       ///< Some of the request may have reached the server.
+    bool m_write_ended = false;   ///< All of it was written.
+    bool m_strays_seen = false;   ///< The connection carried bytes that belong to no request.
 };
 
 } // namespace cornelpier
--- a/src/daemon/settings/node_settings.cpp
+++ b/src/daemon/settings/node_settings.cpp
@@ -97,6 +97,7 @@
             {target_id{it.at("target").get<std::string>()}, it.at("node").get<std::string>()});
     }
     read_log(document, settings);
+    settings.adapter = document.value("adapter", json::object()).dump();
     return settings;
 }
 
--- a/src/daemon/settings/node_settings.hpp
+++ b/src/daemon/settings/node_settings.hpp
@@ -34,6 +34,7 @@
     log_format format = log_format::json;
     severity level = severity::info;
     std::uint32_t traffic_threads = 2;
+    std::string adapter = "{}"; ///< Settings of the adapter to a platform, as JSON.
 };
 
 /// Parses and checks the settings of a node.
--- a/src/daemon/settings/settings_schema.cpp
+++ b/src/daemon/settings/settings_schema.cpp
@@ -137,6 +137,10 @@
       "type": "integer",
       "minimum": 1,
       "maximum": 64
+    },
+    "adapter": {
+      "type": "object",
+      "description": "Settings of the adapter to a platform; the adapter defines and checks them."
     }
   }
 }
--- a/src/programs/cornelpier_node.cpp
+++ b/src/programs/cornelpier_node.cpp
@@ -4,9 +4,7 @@
 
 #include <CLI/CLI.hpp>
 
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <optional>
 #include <string>
 #include <variant>
@@ -14,17 +12,9 @@
 
 namespace {
 
-std::optional<std::string> read_file(const std::string& path) {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return std::nullopt;
-    }
-    return std::string{std::istreambuf_iterator<char>(file), {}};
-}
-
 /// @return the settings, or nothing after a message for each mistake.
 std::optional<cornelpier::node_settings> read_settings(const std::string& path) {
-    const auto text = read_file(path);
+    const auto text = cornelpier::read_file(path);
     if (!text) {
         std::cerr << path << ": cannot be read\n";
         return std::nullopt;
