Judge runs by the work of their route and by the server's speed at the moment

Cause: one average over all kinds of a service made owners refuse calls of 40 ms with a deadline of 500 ms as hopeless, since other kinds need 640 ms; and runs were started on machines in a slow spell, where a run takes seven times as long for its whole duration, whatever the speed becomes later (seen by comparing 41 runs with reports read every 50 ms: the duration follows the speed at the start). Excluded: loss of runs between nodes (no link was lost). Change: work by route with the slowness at the start taken out, a forecast of free slots, a fresh figure of the speed before a run is decided on, holding while a spell is shorter than what it costs, the queue ordered by the latest start that meets the objective.

--- a/src/cornelpier/admission/admission_queue.cpp
+++ b/src/cornelpier/admission/admission_queue.cpp
@@ -1,11 +1,13 @@
 #include "cornelpier/admission/admission_queue.hpp"
 
+#include <algorithm>
 #include <iterator>
 #include <limits>
 
 namespace cornelpier {
 
-admission_queue::offer_result admission_queue::offer(run_id id, request_class priority) {
+admission_queue::offer_result admission_queue::offer(run_id id, request_class priority,
+                                                     time_point latest_start) {
     offer_result result;
     if (!accepts(priority)) {
         return result;
@@ -14,20 +16,20 @@
         result.shed = m_order.rbegin()->second;
         remove(*result.shed);
     }
-    const position place{priority, ++m_arrivals};
+    const position place{priority, latest_start, ++m_arrivals};
     m_order.emplace(place, id);
     m_positions.emplace(id, place);
     result.accepted = true;
     return result;
 }
 
-std::optional<run_id> admission_queue::pop() {
+std::optional<run_id> admission_queue::next(time_point now) const {
     if (m_order.empty()) {
         return std::nullopt;
     }
-    const run_id id = m_order.begin()->second;
-    remove(id);
-    return id;
+    const auto in_time = std::ranges::find_if(
+        m_order, [now](const auto& it) { return std::get<time_point>(it.first) >= now; });
+    return in_time == m_order.end() ? m_order.begin()->second : in_time->second;
 }
 
 bool admission_queue::remove(run_id id) {
@@ -40,8 +42,8 @@
     return true;
 }
 
-std::size_t admission_queue::ahead_of(request_class priority) const {
-    const position after{priority, std::numeric_limits<std::uint64_t>::max()};
+std::size_t admission_queue::ahead_of(request_class priority, time_point latest_start) const {
+    const position after{priority, latest_start, std::numeric_limits<std::uint64_t>::max()};
     return static_cast<std::size_t>(std::distance(m_order.begin(), m_order.upper_bound(after)));
 }
 
@@ -49,7 +51,7 @@
     if (size() < m_capacity) {
         return true;
     }
-    return !m_order.empty() && m_order.rbegin()->first.first > priority;
+    return !m_order.empty() && std::get<request_class>(m_order.rbegin()->first) > priority;
 }
 
 } // namespace cornelpier
--- a/src/cornelpier/admission/admission_queue.hpp
+++ b/src/cornelpier/admission/admission_queue.hpp
@@ -1,20 +1,26 @@
 #pragma once
 
 #include "cornelpier/base/ids.hpp"
+#include "cornelpier/base/units.hpp"
 #include "cornelpier/plan/plan.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
-#include <utility>
 
 namespace cornelpier {
 
-/// Bounded queue of runs, ordered by request class, then by arrival.
+/// Bounded queue of runs, ordered by request class, then by the latest start with which the objective is met,
+/// then by arrival. Answers overload: runs that still meet their objective go before those that are late
+/// anyway, which are served with what is left.
 class admission_queue {
   public:
+    /// Start time of runs that have no objective.
+    static constexpr time_point no_limit = time_point::max();
+
     /// What happened to a run that was offered.
     struct offer_result {
         bool accepted = false;
@@ -29,23 +35,24 @@
 
     /// Queues a run. When the queue is full, the latest run of the lowest class is shed if its class is
     /// lower than that of the new run; else the new run is not accepted.
-    offer_result offer(run_id id, request_class priority);
+    /// @param latest_start start with which the objective is met.
+    offer_result offer(run_id id, request_class priority, time_point latest_start = no_limit);
 
-    /// @return the next run, which leaves the queue, or nothing.
-    std::optional<run_id> pop();
+    /// @return the next run: the first one that meets its objective if it starts now, else the first one.
+    [[nodiscard]] std::optional<run_id> next(time_point now) const;
 
     /// Takes a run out of the queue.
     /// @return false if it was not queued.
     bool remove(run_id id);
 
     /// @return queued runs that a new run of the class would wait for.
-    [[nodiscard]] std::size_t ahead_of(request_class priority) const;
+    [[nodiscard]] std::size_t ahead_of(request_class priority, time_point latest_start = no_limit) const;
 
     [[nodiscard]] std::size_t size() const { return m_order.size(); }
     [[nodiscard]] bool empty() const { return m_order.empty(); }
 
   private:
-    using position = std::pair<request_class, std::uint64_t>;
+    using position = std::tuple<request_class, time_point, std::uint64_t>;
 
     std::size_t m_capacity = 0;
     std::uint64_t m_arrivals = 0;
--- a/src/cornelpier/admission/load_meter.cpp
+++ b/src/cornelpier/admission/load_meter.cpp
@@ -51,10 +51,13 @@
 }
 
 duration load_meter::shown_wait(const server_load& load, std::size_t ahead, time_point now) const {
+    return std::max(expected_wait(load, ahead), failing_wait(now));
+}
+
+duration load_meter::failing_wait(time_point now) const {
     // The square keeps a single error among many good answers from mattering.
     const double share = m_failures.share(now);
-    const duration failing = from_seconds(to_seconds(m_failing_wait) * share * share);
-    return std::max(expected_wait(load, ahead), failing);
+    return from_seconds(to_seconds(m_failing_wait) * share * share);
 }
 
 duration load_meter::work_off_time(const server_load& load, std::size_t queued) const {
--- a/src/cornelpier/admission/load_meter.hpp
+++ b/src/cornelpier/admission/load_meter.hpp
@@ -52,6 +52,9 @@
     /// @return the expected wait as entries should see it: not near zero while the server fails fast.
     [[nodiscard]] duration shown_wait(const server_load& load, std::size_t ahead, time_point now) const;
 
+    /// @return wait that stands for the failures of a server that fails fast.
+    [[nodiscard]] duration failing_wait(time_point now) const;
+
     /// @return time until the server has worked off what is running and queued.
     [[nodiscard]] duration work_off_time(const server_load& load, std::size_t queued) const;
 
--- /dev/null
+++ b/src/cornelpier/admission/slot_forecast.cpp
@@ -0,0 +1,31 @@
+#include "cornelpier/admission/slot_forecast.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace cornelpier {
+
+duration wait_for_slot(std::vector<duration> remaining, std::uint32_t slots, std::size_t ahead,
+                       duration mean) {
+    // A heap of the times at which the slots become free; free ones are free now.
+    auto& free_at = remaining;
+    while (free_at.size() < slots) {
+        free_at.push_back(duration::zero());
+    }
+    const auto later = std::greater<duration>{};
+    std::ranges::make_heap(free_at, later);
+
+    // With more runs in progress than slots, the first ones to end free no slot.
+    for (std::size_t n = free_at.size(); n > slots; --n) {
+        std::ranges::pop_heap(free_at, later);
+        free_at.pop_back();
+    }
+    for (std::size_t n = 0; n < ahead; ++n) {
+        std::ranges::pop_heap(free_at, later);
+        free_at.back() += mean;
+        std::ranges::push_heap(free_at, later);
+    }
+    return std::max(free_at.front(), duration::zero());
+}
+
+} // namespace cornelpier
--- /dev/null
+++ b/src/cornelpier/admission/slowness_meter.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "cornelpier/base/units.hpp"
+
+namespace cornelpier {
+
+/// How much slower than usual a server is, as it told with its last answer. Answers the load of neighbours on
+/// its machine, which slow it several times over for some hundred milliseconds: a run takes as long as the
+/// speed at its start says, so that waiting for the end of the spell is often faster than to start.
+class slowness_meter {
+  public:
+    /// A figure of this age says how a run that starts now will fare.
+    static constexpr duration fresh_for = std::chrono::milliseconds{20};
+
+    /// Takes a figure that came with an answer.
+    /// @param slowness 1 is usual; above, work takes that many times as long.
+    void on_figure(double slowness, time_point now);
+
+    /// @return whether the server tells its speed at all.
+    [[nodiscard]] bool is_known() const { return m_known; }
+
+    [[nodiscard]] bool is_fresh(time_point now) const { return m_known && now - m_told_at <= fresh_for; }
+
+    /// @return the last figure, at least 1.
+    [[nodiscard]] double current() const { return m_slowness; }
+
+    /// @return time that a run loses at this server: by being slow if it starts now, or by waiting for the
+    /// spell to end, whichever is less.
+    [[nodiscard]] duration expected_loss(duration work, time_point now) const;
+
+    /// @return whether waiting for the end of the spell is the better of both.
+    [[nodiscard]] bool is_better_held(duration work, time_point now) const;
+
+  private:
+    [[nodiscard]] duration rest_of_spell(time_point now) const;
+    [[nodiscard]] duration loss_by_starting(duration work) const;
+
+    bool m_known = false;
+    double m_slowness = 1;
+    time_point m_told_at;
+    time_point m_spell_began;
+};
+
+} // namespace cornelpier
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -32,6 +32,7 @@
     case refusal::unknown_service:
         return true;
     case refusal::overloaded:
+    case refusal::deadline:
         return attempt.wait_limit.has_value();
     default:
         return false;
@@ -116,6 +117,8 @@
         call.idempotent = where.via->idempotent;
         call.priority = where.via->priority;
         call.max_runs = where.via->max_attempts;
+        call.route = where.via->name;
+        call.objective = where.via->objective;
     } else if (const auto* rule = where.service->match(event.request.method, event.request.path)) {
         call.idempotent = rule->idempotent;
         call.priority = rule->priority;
@@ -143,7 +146,7 @@
         return;
     }
     if (call.idempotent) {
-        state.hedges.on_call();
+        state.hedges_of(call.route).on_call();
         schedule_hedge(call, state);
     }
 }
@@ -206,7 +209,7 @@
     }
     auto* service = m_parts.services.find(call.event.service);
     if (service != nullptr && result.end == attempt_end::answered && result.outcome == verdict::ran) {
-        service->hedges.on_latency(m_context.now() - attempt.sent_at);
+        service->hedges_of(call.route).on_latency(m_context.now() - attempt.sent_at);
     }
 }
 
@@ -259,8 +262,8 @@
     m_context.record(event_number::retry_budget_exhausted, {{"service", service.value()}});
 }
 
-void call_driver::schedule_hedge(call_state& call, const service_state& service) {
-    const auto delay = service.hedges.delay();
+void call_driver::schedule_hedge(call_state& call, service_state& service) {
+    const auto delay = service.hedges_of(call.route).delay();
     if (!m_context.options.hedging || !delay || call.event.outer_retry) {
         return;
     }
@@ -276,7 +279,7 @@
     call->hedge_timer = 0;
     auto* service = m_parts.services.find(call->event.service);
     const bool may_run_again = call->has_open_attempt() && call->possible_runs() < call->max_runs;
-    if (!may_run_again || service == nullptr || !service->take_hedge()) {
+    if (!may_run_again || service == nullptr || !service->take_hedge(call->route)) {
         return;
     }
     if (begin_attempt(*call, attempt_kind::hedge)) {
--- a/src/cornelpier/entry/call_driver.hpp
+++ b/src/cornelpier/entry/call_driver.hpp
@@ -61,7 +61,7 @@
     bool take_retry(call_state& call);
     void record_exhaustion(const service_id& service, service_state& state);
     void note_result(call_state& call, const attempt_state& attempt, const attempt_result& result);
-    void schedule_hedge(call_state& call, const service_state& service);
+    void schedule_hedge(call_state& call, service_state& service);
     void on_hedge_due(const request_id& request);
     void on_deadline(const request_id& request);
     void finish(call_state& call, answer_caller answer);
--- a/src/cornelpier/entry/health_reporter.cpp
+++ b/src/cornelpier/entry/health_reporter.cpp
@@ -30,7 +30,7 @@
     : m_context(context), m_health(health), m_services(services) {}
 
 void health_reporter::on_answer(const call_state& call, const attempt_state& attempt, const answer& reply) {
-    if (const auto outcome = judge(call.event.service, reply)) {
+    if (const auto outcome = judge(call, reply)) {
         note(call.event.service, attempt.target, *outcome);
     }
 }
@@ -74,7 +74,7 @@
 }
 
 /// Refusals for lack of capacity say nothing about health; they show in the readings.
-std::optional<health_outcome> health_reporter::judge(const service_id& service, const answer& reply) {
+std::optional<health_outcome> health_reporter::judge(const call_state& call, const answer& reply) {
     if (reply.reason == refusal::server_down || reply.reason == refusal::server_refused) {
         return health_outcome::fast_failure;
     }
@@ -84,8 +84,8 @@
     if (reply.outcome == verdict::ran && (!reply.response || reply.response->status < first_server_error)) {
         return health_outcome::success;
     }
-    const auto* state = m_services.find(service);
-    const auto usual = state == nullptr ? std::nullopt : state->hedges.median();
+    auto* state = m_services.find(call.event.service);
+    const auto usual = state == nullptr ? std::nullopt : state->hedges_of(call.route).median();
     const bool fast = usual && reply.served_in < *usual;
     return fast ? health_outcome::fast_failure : health_outcome::failure;
 }
--- a/src/cornelpier/entry/health_reporter.hpp
+++ b/src/cornelpier/entry/health_reporter.hpp
@@ -32,7 +32,7 @@
 
   private:
     void note(const service_id& service, const target_id& target, health_outcome outcome);
-    std::optional<health_outcome> judge(const service_id& service, const answer& reply);
+    std::optional<health_outcome> judge(const call_state& call, const answer& reply);
 
     entry_context& m_context;
     health_table& m_health;
--- a/src/cornelpier/entry/service_state.hpp
+++ b/src/cornelpier/entry/service_state.hpp
@@ -7,6 +7,7 @@
 #include "cornelpier/timer/timer_service.hpp"
 
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -31,15 +32,20 @@
     bool has_lookups = false;                 ///< Some requests are idempotent.
     any_chooser policy;
     retry_budget retries{retry_share, retry_reserve, retry_capacity};
-    hedge_policy hedges;
+    std::unordered_map<std::string, hedge_policy> hedges; ///< By route; one entry if the plan has none.
     time_point last_call_at;
     time_point exhaustion_recorded_at{duration::min()}; ///< Of the last event about the retry budget.
     timer_service::timer_id probe_timer = 0;            ///< 0 while no probes are sent.
     bool shares_repeats = false; ///< Hedges draw on `retries` too: the fleet bounds both together.
 
+    /// @return latencies and budget of hedges of a route.
+    hedge_policy& hedges_of(const std::string& route) { return hedges[route]; }
+
     /// Takes what one hedge costs.
     /// @return false if a budget is empty.
-    bool take_hedge() { return hedges.take() && (!shares_repeats || retries.take()); }
+    bool take_hedge(const std::string& route) {
+        return hedges_of(route).take() && (!shares_repeats || retries.take());
+    }
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -20,6 +20,13 @@
 // After a drain was called off, the next request brings a fresh reading for the price of a hop.
 constexpr duration drain_outranks_gossip = std::chrono::seconds{5};
 
+// Without answers of a route yet, its work is taken for this part of its objective.
+constexpr duration::rep guessed_work_divisor = 3;
+
+// Bytes between data centres have a price, and an answer within the objective is worth no more for being
+// faster, so that a little wait in the own data centre is accepted.
+constexpr duration cost_of_crossing = std::chrono::milliseconds{25};
+
 duration failure_penalty(double rate) {
     return duration{static_cast<duration::rep>(static_cast<double>(cost_of_failure.count()) * rate)};
 }
@@ -41,7 +48,7 @@
         return std::nullopt;
     }
 
-    const auto scored = score(service, members);
+    const auto scored = score(call, service, members);
     std::vector<candidate> candidates;
     for (const auto& it : scored) {
         if (!it.passed_over) {
@@ -192,14 +199,19 @@
     return share;
 }
 
-std::vector<target_selector::scored_candidate> target_selector::score(const service_state& service,
-                                                                      const std::vector<member>& members) {
+std::vector<target_selector::scored_candidate>
+target_selector::score(const call_state& call, service_state& service, const std::vector<member>& members) {
     const time_point now = m_context.now();
     std::vector<const target_load*> loads(service.subset.size());
     std::ranges::transform(service.subset, loads.begin(),
                            [this](const target_id& it) { return m_readings.find(it); });
     const load_estimate average = average_load(loads);
 
+    const bool routed = !call.route.empty();
+    const duration work =
+        routed ? service.hedges_of(call.route).median().value_or(call.objective / guessed_work_divisor)
+               : duration::zero();
+
     std::vector<scored_candidate> result;
     result.reserve(members.size());
     for (const auto& entry : members) {
@@ -213,6 +225,12 @@
         scored_candidate it{i, {&target}, estimate.service + penalty, entry.passed_over};
         it.scored.wait = estimate.wait;
         it.scored.estimate = estimate.wait + estimate.service + distance + penalty;
+        if (routed) {
+            const duration travel = distance + crossing_cost(service.data_centres[i]);
+            it.scored.wait += expected_loss(load, work, now) + penalty;
+            it.scored.estimate = it.scored.wait + travel;
+            it.hurdle = travel;
+        }
         if (load != nullptr) {
             it.scored.own_in_flight = static_cast<std::uint32_t>(load->own_runs.size());
             it.scored.reported_load = load->last ? load->last->in_flight + load->last->queued : 0;
@@ -222,6 +240,10 @@
     return result;
 }
 
+duration target_selector::crossing_cost(const data_centre_id& data_centre) const {
+    return data_centre == m_context.identity.data_centre ? duration::zero() : cost_of_crossing;
+}
+
 /// The second-best target is better if wait and service here take longer than everything there; the
 /// distance of the chosen target is spent in both cases, as the way of the refusal.
 std::optional<duration> target_selector::wait_limit(const std::vector<scored_candidate>& candidates,
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -55,6 +55,7 @@
     visit(it.state);
     visit(it.leave);
     visit(it.sequence);
+    visit(it.slowness_percent);
 }
 
 template <typename Message, typename Visitor>
@@ -98,6 +99,8 @@
     visit(it.outer_retry);
     visit(it.plan_version);
     visit(it.instance);
+    visit(it.route);
+    visit(it.objective);
 }
 
 template <typename Message, typename Visitor>
--- a/src/cornelpier/message/traffic_messages.hpp
+++ b/src/cornelpier/message/traffic_messages.hpp
@@ -51,6 +51,7 @@
     node_state state = node_state::serving;
     permit leave;
     std::uint64_t sequence = 0; ///< Grows with each reading of an incarnation; orders late readings.
+    std::uint32_t slowness_percent = 100; ///< Time that work takes at the server, 100 as usual.
 };
 
 /// First message on a link, in both directions.
@@ -87,6 +88,8 @@
     bool outer_retry = false;           ///< An outer call is itself a retry.
     std::uint64_t plan_version = 0;
     std::string instance; ///< Server process that the entry means; empty: whichever stands there.
+    std::string route;    ///< Route of the request; empty if the plan has none.
+    duration objective{}; ///< Time left to answer within the route's objective; may be negative.
 };
 
 /// Why an owner refused a run.
--- a/src/cornelpier/owner/measuring_schedule.cpp
+++ b/src/cornelpier/owner/measuring_schedule.cpp
@@ -44,7 +44,7 @@
 }
 
 void measuring_schedule::read_report() {
-    if (m_state.drain.state() == node_state::stopped) {
+    if (m_state.drain.state() == node_state::stopped || m_state.service() == nullptr) {
         return;
     }
     const time_point now = m_state.now();
@@ -60,6 +60,15 @@
     schedule(now + m_period);
 }
 
+bool measuring_schedule::read_report_now() {
+    if (m_state.service() == nullptr || !m_budget.try_take(m_state.now())) {
+        return false;
+    }
+    m_state.outbox.count(metric::measurement);
+    m_state.outbox.act(read_server_report{m_state.service()->report_path});
+    return true;
+}
+
 bool measuring_schedule::probe_fits() const {
     const time_point now = m_state.now();
     return !m_report_due && m_budget.next_available(now) == now && m_probe_budget.next_available(now) == now;
--- a/src/cornelpier/owner/measuring_schedule.hpp
+++ b/src/cornelpier/owner/measuring_schedule.hpp
@@ -20,6 +20,10 @@
     /// @return false if the probe must stay without an answer.
     bool admit_probe();
 
+    /// Reads the server's report at once.
+    /// @return false if the budget is empty or the plan names no service.
+    bool read_report_now();
+
     [[nodiscard]] std::size_t taken_last_second() const { return m_budget.taken_last_second(m_state.now()); }
 
   private:
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -1,5 +1,6 @@
 #include "cornelpier/owner/owner_manager.hpp"
 
+#include "cornelpier/owner/arrival_gate.hpp"
 #include "cornelpier/owner/fate_responder.hpp"
 #include "cornelpier/owner/measuring_schedule.hpp"
 #include "cornelpier/owner/owner_lifecycle.hpp"
@@ -17,6 +18,9 @@
 /// Bounds the queue; the deadline check usually refuses long before.
 constexpr std::size_t queued_per_slot = 10;
 
+/// Slow spells last some hundred milliseconds.
+constexpr duration hold_check_period = std::chrono::milliseconds{25};
+
 } // namespace
 
 /// Routes messages and events to the part of the owner that handles them.
@@ -25,7 +29,8 @@
     implementation(const node_identity& identity, timer_service& timers, random_source random,
                    const owner_options& options)
         : m_state(identity, timers, random), m_lifecycle(m_state, options.drain_limit), m_executor(m_state, m_lifecycle),
-          m_intake(m_state, m_executor), m_fates(m_state), m_measuring(m_state) {
+          m_intake(m_state, m_executor), m_fates(m_state), m_measuring(m_state),
+          m_gate(m_state, m_intake, m_measuring) {
         m_state.load.set_adaptive(options.adaptive_limit);
     }
 
@@ -36,6 +41,7 @@
 
     void close_link(link_id link) {
         m_state.outbox.remove_link(link);
+        m_gate.on_link_closed(link);
         m_executor.on_link_closed(link);
     }
 
@@ -83,6 +89,27 @@
     run_intake m_intake;
     fate_responder m_fates;
     measuring_schedule m_measuring;
+    arrival_gate m_gate;
+    scoped_timer m_hold_timer;
+
+    /// Takes the speed that came with an answer or a report.
+    void take_figures(const std::optional<server_load_figures>& load) {
+        if (load) {
+            m_state.slowness.on_figure(load->slowness, m_state.now());
+        }
+    }
+
+    /// While runs wait for the end of a slow spell, nothing else tells of it.
+    void watch_hold() {
+        if (!m_executor.is_holding()) {
+            m_hold_timer.cancel();
+            return;
+        }
+        m_hold_timer.call_at(m_state.timers, m_state.now() + hold_check_period, [this] {
+            m_gate.ask();
+            watch_hold();
+        });
+    }
 
   private:
     void on(link_id link, const hello& message) {
@@ -103,8 +130,17 @@
         m_state.outbox.send(link, permit_grant{m_state.permits.issue(m_state.now())});
     }
 
-    void on(link_id link, const run& message) { m_intake.on_run(link, message); }
-    void on(link_id /*link*/, const cancel& message) { m_executor.on_cancel(message.attempt); }
+    void on(link_id link, const run& message) {
+        m_gate.on_run(link, message);
+        watch_hold();
+    }
+
+    void on(link_id /*link*/, const cancel& message) {
+        if (!m_gate.on_cancel(message.attempt)) {
+            m_executor.on_cancel(message.attempt);
+        }
+    }
+
     void on(link_id link, const fate_query& message) { m_fates.on_query(link, message); }
     void on(link_id link, const ping& /*message*/) { m_state.outbox.send(link, pong{}); }
 
@@ -132,7 +168,9 @@
 }
 
 void owner_manager::on_server_answered(const server_answered& event) {
+    m_implementation->take_figures(event.load);
     m_implementation->m_executor.on_answered(event);
+    m_implementation->watch_hold();
 }
 
 void owner_manager::on_server_failed(const server_failed& event) {
@@ -141,10 +179,15 @@
 
 void owner_manager::on_server_report(const server_report& event) {
     m_implementation->m_lifecycle.on_server_draining(event.draining);
+    m_implementation->take_figures(event.load);
+    m_implementation->m_gate.on_report();
+    m_implementation->m_executor.start_queued();
+    m_implementation->watch_hold();
 }
 
 void owner_manager::on_server_report_failed() {
     // A report that cannot be read says nothing about the server's state; the causes to drain stay.
+    m_implementation->m_gate.on_report();
 }
 
 void owner_manager::on_fleet(const shared_fleet_view& view) {
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -1,5 +1,6 @@
 #include "cornelpier/owner/owner_state.hpp"
 
+#include "cornelpier/admission/slot_forecast.hpp"
 #include "cornelpier/owner/refusal_name.hpp"
 
 #include <algorithm>
@@ -12,6 +13,8 @@
 /// Least width of the interval over which callers are told to return.
 constexpr duration least_spread = std::chrono::seconds{2};
 
+constexpr double percent = 100;
+
 } // namespace
 
 owner_state::owner_state(const node_identity& node, timer_service& timer, random_source generator)
@@ -41,9 +44,18 @@
     result.state = drain.state();
     result.leave = permits.issue(now());
     result.sequence = ++last_reading;
+    result.slowness_percent = static_cast<std::uint32_t>(slowness.current() * percent);
+    if (work.mean() > duration::zero()) {
+        result.service_time = work.mean();
+        result.expected_wait = std::max(slot_wait(queue.size()), load.failing_wait(now()));
+    }
     return result;
 }
 
+duration owner_state::slot_wait(std::size_t ahead) const {
+    return wait_for_slot(runs.remaining_times(now()), load.limit(), ahead, work.mean());
+}
+
 duration owner_state::retry_after() {
     const duration base = load.work_off_time(runs.load(now()), queue.size());
     const double spread = to_seconds(std::max(base, least_spread));
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -2,6 +2,8 @@
 
 #include "cornelpier/admission/admission_queue.hpp"
 #include "cornelpier/admission/load_meter.hpp"
+#include "cornelpier/admission/slowness_meter.hpp"
+#include "cornelpier/admission/work_table.hpp"
 #include "cornelpier/base/random_source.hpp"
 #include "cornelpier/drain/drain_machine.hpp"
 #include "cornelpier/execution/key_home.hpp"
@@ -38,6 +40,10 @@
     /// return together.
     duration retry_after();
 
+    /// @param ahead queued runs that go first.
+    /// @return time until a new run of a route gets a slot.
+    [[nodiscard]] duration slot_wait(std::size_t ahead) const;
+
     /// Sends an answer with a fresh reading, and counts it if it is a refusal.
     void deliver(link_id link, answer message);
 
@@ -55,6 +61,8 @@
     run_table runs;                          ///< run_executor.
     admission_queue queue;                   ///< run_executor.
     load_meter load;                         ///< run_executor.
+    work_table work;                         ///< run_executor.
+    slowness_meter slowness;                 ///< owner_manager.
     drain_machine drain;                     ///< owner_lifecycle.
     std::optional<time_point> serving_since; ///< Nothing while the server is down; owner_lifecycle.
     std::uint64_t last_reading = 0;
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -44,6 +44,9 @@
     if (left <= duration::zero()) {
         return true;
     }
+    if (!entry.route.empty()) {
+        return left < entry.work;
+    }
     // An idle server always gets a run: without one, a service time above the deadline could never fall.
     const server_load load = m_state.runs.load(m_state.now());
     return load.in_flight > 0 && left < m_state.load.service_time_now(load);
@@ -66,21 +69,41 @@
     entry.deadline = deadline;
     entry.reply_to = link;
 
+    entry.priority = message.priority;
+    if (!message.route.empty()) {
+        entry.route = message.route;
+        entry.work = m_state.work.of(message.route, message.objective);
+        entry.latest_start = m_state.now() + message.objective - entry.work;
+    }
+
     owned_run& added = m_state.runs.add(std::move(entry));
     const run_id id = added.id;
     added.timer.call_at(m_state.timers, deadline, [this, id] { on_deadline(id); });
 
-    if (may_start() && m_state.queue.empty()) {
+    if (may_start() && m_state.queue.empty() && !must_hold(added)) {
         hand_over(added);
         return;
     }
-    if (const auto offered = m_state.queue.offer(id, message.priority); offered.shed) {
+    if (const auto offered = m_state.queue.offer(id, message.priority, added.latest_start); offered.shed) {
         conclude_refused(*offered.shed, refusal::overloaded);
     }
 }
 
+bool run_executor::must_hold(const owned_run& entry) const {
+    return !entry.route.empty() && m_state.slowness.is_better_held(entry.work, m_state.now());
+}
+
+bool run_executor::is_holding() const {
+    if (!may_start()) {
+        return false;
+    }
+    const auto id = m_state.queue.next(m_state.now());
+    return id && must_hold(*m_state.runs.find(*id));
+}
+
 void run_executor::hand_over(owned_run& entry) {
     m_state.runs.mark_handed_over(entry, m_state.now());
+    entry.slowness = m_state.slowness.current();
 
     start_run action;
     action.run = entry.id;
@@ -99,7 +122,7 @@
 
 void run_executor::start_queued() {
     while (may_start()) {
-        const auto id = m_state.queue.pop();
+        const auto id = m_state.queue.next(m_state.now());
         if (!id) {
             return;
         }
@@ -108,6 +131,10 @@
             conclude_refused(*id, refusal::deadline);
             continue;
         }
+        if (must_hold(entry)) {
+            return;
+        }
+        m_state.queue.remove(*id);
         hand_over(entry);
     }
 }
@@ -129,7 +156,11 @@
     const bool refused = event.refused || is_refusal(m_state.service(), status);
     const bool error = status >= first_server_error || status == status_too_many_requests || refused;
     const std::uint32_t in_flight = m_state.runs.load(m_state.now()).in_flight;
-    m_state.load.on_answered(age(*entry), error, in_flight, m_state.now());
+    const duration took = from_seconds(to_seconds(age(*entry)) / entry->slowness);
+    m_state.load.on_answered(took, error, in_flight, m_state.now());
+    if (!error && !entry->route.empty()) {
+        m_state.work.add(entry->route, age(*entry), entry->slowness);
+    }
     m_lifecycle.on_server_up();
 
     conclude(event.run, judge(*entry, event.response, refused));
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -32,11 +32,16 @@
     /// Refuses the queued runs whose deadline has passed.
     void refuse_overdue();
 
+    /// @return whether the next queued run waits for the end of a slow spell and not for a slot.
+    [[nodiscard]] bool is_holding() const;
+
     /// Starts queued runs while the limit allows.
     void start_queued();
 
   private:
     [[nodiscard]] bool may_start() const;
+    /// @return whether a run had better wait until its server's slow spell is over.
+    [[nodiscard]] bool must_hold(const owned_run& entry) const;
     /// @return whether a queued run would probably be cancelled at its deadline if it started now.
     [[nodiscard]] bool is_too_late(const owned_run& entry) const;
     [[nodiscard]] duration age(const owned_run& entry) const;
--- a/src/cornelpier/owner/run_intake.cpp
+++ b/src/cornelpier/owner/run_intake.cpp
@@ -144,6 +144,9 @@
     if (left <= duration::zero()) {
         return refusal::deadline;
     }
+    if (!message.route.empty()) {
+        return check_routed(message, left);
+    }
     const server_load load = m_state.runs.load(m_state.now());
     const std::size_t ahead = m_state.queue.ahead_of(message.priority);
     if (message.wait_limit && m_state.load.shown_wait(load, ahead, m_state.now()) > *message.wait_limit) {
@@ -158,6 +161,22 @@
     return m_executor.has_room(message.priority) ? refusal::none : refusal::overloaded;
 }
 
+/// What a run would lose by a slow spell counts as wait: elsewhere it might lose nothing.
+refusal run_intake::check_routed(const run& message, duration left) const {
+    const time_point now = m_state.now();
+    const duration work = m_state.work.of(message.route, message.objective);
+    const std::size_t ahead = m_state.queue.ahead_of(message.priority, now + message.objective - work);
+    const duration loss = m_state.slowness.expected_loss(work, now);
+    const duration wait = m_state.slot_wait(ahead) + loss;
+    if (message.wait_limit && std::max(wait, m_state.load.failing_wait(now)) > *message.wait_limit) {
+        return refusal::wait_limit;
+    }
+    if (wait > duration::zero() && wait + work > left) {
+        return refusal::deadline;
+    }
+    return m_executor.has_room(message.priority) ? refusal::none : refusal::overloaded;
+}
+
 bool run_intake::needs_record(const run& message) const {
     if (!message.idempotent) {
         return true;
--- a/src/cornelpier/owner/run_intake.hpp
+++ b/src/cornelpier/owner/run_intake.hpp
@@ -26,6 +26,7 @@
 
     [[nodiscard]] refusal check(const run& message) const;
     [[nodiscard]] refusal check_load(const run& message) const;
+    [[nodiscard]] refusal check_routed(const run& message, duration left) const;
     [[nodiscard]] bool needs_record(const run& message) const;
     [[nodiscard]] duration remaining(const run& message) const;
 
--- a/src/cornelpier/owner/run_table.cpp
+++ b/src/cornelpier/owner/run_table.cpp
@@ -1,5 +1,6 @@
 #include "cornelpier/owner/run_table.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cornelpier {
@@ -70,6 +71,19 @@
     return result;
 }
 
+std::vector<duration> run_table::remaining_times(time_point now) const {
+    constexpr duration::rep overdue_divisor = 4;
+    std::vector<duration> result;
+    for (const auto& [id, entry] : m_runs) {
+        if (entry.at_server) {
+            const duration age = now - entry.handed_over;
+            const duration expected = from_seconds(to_seconds(entry.work) * entry.slowness);
+            result.push_back(std::max(expected - age, age / overdue_divisor));
+        }
+    }
+    return result;
+}
+
 server_load run_table::load(time_point now) const {
     server_load result;
     result.in_flight = static_cast<std::uint32_t>(m_at_server);
--- a/src/cornelpier/routing/load_estimate.cpp
+++ b/src/cornelpier/routing/load_estimate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -26,6 +27,12 @@
 // slow one before it gets a run.
 constexpr double service_difference_weight = 0.5;
 
+// Servers on shared machines are slowed for about a quarter of the time, in spells of about half a second.
+constexpr duration spell_rest = std::chrono::milliseconds{300};
+constexpr duration spell_relevance = std::chrono::milliseconds{400};
+constexpr double usual_slow_share = 0.2;
+constexpr double percent = 100;
+
 duration scale(duration value, double factor) {
     return duration{static_cast<duration::rep>(static_cast<double>(value.count()) * factor)};
 }
@@ -100,4 +107,14 @@
     return result;
 }
 
+duration expected_loss(const target_load* load, duration work, time_point now) {
+    if (load == nullptr || !load->last) {
+        return scale(spell_rest, usual_slow_share);
+    }
+    const double slowness = load->last->slowness_percent / percent;
+    const duration told = std::min(scale(work, std::max(slowness, 1.0) - 1), spell_rest);
+    const double weight = std::exp(-to_seconds(now - load->received_at) / to_seconds(spell_relevance));
+    return scale(told, weight) + scale(spell_rest, usual_slow_share * (1 - weight));
+}
+
 } // namespace cornelpier
--- a/src/cornelpier/routing/load_estimate.hpp
+++ b/src/cornelpier/routing/load_estimate.hpp
@@ -27,4 +27,10 @@
 load_estimate estimate_load(const target_load* load, const load_estimate& average, duration distance,
                             time_point now);
 
+/// Time that a run is expected to lose by a slow spell of the server, see `slowness_meter`. What the last
+/// reading told fades within some hundred milliseconds into what is usual.
+/// @param load entry of the target; may be nullptr.
+/// @param work expected time at a server of usual speed.
+duration expected_loss(const target_load* load, duration work, time_point now);
+
 } // namespace cornelpier
