Name the attempts of calls that failed or were late, and what owners expected of runs

Cause: nothing in the log told how a call came to fail. The end of a call without success, and of one later than its objective, is logged with every attempt; the end of a run with its wait, its time and what was expected.

--- /dev/null
+++ b/src/cornelpier/admission/crowding_meter.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cornelpier/base/units.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace cornelpier {
+
+/// Learns how much longer runs take that start while the server is nearly full, and which concurrency brings
+/// the most runs to an end. Answers servers that slow down before their slots are used up: there, fewer runs
+/// at a time serve more.
+class crowding_meter {
+  public:
+    /// Notes a run that the server completed.
+    /// @param running runs at the server when it started, itself included.
+    /// @param slots of the server.
+    /// @param took time at the server.
+    /// @param expected time for a run of its route at the speed that the server told.
+    void add(std::uint32_t running, std::uint32_t slots, duration took, duration expected);
+
+    /// @return the concurrency with the highest throughput; `slots` while nothing speaks for less.
+    [[nodiscard]] std::uint32_t best_limit(std::uint32_t slots) const;
+
+    /// @return how much longer than on a quiet server a run takes at that occupancy, at least 1.
+    [[nodiscard]] double stretch(std::uint32_t running, std::uint32_t slots) const;
+
+  private:
+    static constexpr std::size_t bin_count = 10; ///< Of occupancy, a tenth each.
+
+    struct bin {
+        double ratio = 1;
+        std::uint32_t samples = 0;
+    };
+
+    static std::size_t bin_of(std::uint32_t running, std::uint32_t slots);
+    [[nodiscard]] double base_ratio() const;
+
+    std::array<bin, bin_count> m_bins{};
+};
+
+} // namespace cornelpier
--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -30,6 +30,8 @@
     attempt.target = where.target;
     attempt.data_centre = where.data_centre;
     attempt.trial = where.trial;
+    attempt.begun_at = m_context.now();
+    attempt.ended_at = attempt.begun_at;
     if (attempt.trial) {
         m_tables.health.trial_sent(where.target);
     }
@@ -297,6 +299,9 @@
 void attempt_dispatcher::settle(call_state& call, attempt_state& attempt, const attempt_result& result) {
     release(attempt);
     attempt.outcome = result.outcome;
+    attempt.end = result.end;
+    attempt.reason = result.reason;
+    attempt.ended_at = m_context.now();
     m_on_settled(call, attempt, result);
 }
 
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -1,5 +1,7 @@
 #include "cornelpier/entry/call_driver.hpp"
 
+#include "cornelpier/entry/attempt_text.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -15,6 +17,7 @@
 constexpr duration exhaustion_event_interval = std::chrono::seconds{1};
 constexpr duration unplanned_retry_after = std::chrono::seconds{1};
 
+constexpr int first_error_status = 400;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
@@ -53,6 +56,11 @@
             result.reason != refusal::duplicate);
 }
 
+std::string request_label(const http_request& request, const std::string& field) {
+    const auto it = std::ranges::find(request.fields, field, &http_fields::value_type::first);
+    return it == request.fields.end() ? std::string{} : it->second;
+}
+
 } // namespace
 
 call_driver::call_driver(entry_context& context, driver_parts parts) : m_context(context), m_parts(parts) {}
@@ -314,10 +322,29 @@
         m_context.record(event_number::verdict_unknown,
                          {{"service", call.event.service.value()}, {"request", answer.token}});
     }
+    record_end(call, answer);
     m_context.emit(std::move(answer));
     remove(call);
 }
 
+void call_driver::record_end(const call_state& call, const answer_caller& answer) {
+    const duration took = m_context.now() - call.arrived_at;
+    const bool failed = answer.response.status >= first_error_status;
+    const bool late = call.objective > duration::zero() && took > call.objective;
+    if (!failed && !late) {
+        return;
+    }
+    m_context.record(failed ? event_number::call_failed : event_number::call_late,
+                     {{"request", request_label(call.event.request, m_context.options.request_id_field)},
+                      {"service", call.event.service.value()},
+                      {"route", call.route},
+                      {"status", std::to_string(answer.response.status)},
+                      {"verdict", std::string{to_string(answer.outcome)}},
+                      {"took_ms", milliseconds_text(took)},
+                      {"left_ms", milliseconds_text(call.deadline - m_context.now())},
+                      {"attempts", describe_attempts(call)}});
+}
+
 void call_driver::remove(call_state& call) {
     m_context.timers.cancel(call.deadline_timer);
     m_context.timers.cancel(call.hedge_timer);
--- a/src/cornelpier/entry/call_driver.hpp
+++ b/src/cornelpier/entry/call_driver.hpp
@@ -65,6 +65,7 @@
     void on_hedge_due(const request_id& request);
     void on_deadline(const request_id& request);
     void finish(call_state& call, answer_caller answer);
+    void record_end(const call_state& call, const answer_caller& answer);
     void remove(call_state& call);
 
     entry_context& m_context;
--- a/src/cornelpier/entry/call_state.hpp
+++ b/src/cornelpier/entry/call_state.hpp
@@ -46,6 +46,10 @@
     bool trial = false; ///< The trial request of an ejected target.
     verdict outcome = verdict::unknown;
     std::uint32_t failed_opens = 0;
+    attempt_end end = attempt_end::given_up; ///< How it was settled; for the log.
+    refusal reason = refusal::none;          ///< Of the owner; for the log.
+    time_point begun_at;
+    time_point ended_at;
 };
 
 /// What is known about an attempt once it is settled.
--- a/src/cornelpier/entry/entry_options.hpp
+++ b/src/cornelpier/entry/entry_options.hpp
@@ -2,6 +2,8 @@
 
 #include "cornelpier/routing/chooser.hpp"
 
+#include <string>
+
 namespace cornelpier {
 
 /// Replaces parts of the entry's decisions, for comparisons between policies.
@@ -16,6 +18,8 @@
     /// Statuses 408, 421, 429 and 503 promise that the request has not run and never will, for callers who
     /// do not read the verdict.
     bool statuses_promise = false;
+    /// Field of callers' requests that names them in the log, in lower case; empty: there is none.
+    std::string request_id_field = {};
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/owner/owned_run.hpp
+++ b/src/cornelpier/owner/owned_run.hpp
@@ -23,9 +23,11 @@
     duration work{};         ///< Expected time at a server of usual speed; of routed runs only.
     time_point latest_start = time_point::max(); ///< To meet the objective.
     double slowness = 1;     ///< Of the server when the run began.
+    std::uint32_t running_at_start = 0; ///< Runs at the server, this one included.
     time_point deadline;
     std::optional<link_id> reply_to; ///< Nothing if nobody waits for the answer.
     bool at_server = false;
+    time_point accepted_at;
     time_point handed_over;
     bool given_up = false; ///< Its deadline has passed; it runs on for the ledger.
     scoped_timer timer;
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -37,7 +37,7 @@
     result.target = identity.self;
     result.in_flight = now_at_server.in_flight;
     result.queued = static_cast<std::uint32_t>(queue.size());
-    result.limit = load.limit();
+    result.limit = run_limit();
     result.service_time = load.service_time_now(now_at_server);
     result.expected_wait = load.shown_wait(now_at_server, queue.size(), now());
     result.uptime = serving_since ? now() - *serving_since : duration::zero();
@@ -52,8 +52,12 @@
     return result;
 }
 
+std::uint32_t owner_state::run_limit() const {
+    return std::min(load.limit(), crowding.best_limit(load.limit()));
+}
+
 duration owner_state::slot_wait(std::size_t ahead) const {
-    return wait_for_slot(runs.remaining_times(now()), load.limit(), ahead, work.mean());
+    return wait_for_slot(runs.remaining_times(now()), run_limit(), ahead, work.mean());
 }
 
 duration owner_state::retry_after() {
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cornelpier/admission/admission_queue.hpp"
+#include "cornelpier/admission/crowding_meter.hpp"
 #include "cornelpier/admission/load_meter.hpp"
 #include "cornelpier/admission/slowness_meter.hpp"
 #include "cornelpier/admission/work_table.hpp"
@@ -40,6 +41,9 @@
     /// return together.
     duration retry_after();
 
+    /// @return runs of routes that the server gets at a time.
+    [[nodiscard]] std::uint32_t run_limit() const;
+
     /// @param ahead queued runs that go first.
     /// @return time until a new run of a route gets a slot.
     [[nodiscard]] duration slot_wait(std::size_t ahead) const;
@@ -62,6 +66,7 @@
     admission_queue queue;                   ///< run_executor.
     load_meter load;                         ///< run_executor.
     work_table work;                         ///< run_executor.
+    crowding_meter crowding;                 ///< run_executor.
     slowness_meter slowness;                 ///< owner_manager.
     drain_machine drain;                     ///< owner_lifecycle.
     std::optional<time_point> serving_since; ///< Nothing while the server is down; owner_lifecycle.
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -1,6 +1,9 @@
 #include "cornelpier/owner/run_executor.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <string>
 #include <utility>
 
 namespace cornelpier {
@@ -9,6 +12,7 @@
 
 constexpr int first_server_error = 500;
 constexpr int status_too_many_requests = 429;
+constexpr double percent = 100;
 
 /// How long after its deadline a non-idempotent run may still bring its result to the ledger. Short enough
 /// for the drain to wait for it.
@@ -29,7 +33,7 @@
 } // namespace
 
 bool run_executor::may_start() const {
-    return m_state.runs.at_server() < m_state.load.limit();
+    return m_state.runs.at_server() < m_state.run_limit();
 }
 
 bool run_executor::has_room(request_class priority) const {
@@ -70,6 +74,7 @@
     entry.reply_to = link;
 
     entry.priority = message.priority;
+    entry.accepted_at = m_state.now();
     if (!message.route.empty()) {
         entry.route = message.route;
         entry.work = m_state.work.of(message.route, message.objective);
@@ -104,6 +109,7 @@
 void run_executor::hand_over(owned_run& entry) {
     m_state.runs.mark_handed_over(entry, m_state.now());
     entry.slowness = m_state.slowness.current();
+    entry.running_at_start = static_cast<std::uint32_t>(m_state.runs.at_server());
 
     start_run action;
     action.run = entry.id;
@@ -158,7 +164,10 @@
     const std::uint32_t in_flight = m_state.runs.load(m_state.now()).in_flight;
     const duration took = from_seconds(to_seconds(age(*entry)) / entry->slowness);
     m_state.load.on_answered(took, error, in_flight, m_state.now());
+    record_end(*entry, status);
     if (!error && !entry->route.empty()) {
+        m_state.crowding.add(entry->running_at_start, m_state.load.limit(), age(*entry),
+                             from_seconds(to_seconds(entry->work) * entry->slowness));
         m_state.work.add(entry->route, age(*entry), entry->slowness);
     }
     m_lifecycle.on_server_up();
@@ -167,6 +176,23 @@
     after_end();
 }
 
+void run_executor::record_end(const owned_run& entry, int status) {
+    if (entry.route.empty()) {
+        return;
+    }
+    const auto whole_ms = [](duration length) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
+    };
+    m_state.outbox.record(event_number::run_ended,
+                          {{"route", entry.route},
+                           {"status", std::to_string(status)},
+                           {"waited_ms", whole_ms(entry.handed_over - entry.accepted_at)},
+                           {"took_ms", whole_ms(age(entry))},
+                           {"expected_ms", whole_ms(entry.work)},
+                           {"slowness", std::to_string(std::lround(entry.slowness * percent)) + '%'},
+                           {"running", std::to_string(entry.running_at_start)}});
+}
+
 answer run_executor::judge(const owned_run& entry, const http_response& response, bool refused) const {
     answer result;
     result.response = response;
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -47,6 +47,7 @@
     [[nodiscard]] duration age(const owned_run& entry) const;
 
     void hand_over(owned_run& entry);
+    void record_end(const owned_run& entry, int status);
     void on_deadline(run_id id);
     void on_late_limit(run_id id);
     void cancel_at_server(owned_run& entry);
--- a/src/daemon/caller/caller_context.hpp
+++ b/src/daemon/caller/caller_context.hpp
@@ -32,6 +32,8 @@
     std::chrono::milliseconds write_limit{
         10000};                                  ///< A caller that reads nothing for so long is disconnected.
     std::chrono::milliseconds idle_limit{60000}; ///< A connection without a request is closed after this.
+    /// Time that requests in progress have once the server shuts down.
+    std::chrono::milliseconds stop_limit{2000};
     wire_names names;
     service_id own_service; ///< Of the VM on which the requests begin.
 };
--- a/src/daemon/caller/caller_server.cpp
+++ b/src/daemon/caller/caller_server.cpp
@@ -21,7 +21,6 @@
 
 constexpr std::chrono::milliseconds accept_pause{100};
 constexpr std::chrono::milliseconds stop_poll{5};
-constexpr std::chrono::milliseconds stop_limit{2000};
 
 } // namespace
 
@@ -103,7 +102,7 @@
         for (const auto& it : m_context->sessions()) {
             it->shut_down();
         }
-        m_stop_deadline = std::chrono::steady_clock::now() + stop_limit;
+        m_stop_deadline = std::chrono::steady_clock::now() + m_context->options().stop_limit;
         wait_for_sessions(std::move(on_done));
     }
 
--- a/src/daemon/caller/caller_server.hpp
+++ b/src/daemon/caller/caller_server.hpp
@@ -46,7 +46,8 @@
     void stop_accepting();
 
     /// Takes no new connections, answers what is in progress and closes idle connections.
-    /// @param on_done called once when no connection is left, at the latest after 2 s.
+    /// @param on_done called once when no connection is left, at the latest after the limit
+    /// of the options.
     void shut_down(std::function<void()> on_done);
 
     /// @return how many connections are open.
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -229,6 +229,9 @@
         options.address = m_settings.caller_address;
         options.names = m_options.names;
         options.own_service = m_settings.service;
+        if (m_options.stop_limit > m_options.entry_linger) {
+            options.stop_limit = m_options.stop_limit - m_options.entry_linger;
+        }
         return options;
     }
 
