--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -25,7 +25,7 @@
 
 /// The request cost the server nothing, so that choosing again needs no budget. An overloaded owner may
 /// refuse a conditional run before it compares the wait.
-bool is_free(const attempt_state& attempt, const attempt_result& result) {
+bool is_free(const call_state& call, const attempt_state& attempt, const attempt_result& result) {
     switch (result.reason) {
     case refusal::none:
         return result.end == attempt_end::not_sent || result.end == attempt_end::fate_refused;
@@ -35,8 +35,9 @@
     case refusal::unknown_service:
         return true;
     case refusal::overloaded:
-    case refusal::deadline:
         return attempt.wait_limit.has_value();
+    case refusal::deadline:
+        return attempt.wait_limit.has_value() && !call.route.empty();
     default:
         return false;
     }
@@ -238,7 +239,7 @@
     if (call.possible_runs() >= call.max_runs) {
         return std::nullopt;
     }
-    if (is_free(attempt, result) && call.tries < max_tries) {
+    if (is_free(call, attempt, result) && call.tries < max_tries) {
         return attempt_kind::rechoice;
     }
     return take_retry(call) ? std::optional{attempt_kind::retry} : std::nullopt;
--- a/src/cornelpier/plan/plan.hpp
+++ b/src/cornelpier/plan/plan.hpp
@@ -62,11 +62,11 @@
     std::uint64_t version = 0;
     std::string deployment;
     std::vector<service_plan> services;
-    std::shared_ptr<const route_table> routes; ///< Null: the first label of `Host` names the service.
-    std::optional<caller_limits> limits;       ///< Nothing: the node's own.
-    std::optional<repeat_allowance> repeats;   ///< Nothing: each entry's own budget.
     std::string sheet;              ///< Text as published, for handing it on unchanged.
     std::uint64_t content_hash = 0; ///< `stable_hash` of the sheet.
+    std::shared_ptr<const route_table> routes = nullptr; ///< Null: the first label of `Host` names the service.
+    std::optional<caller_limits> limits = std::nullopt;  ///< Nothing: the node's own.
+    std::optional<repeat_allowance> repeats = std::nullopt; ///< Nothing: each entry's own budget.
 
     /// @return whether a request of the service may run more than once.
     /// @param request with the field `host` if the plan has routes.
--- a/src/daemon/log/event_rate_limiter.hpp
+++ b/src/daemon/log/event_rate_limiter.hpp
@@ -11,7 +11,7 @@
 namespace cornelpier {
 
 /// Events of one number that are written per second.
-inline constexpr std::uint32_t max_events_per_second = 1000;
+inline constexpr std::uint32_t max_events_per_second = 10;
 
 /// Bounds the log: at most `max_events_per_second` events of one number in each second; the rest is counted.
 class event_rate_limiter {
--- a/src/daemon/server/server_client.hpp
+++ b/src/daemon/server/server_client.hpp
@@ -22,7 +22,7 @@
     std::string address;     ///< `IP:port`.
     std::string report_path; ///< Path of the server's own report.
     service_id service;      ///< Sent as Host.
-    wire_names names;
+    wire_names names = {};
 };
 
 /// HTTP/1.1 client of the node's one server, with a pool of connections. All functions may be called on any
