--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -11,8 +11,11 @@
 namespace {
 
 constexpr std::uint32_t max_depth = 8;
-constexpr std::uint32_t max_tries = 4; // Without retries from the budget.
+// The last try without a retry from the budget is unconditional.
 constexpr std::uint32_t max_conditional_tries = 3;
+
+// Each owner knows the speed of its server at the moment; a refusal costs one hop.
+constexpr std::uint32_t max_conditional_tries_routed = 6;
 constexpr std::uint32_t max_retries = 2;
 constexpr duration exhaustion_event_interval = std::chrono::seconds{1};
 constexpr duration unplanned_retry_after = std::chrono::seconds{1};
@@ -168,7 +171,7 @@
     attempt_state flags;
     flags.hedge = kind == attempt_kind::hedge;
     flags.outer_retry = call.event.outer_retry || kind == attempt_kind::hedge || kind == attempt_kind::retry;
-    if (call.tries < max_conditional_tries) {
+    if (call.tries < conditional_tries(call)) {
         flags.wait_limit = where->wait_limit;
     }
     if (kind == attempt_kind::first || kind == attempt_kind::rechoice) {
@@ -178,6 +181,15 @@
     return true;
 }
 
+std::uint32_t call_driver::conditional_tries(const call_state& call) {
+    if (call.route.empty()) {
+        return max_conditional_tries;
+    }
+    const auto* service = m_parts.services.find(call.event.service);
+    const auto targets = service == nullptr ? 1 : static_cast<std::uint32_t>(service->subset.size());
+    return std::min(targets, max_conditional_tries_routed);
+}
+
 std::optional<selection> call_driver::select(const call_state& call, attempt_kind kind) {
     const auto* service = m_context.find_service(call.event.service);
     if (service == nullptr) {
@@ -239,7 +251,7 @@
     if (call.possible_runs() >= call.max_runs) {
         return std::nullopt;
     }
-    if (is_free(call, attempt, result) && call.tries < max_tries) {
+    if (is_free(call, attempt, result) && call.tries <= conditional_tries(call)) {
         return attempt_kind::rechoice;
     }
     return take_retry(call) ? std::optional{attempt_kind::retry} : std::nullopt;
--- a/src/cornelpier/entry/call_driver.hpp
+++ b/src/cornelpier/entry/call_driver.hpp
@@ -55,6 +55,8 @@
     [[nodiscard]] duration time_allowed(const call_arrived& event, const destination& where) const;
     void start(call_state& call);
     bool begin_attempt(call_state& call, attempt_kind kind);
+    /// @return how often a call is sent with a limit on its wait before an owner must queue it.
+    [[nodiscard]] std::uint32_t conditional_tries(const call_state& call);
     std::optional<selection> select(const call_state& call, attempt_kind kind);
     std::optional<attempt_kind> next_kind(call_state& call, const attempt_state& attempt,
                                           const attempt_result& result);
