--- a/src/cornelpier/admission/admission_queue.cpp
+++ b/src/cornelpier/admission/admission_queue.cpp
@@ -7,17 +7,17 @@
 namespace cornelpier {
 
 admission_queue::offer_result admission_queue::offer(run_id id, request_class priority,
-                                                     time_point latest_start) {
+                                                     time_point latest_start, time_point late_after) {
     offer_result result;
     if (!accepts(priority)) {
         return result;
     }
     if (size() >= m_capacity) {
-        result.shed = m_order.rbegin()->second;
+        result.shed = m_order.rbegin()->second.id;
         remove(*result.shed);
     }
     const position place{priority, latest_start, ++m_arrivals};
-    m_order.emplace(place, id);
+    m_order.emplace(place, entry{id, late_after});
     m_positions.emplace(id, place);
     result.accepted = true;
     return result;
@@ -28,8 +28,8 @@
         return std::nullopt;
     }
     const auto in_time = std::ranges::find_if(
-        m_order, [now](const auto& it) { return std::get<time_point>(it.first) >= now; });
-    return in_time == m_order.end() ? m_order.begin()->second : in_time->second;
+        m_order, [now](const auto& it) { return it.second.late_after >= now; });
+    return in_time == m_order.end() ? m_order.begin()->second.id : in_time->second.id;
 }
 
 bool admission_queue::remove(run_id id) {
--- a/src/cornelpier/admission/admission_queue.hpp
+++ b/src/cornelpier/admission/admission_queue.hpp
@@ -36,7 +36,9 @@
     /// Queues a run. When the queue is full, the latest run of the lowest class is shed if its class is
     /// lower than that of the new run; else the new run is not accepted.
     /// @param latest_start start with which the objective is met.
-    offer_result offer(run_id id, request_class priority, time_point latest_start = no_limit);
+    /// @param late_after time after which the run goes behind those that are in time; usually the same.
+    offer_result offer(run_id id, request_class priority, time_point latest_start = no_limit,
+                       time_point late_after = no_limit);
 
     /// @return the next run: the first one that meets its objective if it starts now, else the first one.
     [[nodiscard]] std::optional<run_id> next(time_point now) const;
@@ -54,9 +56,14 @@
   private:
     using position = std::tuple<request_class, time_point, std::uint64_t>;
 
+    struct entry {
+        run_id id;
+        time_point late_after;
+    };
+
     std::size_t m_capacity = 0;
     std::uint64_t m_arrivals = 0;
-    std::map<position, run_id> m_order;
+    std::map<position, entry> m_order;
     std::unordered_map<run_id, position> m_positions;
 };
 
--- /dev/null
+++ b/src/cornelpier/admission/useful_wait.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "cornelpier/base/units.hpp"
+
+namespace cornelpier {
+
+/// What is known of a run when an owner decides whether to queue it.
+struct run_prospect {
+    duration work{};           ///< Expected time at a server of usual speed.
+    duration objective_left{}; ///< Until an answer is late; may be negative.
+    duration deadline_left{};  ///< Until the caller has gone.
+};
+
+/// Answers overload: a run that would be late while its caller could still come back or go elsewhere is
+/// refused at once, and one that has plenty of time before its deadline is queued although it will be late.
+/// @return longest wait with which queueing a run serves its caller better than a refusal; not negative.
+duration longest_useful_wait(const run_prospect& prospect);
+
+/// @return whether a run has no prospect even on an idle server.
+bool is_hopeless(const run_prospect& prospect);
+
+} // namespace cornelpier
--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr duration default_retry_after = std::chrono::seconds{1};
+constexpr duration least_retry_after = std::chrono::milliseconds{100};
 
 constexpr int status_ok = 200;
 constexpr int status_conflict = 409;
@@ -124,6 +125,12 @@
     if (outcome == verdict::ran || last.reason == refusal::key_conflict) {
         return duration::zero();
     }
+    if (!call.route.empty()) {
+        // The owner's forecast of its next free slot; a caller with an objective comes back while it counts.
+        return outcome == verdict::not_run || call.idempotent
+                   ? spread(std::max(last.retry_after, least_retry_after))
+                   : duration::zero();
+    }
     if (outcome == verdict::not_run) {
         return spread(std::max(last.retry_after, default_retry_after));
     }
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -17,6 +17,12 @@
 // Each owner knows the speed of its server at the moment; a refusal costs one hop.
 constexpr std::uint32_t max_conditional_tries_routed = 6;
 constexpr std::uint32_t max_retries = 2;
+
+// Time that an answer needs to a caller in the same region, both ways counted, and its least share of a
+// deadline.
+constexpr duration way_to_caller = std::chrono::milliseconds{20};
+constexpr duration::rep way_share_divisor = 10;
+
 constexpr duration exhaustion_event_interval = std::chrono::seconds{1};
 constexpr duration unplanned_retry_after = std::chrono::seconds{1};
 
@@ -142,9 +148,14 @@
     return call;
 }
 
-duration call_driver::time_allowed(const call_arrived& event, const destination& where) const {
-    const duration limit = where.via != nullptr ? where.via->timeout : where.service->deadline;
-    return std::min(event.deadline.value_or(limit), limit);
+duration call_driver::time_allowed(const call_arrived& event, const destination& where) {
+    if (where.via == nullptr) {
+        return std::min(event.deadline.value_or(where.service->deadline), where.service->deadline);
+    }
+    // An answer at the deadline finds the caller gone.
+    const duration deadline = event.deadline.value_or(where.via->timeout);
+    const duration allowance = std::min(way_to_caller, deadline / way_share_divisor);
+    return std::min(deadline - allowance, where.via->timeout);
 }
 
 void call_driver::start(call_state& call) {
@@ -254,9 +265,22 @@
     if (is_free(call, attempt, result) && call.tries <= conditional_tries(call)) {
         return attempt_kind::rechoice;
     }
+    if (!leaves_time_for_retry(call)) {
+        return std::nullopt;
+    }
     return take_retry(call) ? std::optional{attempt_kind::retry} : std::nullopt;
 }
 
+/// A retry that cannot end before the deadline would keep the caller from hearing of the failure.
+bool call_driver::leaves_time_for_retry(const call_state& call) {
+    auto* service = m_parts.services.find(call.event.service);
+    if (call.route.empty() || service == nullptr) {
+        return true;
+    }
+    const auto usual = service->hedges_of(call.route).median();
+    return !usual || call.deadline - m_context.now() > *usual;
+}
+
 bool call_driver::take_retry(call_state& call) {
     if (call.event.outer_retry || call.retries >= max_retries) {
         return false;
--- a/src/cornelpier/entry/call_driver.hpp
+++ b/src/cornelpier/entry/call_driver.hpp
@@ -52,7 +52,7 @@
     /// @return the destination; `service` is null if there is none.
     destination find_destination(const call_arrived& event);
     call_state& admit(const call_arrived& event, const destination& where);
-    [[nodiscard]] duration time_allowed(const call_arrived& event, const destination& where) const;
+    [[nodiscard]] static duration time_allowed(const call_arrived& event, const destination& where);
     void start(call_state& call);
     bool begin_attempt(call_state& call, attempt_kind kind);
     /// @return how often a call is sent with a limit on its wait before an owner must queue it.
@@ -60,6 +60,7 @@
     std::optional<selection> select(const call_state& call, attempt_kind kind);
     std::optional<attempt_kind> next_kind(call_state& call, const attempt_state& attempt,
                                           const attempt_result& result);
+    bool leaves_time_for_retry(const call_state& call);
     bool take_retry(call_state& call);
     void record_exhaustion(const service_id& service, service_state& state);
     void note_result(call_state& call, const attempt_state& attempt, const attempt_result& result);
--- a/src/cornelpier/node/traffic_core.cpp
+++ b/src/cornelpier/node/traffic_core.cpp
@@ -152,7 +152,7 @@
     static bool is_accepted(link_id link) { return (link.value() & accepted_link_bit) != 0; }
 
     void after_change(traffic_actions& actions) {
-        m_entry.set_draining(m_owner.state() == node_state::draining);
+        m_entry.set_draining(m_terminating || m_owner.state() == node_state::draining);
 
         const bool finished = m_owner.state() == node_state::stopped && m_entry.calls_in_progress() == 0;
         if (finished && m_terminating && !m_reported_drained) {
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -30,7 +30,7 @@
                    const owner_options& options)
         : m_state(identity, timers, random), m_lifecycle(m_state, options.drain_limit), m_executor(m_state, m_lifecycle),
           m_intake(m_state, m_executor), m_fates(m_state), m_measuring(m_state),
-          m_gate(m_state, m_intake, m_measuring) {
+          m_gate(m_state, m_intake, m_measuring), m_drain_delay(options.drain_delay) {
         m_state.load.set_adaptive(options.adaptive_limit);
     }
 
@@ -68,6 +68,14 @@
     }
 
     void terminate() {
+        if (m_drain_delay == duration::zero()) {
+            start_drain();
+            return;
+        }
+        m_drain_timer.call_at(m_state.timers, m_state.now() + m_drain_delay, [this] { start_drain(); });
+    }
+
+    void start_drain() {
         m_lifecycle.on_terminate();
         m_lifecycle.check_finished();
     }
@@ -91,6 +99,8 @@
     measuring_schedule m_measuring;
     arrival_gate m_gate;
     scoped_timer m_hold_timer;
+    scoped_timer m_drain_timer;
+    duration m_drain_delay;
 
     /// Takes the speed that came with an answer or a report.
     void take_figures(const std::optional<server_load_figures>& load) {
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -83,17 +83,27 @@
 
     owned_run& added = m_state.runs.add(std::move(entry));
     const run_id id = added.id;
-    added.timer.call_at(m_state.timers, deadline, [this, id] { on_deadline(id); });
 
     if (may_start() && m_state.queue.empty() && !must_hold(added)) {
         hand_over(added);
         return;
     }
-    if (const auto offered = m_state.queue.offer(id, message.priority, added.latest_start); offered.shed) {
+    // Too little time for the work is as good as none; the caller learns it at once.
+    const time_point last_start = deadline - added.work;
+    added.timer.call_at(m_state.timers, last_start, [this, id] { on_deadline(id); });
+    const time_point late_after = is_short(added) ? last_start : added.latest_start;
+    if (const auto offered = m_state.queue.offer(id, message.priority, added.latest_start, late_after);
+        offered.shed) {
         conclude_refused(*offered.shed, refusal::overloaded);
     }
 }
 
+/// Short runs are mostly calls of servers that work on something longer; all of that is lost with them.
+bool run_executor::is_short(const owned_run& entry) const {
+    constexpr duration::rep short_divisor = 4;
+    return !entry.route.empty() && entry.work < m_state.work.mean() / short_divisor;
+}
+
 bool run_executor::must_hold(const owned_run& entry) const {
     return !entry.route.empty() && m_state.slowness.is_better_held(entry.work, m_state.now());
 }
@@ -108,6 +118,7 @@
 
 void run_executor::hand_over(owned_run& entry) {
     m_state.runs.mark_handed_over(entry, m_state.now());
+    entry.timer.call_at(m_state.timers, entry.deadline, [this, id = entry.id] { on_deadline(id); });
     entry.slowness = m_state.slowness.current();
     entry.running_at_start = static_cast<std::uint32_t>(m_state.runs.at_server());
 
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -40,6 +40,7 @@
 
   private:
     [[nodiscard]] bool may_start() const;
+    [[nodiscard]] bool is_short(const owned_run& entry) const;
     /// @return whether a run had better wait until its server's slow spell is over.
     [[nodiscard]] bool must_hold(const owned_run& entry) const;
     /// @return whether a queued run would probably be cancelled at its deadline if it started now.
--- a/src/cornelpier/owner/run_intake.cpp
+++ b/src/cornelpier/owner/run_intake.cpp
@@ -1,5 +1,7 @@
 #include "cornelpier/owner/run_intake.hpp"
 
+#include "cornelpier/admission/useful_wait.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -168,10 +170,14 @@
     const std::size_t ahead = m_state.queue.ahead_of(message.priority, now + message.objective - work);
     const duration loss = m_state.slowness.expected_loss(work, now);
     const duration wait = m_state.slot_wait(ahead) + loss;
+    const run_prospect prospect{work, message.objective, left};
+    if (is_hopeless(prospect)) {
+        return refusal::deadline;
+    }
     if (message.wait_limit && std::max(wait, m_state.load.failing_wait(now)) > *message.wait_limit) {
         return refusal::wait_limit;
     }
-    if (wait > duration::zero() && wait + work > left) {
+    if (wait > longest_useful_wait(prospect)) {
         return refusal::deadline;
     }
     return m_executor.has_room(message.priority) ? refusal::none : refusal::overloaded;
@@ -202,7 +208,10 @@
 }
 
 void run_intake::refuse(link_id link, const run& message, refusal reason) {
-    const duration retry_after = carries_retry_advice(reason) ? m_state.retry_after() : duration::zero();
+    duration retry_after{};
+    if (carries_retry_advice(reason)) {
+        retry_after = message.route.empty() ? m_state.retry_after() : m_state.slot_wait(m_state.queue.size());
+    }
     m_state.deliver(link, make_answer(message, verdict::not_run, reason, retry_after));
 }
 
