End the entry's work at a fixed time after SIGTERM, and test routes, speed and the adapter

A refusal by the last owner took a token of the budget of repeats although its server had got nothing.

--- a/src/cornelpier/admission/admission_queue.cpp
+++ b/src/cornelpier/admission/admission_queue.cpp
@@ -27,8 +27,8 @@
     if (m_order.empty()) {
         return std::nullopt;
     }
-    const auto in_time = std::ranges::find_if(
-        m_order, [now](const auto& it) { return it.second.late_after >= now; });
+    const auto in_time =
+        std::ranges::find_if(m_order, [now](const auto& it) { return it.second.late_after >= now; });
     return in_time == m_order.end() ? m_order.begin()->second.id : in_time->second.id;
 }
 
--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -111,7 +111,8 @@
     } else if (result.outcome == verdict::unknown && call.failure_response) {
         result.response = *call.failure_response;
     } else {
-        result.response = text_response(status_for(last, result.outcome, m_context.options.statuses_promise), describe(last));
+        result.response = text_response(status_for(last, result.outcome, m_context.options.statuses_promise),
+                                        describe(last));
     }
 
     result.retry_after = retry_after(call, last, result.outcome);
--- a/src/cornelpier/entry/attempt_text.cpp
+++ b/src/cornelpier/entry/attempt_text.cpp
@@ -16,7 +16,7 @@
 }
 
 std::string_view name_of(attempt_end end) {
-    constexpr std::array<std::string_view, 7> names{"answered",  "not_sent",     "lost",    "fate_refused",
+    constexpr std::array<std::string_view, 7> names{"answered", "not_sent",     "lost",    "fate_refused",
                                                     "fate_ran", "fate_unknown", "given_up"};
     return names.at(static_cast<std::size_t>(end));
 }
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -47,6 +47,25 @@
         return attempt.wait_limit.has_value();
     case refusal::deadline:
         return attempt.wait_limit.has_value() && !call.route.empty();
+    case refusal::server_down:
+        return !call.route.empty();
+    default:
+        return false;
+    }
+}
+
+/// The owner decided without its server, so that sending again is no repeat.
+bool is_owners_refusal(refusal reason) {
+    switch (reason) {
+    case refusal::wait_limit:
+    case refusal::overloaded:
+    case refusal::deadline:
+    case refusal::draining:
+    case refusal::no_permit:
+    case refusal::ledger_full:
+    case refusal::unknown_service:
+    case refusal::server_down:
+        return true;
     default:
         return false;
     }
@@ -265,7 +284,9 @@
     if (is_free(call, attempt, result) && call.tries <= conditional_tries(call)) {
         return attempt_kind::rechoice;
     }
-    if (!leaves_time_for_retry(call)) {
+    // Every target was asked; the caller comes back when there is room.
+    const bool asked_all = !call.route.empty() && is_owners_refusal(result.reason);
+    if (asked_all || !leaves_time_for_retry(call)) {
         return std::nullopt;
     }
     return take_retry(call) ? std::optional{attempt_kind::retry} : std::nullopt;
--- a/src/cornelpier/entry/call_state.hpp
+++ b/src/cornelpier/entry/call_state.hpp
@@ -69,8 +69,8 @@
     time_point deadline;
     bool idempotent = false;
     request_class priority = request_class::order;
-    std::string route;       ///< Empty if the plan has none.
-    duration objective{};    ///< Of the route.
+    std::string route;                                                  ///< Empty if the plan has none.
+    duration objective{};                                               ///< Of the route.
     std::uint32_t max_runs = std::numeric_limits<std::uint32_t>::max(); ///< Servers that it may reach.
     std::vector<attempt_state> attempts;
     std::vector<target_id> avoided;            ///< Targets that refused for a reason that will not pass soon.
--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -122,7 +122,9 @@
     if (best == group::excluded || (hedge && best > group::cold)) {
         return {};
     }
-    const group last = best == group::regular ? group::cold : best;
+    // Targets that refused this call for their wait are what the last one to be asked competes with.
+    const group competing = call.route.empty() ? group::cold : group::tried;
+    const group last = best == group::regular ? competing : best;
     std::erase_if(result, [last](const member& it) { return it.current > last; });
     for (auto& it : result) {
         it.passed_over = it.current != best;
--- a/src/cornelpier/node/traffic_actions.hpp
+++ b/src/cornelpier/node/traffic_actions.hpp
@@ -51,7 +51,7 @@
     duration timeout{};            ///< Time after which the answer is given up on.
     std::uint32_t depth = 0;
     bool outer_retry = false;
-    duration deadline{}; ///< Time left to the caller's deadline; told to the server.
+    duration deadline{};       ///< Time left to the caller's deadline; told to the server.
     std::string instance = {}; ///< Server process that may run it; empty: any.
 };
 
--- a/src/cornelpier/owner/owned_run.hpp
+++ b/src/cornelpier/owner/owned_run.hpp
@@ -18,12 +18,12 @@
     std::uint32_t depth = 0;
     bool outer_retry = false;
     std::string instance; ///< Server process that may run it; empty: any.
-    std::string route;       ///< Empty if the plan has no routes.
+    std::string route;    ///< Empty if the plan has no routes.
     request_class priority = request_class::order;
-    duration work{};         ///< Expected time at a server of usual speed; of routed runs only.
+    duration work{}; ///< Expected time at a server of usual speed; of routed runs only.
     time_point latest_start = time_point::max(); ///< To meet the objective.
-    double slowness = 1;     ///< Of the server when the run began.
-    std::uint32_t running_at_start = 0; ///< Runs at the server, this one included.
+    double slowness = 1;                         ///< Of the server when the run began.
+    std::uint32_t running_at_start = 0;          ///< Runs at the server, this one included.
     time_point deadline;
     std::optional<link_id> reply_to; ///< Nothing if nobody waits for the answer.
     bool at_server = false;
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -28,9 +28,9 @@
   public:
     implementation(const node_identity& identity, timer_service& timers, random_source random,
                    const owner_options& options)
-        : m_state(identity, timers, random), m_lifecycle(m_state, options.drain_limit), m_executor(m_state, m_lifecycle),
-          m_intake(m_state, m_executor), m_fates(m_state), m_measuring(m_state),
-          m_gate(m_state, m_intake, m_measuring), m_drain_delay(options.drain_delay) {
+        : m_state(identity, timers, random), m_lifecycle(m_state, options.drain_limit),
+          m_executor(m_state, m_lifecycle), m_intake(m_state, m_executor), m_fates(m_state),
+          m_measuring(m_state), m_gate(m_state, m_intake, m_measuring), m_drain_delay(options.drain_delay) {
         m_state.load.set_adaptive(options.adaptive_limit);
     }
 
--- a/src/cornelpier/owner/run_table.hpp
+++ b/src/cornelpier/owner/run_table.hpp
@@ -36,8 +36,8 @@
     /// does not: a few stuck connections would make the server look slow.
     [[nodiscard]] server_load load(time_point now) const;
 
-    /// @return expected rest of each run at the server, by its work and the server's speed at its start. A run
-    /// that took longer already is expected to go on for a part of its age.
+    /// @return expected rest of each run at the server, by its work and the server's speed at its start. A
+    /// run that took longer already is expected to go on for a part of its age.
     [[nodiscard]] std::vector<duration> remaining_times(time_point now) const;
 
     /// @return bytes of the bodies of queued runs.
--- a/src/cornelpier/plan/plan.hpp
+++ b/src/cornelpier/plan/plan.hpp
@@ -36,7 +36,7 @@
     std::optional<std::string> operator_address = std::nullopt;
     /// Name of the server process that stands there now; empty if the source of the plan does not tell.
     std::string instance = {};
-    std::uint32_t slots = 0;  ///< Requests that this server works on at a time; 0: as the service says.
+    std::uint32_t slots = 0; ///< Requests that this server works on at a time; 0: as the service says.
     duration warm_up_left{}; ///< Time for which the server was still slow when it was first seen.
 };
 
@@ -64,8 +64,9 @@
     std::vector<service_plan> services;
     std::string sheet;              ///< Text as published, for handing it on unchanged.
     std::uint64_t content_hash = 0; ///< `stable_hash` of the sheet.
-    std::shared_ptr<const route_table> routes = nullptr; ///< Null: the first label of `Host` names the service.
-    std::optional<caller_limits> limits = std::nullopt;  ///< Nothing: the node's own.
+    std::shared_ptr<const route_table> routes =
+        nullptr; ///< Null: the first label of `Host` names the service.
+    std::optional<caller_limits> limits = std::nullopt;     ///< Nothing: the node's own.
     std::optional<repeat_allowance> repeats = std::nullopt; ///< Nothing: each entry's own budget.
 
     /// @return whether a request of the service may run more than once.
--- a/src/cornelpier/plan/route.hpp
+++ b/src/cornelpier/plan/route.hpp
@@ -52,7 +52,7 @@
 
 /// Requests beyond the first send that a whole fleet may make for one service.
 struct repeat_allowance {
-    double share = 0;  ///< Of the calls.
+    double share = 0;   ///< Of the calls.
     double reserve = 0; ///< On top, shared by all entries, in one window of the fleet's budget.
 };
 
--- a/src/daemon/caller/caller_session.hpp
+++ b/src/daemon/caller/caller_session.hpp
@@ -22,9 +22,9 @@
 /// Calls of one connection that may be in progress at a time.
 inline constexpr std::size_t max_pipelined_calls = 16;
 
-/// One caller's connection. Lookups that a caller sends ahead are handled side by side, anything else one at a
-/// time; answers go out in the order of the requests. Everything runs on the strand of the socket; a read is
-/// pending at all times, so that a caller that goes away is noticed.
+/// One caller's connection. Lookups that a caller sends ahead are handled side by side, anything else one at
+/// a time; answers go out in the order of the requests. Everything runs on the strand of the socket; a read
+/// is pending at all times, so that a caller that goes away is noticed.
 class caller_session : public std::enable_shared_from_this<caller_session> {
   public:
     /// @param socket connected, with a strand as executor.
--- a/src/daemon/caller/request_check.hpp
+++ b/src/daemon/caller/request_check.hpp
@@ -29,7 +29,7 @@
 /// Head of a well-formed request.
 struct checked_head {
     http_request request; ///< Without hop-by-hop, framing and Cornelpier fields; the body is still empty.
-    service_id service; ///< First label of the host.
+    service_id service;   ///< First label of the host.
     std::string host;
     std::optional<std::string> key;
     std::optional<duration> deadline;
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -66,16 +66,15 @@
   public:
     implementation(node_settings settings, node_options options)
         : m_settings(std::move(settings)), m_options(std::move(options)),
-          m_identity(make_identity(m_settings)),
-          m_log(
-              {m_settings.format, m_settings.level, m_identity.self, m_identity.process, m_clock, m_recent}),
+          m_identity(make_identity(m_settings)), m_log({m_settings.format, m_settings.level, m_identity.self,
+                                                        m_identity.process, m_clock, m_recent}),
           m_traffic_context(m_options.single_thread ? m_control_context : m_own_traffic_context),
           m_callers(m_traffic_context, caller_settings(), traffic_sink(), log_sink()),
           m_links(m_traffic_context, link_sinks()),
-          m_server(m_traffic_context,
-                   {m_settings.server_address, m_settings.server_report_path, m_settings.service,
-                    m_options.names},
-                   traffic_sink()),
+          m_server(
+              m_traffic_context,
+              {m_settings.server_address, m_settings.server_report_path, m_settings.service, m_options.names},
+              traffic_sink()),
           m_source(make_source()),
           m_traffic(m_traffic_context, m_identity, random_number(), traffic_sinks(), m_options.traffic),
           m_pages(page_sources()),
@@ -87,8 +86,8 @@
                       [this](const std::string& path, const operator_server::on_page& respond) {
                           respond(readiness_page(path));
                       }),
-          m_signals(m_control_context, SIGTERM, SIGINT), m_reload_signal(m_control_context, SIGHUP), m_stop_timer(m_control_context),
-          m_limit_timer(m_control_context),
+          m_signals(m_control_context, SIGTERM, SIGINT), m_reload_signal(m_control_context, SIGHUP),
+          m_stop_timer(m_control_context), m_limit_timer(m_control_context),
           m_omission_timer(m_control_context, omission_period, [this] { m_log.write_omissions(); }) {}
 
     int run() {
@@ -119,10 +118,9 @@
     /// @return false after a message if an address cannot be used.
     bool bind() {
         const bool asked = !m_options.readiness_address.empty();
-        for (const auto& problem :
-             {m_callers.bind(), m_links.bind(m_settings.node_address), m_source->bind(),
-              m_operators.bind(m_settings.operator_address),
-              asked ? m_readiness.bind(m_options.readiness_address) : error{}}) {
+        for (const auto& problem : {m_callers.bind(), m_links.bind(m_settings.node_address), m_source->bind(),
+                                    m_operators.bind(m_settings.operator_address),
+                                    asked ? m_readiness.bind(m_options.readiness_address) : error{}}) {
             if (!problem.reason.empty()) {
                 std::cerr << "cornelpier-node: " << problem.place << ": " << problem.reason << '\n';
                 return false;
@@ -173,6 +171,14 @@
     void on_terminate() {
         m_terminated_at = std::chrono::steady_clock::now();
         m_traffic.post(terminate_requested{});
+        if (m_options.entry_linger > std::chrono::milliseconds{0}) {
+            m_stop_timer.expires_at(*m_terminated_at + m_options.entry_linger);
+            m_stop_timer.async_wait([this](error_code ec) {
+                if (!ec) {
+                    stop_callers();
+                }
+            });
+        }
         if (m_options.stop_limit > std::chrono::milliseconds{0}) {
             m_limit_timer.expires_at(*m_terminated_at + m_options.stop_limit);
             m_limit_timer.async_wait([this](error_code ec) {
@@ -191,23 +197,37 @@
         }
     }
 
-    /// Callers first: their last answers are still being written. The links follow after a short while.
+    /// Without a linger, callers first: their last answers are still being written.
     void on_drained() {
         boost::asio::post(m_control_context, [this] {
-            m_stop_timer.expires_at(*m_terminated_at + m_options.entry_linger);
-            m_stop_timer.async_wait([this](error_code) { stop_callers(); });
+            m_drained = true;
+            if (m_options.entry_linger == std::chrono::milliseconds{0}) {
+                stop_callers();
+            } else {
+                stop_if_done();
+            }
         });
     }
 
+    /// Callers may go on sending for as long as the node answers, so that the time alone ends it.
     void stop_callers() {
         m_callers.shut_down([this] {
             boost::asio::post(m_control_context, [this] {
-                m_stop_timer.expires_after(flush_time);
-                m_stop_timer.async_wait([this](error_code) { stop(); });
+                m_callers_stopped = true;
+                stop_if_done();
             });
         });
     }
 
+    /// The links follow after a short while.
+    void stop_if_done() {
+        if (!m_drained || !m_callers_stopped) {
+            return;
+        }
+        m_stop_timer.expires_after(flush_time);
+        m_stop_timer.async_wait([this](error_code) { stop(); });
+    }
+
     void stop() {
         m_source->stop();
         m_links.stop();
@@ -321,6 +341,8 @@
     periodic_timer m_omission_timer;
     bool m_has_view = false; ///< Control thread only, as the next one.
     std::optional<std::chrono::steady_clock::time_point> m_terminated_at;
+    bool m_drained = false;
+    bool m_callers_stopped = false;
 };
 
 node_daemon::node_daemon(node_settings settings, node_options options)
--- a/src/daemon/node/node_options.hpp
+++ b/src/daemon/node/node_options.hpp
@@ -27,8 +27,8 @@
     /// Time after a request to stop at which the process ends whatever is in progress; zero: none.
     std::chrono::milliseconds stop_limit{0};
 
-    /// Reads the settings file again after SIGHUP. Returns whether anything differs, or what is wrong with it;
-    /// then the settings in force stay. Empty: SIGHUP changes nothing.
+    /// Reads the settings file again after SIGHUP. Returns whether anything differs, or what is wrong with
+    /// it; then the settings in force stay. Empty: SIGHUP changes nothing.
     std::function<result<bool>()> reload = {};
 
     bool single_thread = false; ///< Traffic and control share one thread.
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -59,9 +59,8 @@
         return connection_pool::max_idle_time;
     }
     const std::chrono::milliseconds announced = std::chrono::seconds{seconds};
-    return std::clamp<connection_pool::clock::duration>(announced - keep_alive_margin,
-                                                        std::chrono::milliseconds{0},
-                                                        connection_pool::max_idle_time);
+    return std::clamp<connection_pool::clock::duration>(
+        announced - keep_alive_margin, std::chrono::milliseconds{0}, connection_pool::max_idle_time);
 }
 
 template <typename Message>
@@ -94,8 +93,7 @@
 server_exchange::server_exchange(const executor& strand, http_request request, callback on_done,
                                  answer_rules rules)
     : m_strand(strand), m_request(std::move(request)), m_rules(std::move(rules)),
-      m_on_done(std::move(on_done)), m_deadline(strand),
-      m_http(std::make_unique<http_state>(m_request)) {}
+      m_on_done(std::move(on_done)), m_deadline(strand), m_http(std::make_unique<http_state>(m_request)) {}
 
 server_exchange::~server_exchange() = default;
 
--- a/src/daemon/server/server_exchange.hpp
+++ b/src/daemon/server/server_exchange.hpp
@@ -81,9 +81,9 @@
     lazy_deadline m_deadline;
     connection_pool::socket_ptr m_socket;
     std::unique_ptr<http_state> m_http;
-    bool m_written = false;       ///< Some of the request may have reached the server.
-    bool m_write_ended = false;   ///< All of it was written.
-    bool m_strays_seen = false;   ///< The connection carried bytes that belong to no request.
+    bool m_written = false;     ///< Some of the request may have reached the server.
+    bool m_write_ended = false; ///< All of it was written.
+    bool m_strays_seen = false; ///< The connection carried bytes that belong to no request.
 };
 
 } // namespace cornelpier
--- a/src/daemon/wire/wire_names.hpp
+++ b/src/daemon/wire/wire_names.hpp
@@ -8,8 +8,8 @@
 
 namespace cornelpier {
 
-/// Names of the header fields that callers, nodes and servers exchange; lower case unless only sent. The defaults are the
-/// project's own; an adapter replaces them. An empty name is neither sent nor read.
+/// Names of the header fields that callers, nodes and servers exchange; lower case unless only sent. The
+/// defaults are the project's own; an adapter replaces them. An empty name is neither sent nor read.
 struct wire_names {
     std::string deadline = "cornelpier-deadline-ms"; ///< Time left, in whole milliseconds.
     std::string depth = "cornelpier-depth";          ///< Nesting of calls.
@@ -29,7 +29,7 @@
     /// Reads the value of `load`; null if there is no such field.
     std::optional<server_load_figures> (*parse_load)(std::string_view) = nullptr;
 
-    bool unframed_answers = false;         ///< Servers may end an answer by closing the connection.
+    bool unframed_answers = false;       ///< Servers may end an answer by closing the connection.
     bool keeps_host = false;             ///< Servers get the caller's Host instead of the service's name.
     bool fractional_retry_after = false; ///< Retry-After may carry fractions of a second.
 };
--- /dev/null
+++ b/tests/admission/speed_test.cpp
@@ -0,0 +1,103 @@
+#include "cornelpier/admission/crowding_meter.hpp"
+#include "cornelpier/admission/slot_forecast.hpp"
+#include "cornelpier/admission/slowness_meter.hpp"
+#include "cornelpier/admission/useful_wait.hpp"
+#include "cornelpier/admission/work_table.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cornelpier {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("work is kept by route, without the slowness of the server", "[admission][speed]") {
+    work_table table;
+    CHECK(table.of("long", milliseconds{1000}) == milliseconds{350});
+    for (int n = 0; n < 100; ++n) {
+        table.add("long", milliseconds{640}, 1);
+        table.add("short", milliseconds{280}, 7);
+    }
+    CHECK(table.of("long", {}) == milliseconds{640});
+    CHECK(std::chrono::round<milliseconds>(table.of("short", {})) == milliseconds{40});
+    table.add("short", seconds{60}, 1);
+    CHECK(table.of("short", {}) < milliseconds{60});
+}
+
+TEST_CASE("a long run waits for the end of a slow spell and a short one starts", "[admission][speed]") {
+    slowness_meter meter;
+    const time_point start{seconds{100}};
+    CHECK_FALSE(meter.is_known());
+    meter.on_figure(7, start);
+    CHECK(meter.is_better_held(milliseconds{160}, start));
+    CHECK(meter.expected_loss(milliseconds{160}, start) == milliseconds{300});
+    CHECK_FALSE(meter.is_better_held(milliseconds{40}, start));
+    CHECK(meter.expected_loss(milliseconds{40}, start) == milliseconds{240});
+
+    meter.on_figure(1, start + milliseconds{500});
+    CHECK_FALSE(meter.is_better_held(milliseconds{160}, start + milliseconds{500}));
+    CHECK(meter.expected_loss(milliseconds{160}, start + milliseconds{500}) == duration::zero());
+}
+
+TEST_CASE("a slowness that does not end is no reason to hold runs for ever", "[admission][speed]") {
+    slowness_meter meter;
+    const time_point start{seconds{100}};
+    meter.on_figure(5, start);
+    CHECK(meter.is_better_held(milliseconds{160}, start + milliseconds{500}));
+    CHECK_FALSE(meter.is_better_held(milliseconds{160}, start + seconds{2}));
+}
+
+TEST_CASE("a figure is fresh for 20 ms", "[admission][speed]") {
+    slowness_meter meter;
+    const time_point start{seconds{100}};
+    CHECK_FALSE(meter.is_fresh(start));
+    meter.on_figure(1, start);
+    CHECK(meter.is_fresh(start + milliseconds{20}));
+    CHECK_FALSE(meter.is_fresh(start + milliseconds{21}));
+}
+
+TEST_CASE("the wait for a slot follows the ends of the runs in progress", "[admission][speed]") {
+    const milliseconds mean{100};
+    CHECK(wait_for_slot({}, 2, 0, mean) == duration::zero());
+    CHECK(wait_for_slot({milliseconds{50}}, 2, 0, mean) == duration::zero());
+    CHECK(wait_for_slot({milliseconds{50}, milliseconds{80}}, 2, 0, mean) == milliseconds{50});
+    CHECK(wait_for_slot({milliseconds{50}, milliseconds{80}}, 2, 1, mean) == milliseconds{80});
+    CHECK(wait_for_slot({milliseconds{50}, milliseconds{80}}, 2, 2, mean) == milliseconds{150});
+    // One run more than the limit allows: its end frees no slot.
+    CHECK(wait_for_slot({milliseconds{10}, milliseconds{50}, milliseconds{80}}, 2, 0, mean) ==
+          milliseconds{50});
+}
+
+TEST_CASE("a server that slows down when nearly full gets fewer runs", "[admission][speed]") {
+    crowding_meter meter;
+    const milliseconds usual{100};
+    CHECK(meter.best_limit(12) == 12);
+    for (int n = 0; n < 20; ++n) {
+        meter.add(4, 12, usual, usual);
+        meter.add(9, 12, usual, usual);
+        meter.add(11, 12, milliseconds{170}, usual);
+        meter.add(12, 12, milliseconds{170}, usual);
+    }
+    CHECK(meter.best_limit(12) == 10);
+    CHECK(meter.stretch(12, 12) > 1.6);
+
+    crowding_meter even;
+    for (int n = 0; n < 20; ++n) {
+        even.add(4, 12, usual, usual);
+        even.add(12, 12, milliseconds{110}, usual);
+    }
+    CHECK(even.best_limit(12) == 12);
+}
+
+TEST_CASE("a wait is useful if the answer is in time or the caller has long to wait", "[admission][speed]") {
+    // Objective 600 ms, deadline 1500 ms, work 220 ms.
+    CHECK(longest_useful_wait({milliseconds{220}, milliseconds{600}, milliseconds{1500}}) ==
+          milliseconds{530});
+    CHECK(longest_useful_wait({milliseconds{220}, milliseconds{600}, milliseconds{700}}) ==
+          milliseconds{380});
+    CHECK(longest_useful_wait({milliseconds{220}, milliseconds{-50}, milliseconds{400}}) == duration::zero());
+    CHECK(is_hopeless({milliseconds{220}, {}, milliseconds{100}}));
+    CHECK_FALSE(is_hopeless({milliseconds{220}, {}, milliseconds{120}}));
+}
+
+} // namespace cornelpier
--- a/tests/daemon/caller_server_test.cpp
+++ b/tests/daemon/caller_server_test.cpp
@@ -202,6 +202,90 @@
     CHECK(server.calls.wait(3).at(1).service == service_id{"comenzi"});
 }
 
+TEST_CASE("lookups that are sent ahead are handled side by side and answered in order", "[caller]") {
+    echo_server server;
+    raw_connection caller(server.address);
+    caller.send("GET /hold1 HTTP/1.1\r\nHost: comenzi\r\n\r\nGET /hold2 HTTP/1.1\r\nHost: comenzi\r\n\r\n"
+                "POST /hold3 HTTP/1.1\r\nHost: comenzi\r\nContent-Length: 0\r\n\r\n");
+    const auto calls = server.calls.wait(2);
+    REQUIRE(calls.size() == 2);
+    std::this_thread::sleep_for(50ms);
+    CHECK(server.calls.wait(2).size() == 2);
+
+    server.reply(calls[1]);
+    server.reply(calls[0]);
+    const auto answers = caller.read_until("GET/hold2");
+    CHECK(answers.find("GET/hold1") < answers.find("GET/hold2"));
+    REQUIRE(server.calls.wait(3).size() == 3);
+    server.reply(server.calls.wait(3).at(2));
+    CHECK(contains(caller.read_until("POST/hold3"), "HTTP/1.1 200 OK"));
+}
+
+TEST_CASE("an answer closes the connection only behind all requests that were taken", "[caller]") {
+    echo_server server;
+    raw_connection caller(server.address);
+    caller.send("GET /hold1 HTTP/1.1\r\nHost: comenzi\r\n\r\nGET /hold2 HTTP/1.1\r\nHost: comenzi\r\n\r\n"
+                "POST /never HTTP/1.1\r\nHost: comenzi\r\nContent-Length: 0\r\n\r\n");
+    const auto calls = server.calls.wait(2);
+    REQUIRE(calls.size() == 2);
+    for (const auto& it : calls) {
+        answer_caller answer;
+        answer.call = it.call;
+        answer.response = {200, {}, make_body(it.request.path)};
+        answer.close = true;
+        server.server.answer(std::move(answer));
+    }
+    const auto answers = caller.read_all();
+    CHECK(contains(answers, "/hold1"));
+    CHECK(contains(answers, "/hold2"));
+    CHECK(answers.find("Connection: close") > answers.find("/hold1"));
+    // The request behind was not taken, so that its sender may send it again.
+    CHECK(server.calls.wait(3, 50ms).size() == 2);
+}
+
+TEST_CASE("a caller that goes away abandons all of its calls", "[caller]") {
+    echo_server server;
+    {
+        raw_connection caller(server.address);
+        caller.send(
+            "GET /hold1 HTTP/1.1\r\nHost: comenzi\r\n\r\nGET /hold2 HTTP/1.1\r\nHost: comenzi\r\n\r\n");
+        REQUIRE(server.calls.wait(2).size() == 2);
+    }
+    CHECK(server.abandoned.wait(2).size() == 2);
+}
+
+TEST_CASE("a folded line in the head is refused", "[caller]") {
+    echo_server server;
+    raw_connection caller(server.address);
+    caller.send("GET / HTTP/1.1\r\nHost: comenzi\r\nX-A: 1\r\n 2\r\n\r\n");
+    CHECK(contains(caller.read_all(), "HTTP/1.1 400 "));
+}
+
+TEST_CASE("an adapter replaces the names of the fields", "[caller]") {
+    caller_options options;
+    options.own_service = service_id{"beside"};
+    options.names.deadline = "x-left-ms";
+    options.names.verdict = "";
+    options.names.token = "";
+    options.names.origin_service = "x-origin";
+    options.names.expected_instance = "x-instance";
+    options.names.keeps_host = true;
+    options.names.fractional_retry_after = true;
+    echo_server server(options);
+    raw_connection caller(server.address);
+    caller.send("GET /a HTTP/1.1\r\nHost: A.example\r\nX-Left-Ms: 70\r\nX-Origin: forged\r\n"
+                "X-Instance: forged\r\nX-Id: 7\r\n\r\n");
+    const auto answer = caller.read_until("GET/a");
+    CHECK(contains(answer, "Retry-After: 1.200\r\n"));
+    CHECK_FALSE(contains(answer, "Verdict"));
+
+    const auto call = server.calls.wait(1).at(0);
+    CHECK(call.host == "A.example");
+    CHECK(call.deadline == duration{70ms});
+    const http_fields expected{{"x-id", "7"}, {"host", "A.example"}, {"x-origin", "beside"}};
+    CHECK(call.request.fields == expected);
+}
+
 TEST_CASE("HEAD and 204 answers have no body, which would be read as the next answer", "[caller]") {
     echo_server server;
     raw_connection caller(server.address);
--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -79,8 +79,8 @@
 /// A client with its events.
 class client_under_test {
   public:
-    explicit client_under_test(const std::string& address)
-        : client(threads.context, {address, "/load", service_id{"comenzi"}},
+    explicit client_under_test(const std::string& address, wire_names names = {})
+        : client(threads.context, {address, "/load", service_id{"comenzi"}, std::move(names)},
                  [this](traffic_event it) { events.push(std::move(it)); }) {}
 
     ~client_under_test() { threads.stop(); }
@@ -218,6 +218,100 @@
     CHECK(std::get<server_answered>(second.events.wait(1)[0]).response.fields == expected);
 }
 
+namespace {
+
+wire_names adapter_names() {
+    wire_names names;
+    names.request_id = "x-id";
+    names.seal = "x-seal";
+    names.not_run = "x-not-run";
+    names.expected_instance = "x-instance";
+    names.unframed_answers = true;
+    return names;
+}
+
+/// @return the event that a server's bytes lead to, for a request with id 7.
+traffic_event outcome_of(const std::string& bytes, bool close = false) {
+    scripted_server server(bytes, close);
+    client_under_test it(server.address, adapter_names());
+    start_run action;
+    action.run = run_id{1};
+    action.request = {"GET", "/x", {{"x-id", "7"}}, make_body()};
+    action.timeout = 300ms;
+    action.deadline = std::chrono::seconds{2};
+    action.instance = "i-1";
+    it.client.start(std::move(action));
+    const auto events = it.events.wait(1);
+    CHECK(server.requests.wait(1).at(0).find("x-instance: i-1\r\n") != std::string::npos);
+    return events.empty() ? traffic_event{server_report_failed{}} : events.at(0);
+}
+
+std::string sealed(const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+           "\r\nX-Seal: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+bool is_lost(const traffic_event& event) {
+    const auto* it = std::get_if<server_failed>(&event);
+    return it != nullptr && it->kind == server_failure::lost;
+}
+
+} // namespace
+
+TEST_CASE("an answer to an earlier request is passed over", "[server]") {
+    const auto event = outcome_of(sealed("6", "stray") + sealed("7", "own"));
+    REQUIRE(std::holds_alternative<server_answered>(event));
+    CHECK(*std::get<server_answered>(event).response.body == "own");
+    CHECK(is_lost(outcome_of(sealed("6", "stray"))));
+}
+
+TEST_CASE("a success needs the server's seal and no encoding", "[server]") {
+    CHECK(is_lost(outcome_of("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n")));
+    CHECK(is_lost(outcome_of("HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nContent-Encoding: gzip\r\n"
+                             "Content-Length: 1\r\n\r\na")));
+}
+
+TEST_CASE("an answer without a length is complete at the end of its connection only", "[server]") {
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\n\r\n";
+    const auto event = outcome_of(head + "all", true);
+    REQUIRE(std::holds_alternative<server_answered>(event));
+    CHECK(*std::get<server_answered>(event).response.body == "all");
+    CHECK(is_lost(outcome_of(head + "part")));
+}
+
+TEST_CASE("a server's statement that it did not run a request is read", "[server]") {
+    const auto shed = outcome_of("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    CHECK(std::get<server_answered>(shed).refused);
+    const auto other = outcome_of("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+    CHECK(std::get<server_answered>(other).refused);
+    const auto failed = outcome_of("HTTP/1.1 503 Busy\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n");
+    CHECK_FALSE(std::get<server_answered>(failed).refused);
+}
+
+TEST_CASE("a connection is not used beyond the time that the server announced", "[server]") {
+    scripted_server server("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n");
+    client_under_test it(server.address);
+    it.start(1);
+    REQUIRE(it.events.wait(1).size() == 1);
+    std::this_thread::sleep_for(600ms);
+    it.start(2);
+    REQUIRE(it.events.wait(2).size() == 2);
+    CHECK(server.connections.wait(2).size() == 2);
+}
+
+TEST_CASE("an answer that comes before a long body was taken is passed on", "[server]") {
+    scripted_server server(short_answer);
+    client_under_test it(server.address);
+    start_run action;
+    action.run = run_id{1};
+    action.request = {"POST", "/x", {}, make_body(std::string(20'000'000, 'a'))};
+    action.timeout = std::chrono::seconds{5};
+    it.client.start(std::move(action));
+    const auto events = it.events.wait(1);
+    REQUIRE(events.size() == 1);
+    CHECK(std::holds_alternative<server_answered>(events[0]));
+}
+
 TEST_CASE("a report that is not understood counts as failed", "[server]") {
     const std::string good = R"({"healthy": true, "draining": true, "in_flight": 3})";
     const std::string bad = R"({"healthy": "yes", "draining": true, "in_flight": 3})";
--- /dev/null
+++ b/tests/entry/routed_calls_test.cpp
@@ -0,0 +1,197 @@
+#include "tests/entry/entry_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cornelpier::test {
+
+namespace {
+
+entry_options platform_like() {
+    entry_options options;
+    options.statuses_promise = true;
+    options.use_leaving = false;
+    options.slow_start = false;
+    options.probes = false;
+    return options;
+}
+
+/// An entry whose plan has a route for lookups and one for orders.
+class routed_entry : public entry_fixture {
+  public:
+    explicit routed_entry(std::size_t targets = 2) : entry_fixture(targets, platform_like()) {
+        route lookups = make_route("lookups", "/l/");
+        lookups.idempotent = true;
+        lookups.max_attempts = 2;
+        sheet->routes =
+            std::make_shared<const route_table>(std::vector{lookups, make_route("orders", "/o/")});
+        for (auto& it : sheet->services[0].targets) {
+            it.instance = "i-" + it.id.value();
+        }
+        publish();
+    }
+
+    static route make_route(const std::string& name, const std::string& prefix) {
+        route result;
+        result.name = name;
+        result.host = "a.example";
+        result.path_prefix = prefix;
+        result.timeout = milliseconds{1000};
+        result.objective = milliseconds{500};
+        result.shares = {{service_id{"shop"}, 1}};
+        return result;
+    }
+
+    call_id ask(const std::string& path, const std::string& host = "a.example",
+                std::optional<duration> deadline = std::nullopt) {
+        call_arrived event;
+        event.call = call_id{++last_call};
+        event.service = service_id{"a"};
+        event.host = host;
+        event.request.method = "GET";
+        event.request.path = path;
+        event.deadline = deadline;
+        entry.on_call(event);
+        return event.call;
+    }
+
+    answer_caller answered() {
+        const auto all = take<answer_caller>();
+        REQUIRE(all.size() == 1);
+        return all.front();
+    }
+
+    /// @return the run that is sent, after opening links.
+    std::pair<link_id, run> sent_run() {
+        open_links();
+        const auto all = sent<run>();
+        REQUIRE(all.size() == 1);
+        return all.front();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a call without a route gets 404 and one of a known route goes to its service", "[entry][routes]") {
+    routed_entry it;
+    it.ask("/x/1");
+    CHECK(it.answered().response.status == 404);
+    it.ask("/l/1", "b.example");
+    CHECK(it.answered().response.status == 404);
+
+    it.ask("/l/1");
+    const auto [link, message] = it.sent_run();
+    CHECK(message.service == service_id{"shop"});
+    CHECK(message.route == "lookups");
+    CHECK(message.idempotent);
+    CHECK(message.objective <= milliseconds{500});
+    CHECK(message.instance == "i-" + it.peers[link].value());
+}
+
+TEST_CASE("before a plan is known callers are told to come back", "[entry][routes]") {
+    node_identity identity{target_id{"x"},      incarnation{1},  vm_id{"v"},
+                           data_centre_id{"d"}, service_id{"s"}, {}};
+    timer_service timers{time_point{std::chrono::seconds{1}}};
+    traffic_actions actions;
+    entry_manager entry{identity, timers, random_source{1}, platform_like()};
+    entry.set_output(actions);
+    entry.on_call({call_id{1}, service_id{"a"}, {}, {}, {}, 0, false, "a.example"});
+    const auto* answer = std::get_if<answer_caller>(&actions.back());
+    REQUIRE(answer != nullptr);
+    CHECK(answer->response.status == 503);
+    CHECK(answer->retry_after > duration::zero());
+}
+
+TEST_CASE("each target is asked once before one of them must decide without a limit", "[entry][routes]") {
+    routed_entry it(3);
+    it.ask("/o/1");
+    std::vector<target_id> asked;
+    for (int n = 0; n < 3; ++n) {
+        const auto word = it.sent_run();
+        CHECK(word.second.wait_limit);
+        asked.push_back(it.peers[word.first]);
+        it.answer_run(word, verdict::not_run, refusal::wait_limit);
+    }
+    std::ranges::sort(asked);
+    CHECK(std::ranges::adjacent_find(asked) == asked.end());
+    const auto last = it.sent_run();
+    CHECK_FALSE(last.second.wait_limit);
+    it.answer_run(last, verdict::not_run, refusal::deadline);
+    const auto answer = it.answered();
+    CHECK(answer.response.status == 503);
+    CHECK(answer.outcome == verdict::not_run);
+    CHECK(answer.retry_after > duration::zero());
+    CHECK(answer.retry_after <= milliseconds{200});
+}
+
+TEST_CASE("a status that promises is sent for nothing that may have run", "[entry][routes]") {
+    routed_entry it;
+    it.ask("/o/1");
+    auto word = it.sent_run();
+    it.answer_run(word, verdict::unknown);
+    CHECK(it.answered().response.status == 502);
+
+    // The server's own 503 without a statement that it did not run the request is the server's answer.
+    it.ask("/o/2");
+    word = it.sent_run();
+    it.answer_run(word, verdict::unknown, refusal::none, 503);
+    CHECK(it.answered().response.status == 503);
+
+    it.ask("/o/3");
+    word = it.sent_run();
+    it.advance(milliseconds{1001});
+    CHECK(it.answered().response.status == 504);
+}
+
+TEST_CASE("a call ends at the timeout of its route, and before its caller's deadline", "[entry][routes]") {
+    routed_entry it;
+    it.ask("/o/1", "a.example", milliseconds{5000});
+    it.sent_run();
+    it.advance(milliseconds{999});
+    CHECK(it.take<answer_caller>().empty());
+    it.advance(milliseconds{2});
+    it.answered();
+
+    it.ask("/o/2", "a.example", milliseconds{400});
+    it.sent_run();
+    it.advance(milliseconds{381});
+    it.answered();
+}
+
+TEST_CASE("a request reaches no more servers than its route allows", "[entry][routes]") {
+    routed_entry it(4);
+    it.ask("/l/1");
+    it.answer_run(it.sent_run(), verdict::unknown, refusal::none, 500);
+    it.answer_run(it.sent_run(), verdict::unknown, refusal::none, 500);
+    const auto answer = it.answered();
+    CHECK(answer.response.status == 500);
+}
+
+TEST_CASE("repeats of all entries together stay within the fleet's allowance", "[entry][routes]") {
+    routed_entry it(2);
+    it.sheet = std::make_shared<plan>(*it.sheet);
+    it.sheet->repeats = repeat_allowance{0.1, 4};
+    it.publish();
+    std::size_t repeats = 0;
+    for (int n = 0; n < 100; ++n) {
+        it.ask("/l/" + std::to_string(n));
+        it.open_links();
+        for (auto words = it.sent<run>(); !words.empty(); words = it.sent<run>()) {
+            repeats += words.front().second.attempt.number > 1 ? 1 : 0;
+            it.answer_run(words.front(), verdict::unknown, refusal::none, 500);
+            it.open_links();
+        }
+    }
+    // Two entries share four at a time; each call adds a tenth.
+    CHECK(repeats <= 12);
+    CHECK(repeats >= 8);
+}
+
+TEST_CASE("a leaving target gets nothing even if no other is left", "[entry][routes]") {
+    routed_entry it(1);
+    it.vm_states[target_id{"shop-1"}] = vm_state::leaving;
+    it.publish();
+    it.ask("/l/1");
+    CHECK(it.answered().response.status == 503);
+}
+
+} // namespace cornelpier::test
--- /dev/null
+++ b/tests/platform/server_directory_test.cpp
@@ -0,0 +1,91 @@
+#include "platform/server_directory.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace cornelpier::platform {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr time_point start{seconds{100}};
+
+std::string entry(const std::string& address, std::uint64_t sequence, const std::string& state = "ready",
+                  std::uint64_t born = 1) {
+    return R"({"address":")" + address + R"(","born":)" + std::to_string(born) +
+           R"(,"info":{"service":"s","zone":"a","slots":9},"status":{"state":")" + state +
+           R"(","sequence":)" + std::to_string(sequence) + R"(,"cold_left":"0ms"}})";
+}
+
+} // namespace
+
+TEST_CASE("a report that is older than the one known is ignored", "[platform]") {
+    server_directory directory;
+    CHECK_FALSE(directory.put("servers/i-1", entry("10.0.0.1:80", 5, "draining")));
+    CHECK_FALSE(directory.put("servers/i-1", entry("10.0.0.1:80", 4)));
+    CHECK(directory.servers().at(0).draining);
+    CHECK_FALSE(directory.put("servers/i-1", entry("10.0.0.1:80", 1, "ready", 2)));
+    CHECK_FALSE(directory.servers().at(0).draining);
+    CHECK_FALSE(directory.put("servers/i-1", entry("10.0.0.1:80", 9, "draining", 1)));
+    CHECK_FALSE(directory.servers().at(0).draining);
+}
+
+TEST_CASE("of two servers at one address the younger one counts", "[platform]") {
+    server_directory directory;
+    directory.put("servers/i-2", entry("10.0.0.1:80", 1, "ready", 7));
+    directory.put("servers/i-1", entry("10.0.0.1:80", 9, "ready", 3));
+    REQUIRE(directory.servers().size() == 1);
+    CHECK(directory.servers().at(0).instance == "i-2");
+}
+
+TEST_CASE("an entry that cannot be read names no server and leaves the others", "[platform]") {
+    server_directory directory;
+    directory.put("servers/i-1", entry("10.0.0.1:80", 1));
+    CHECK(directory.put("servers/i-2", "nonsense"));
+    CHECK(directory.servers().size() == 1);
+    CHECK(directory.put("servers/i-1", "nonsense"));
+    CHECK(directory.servers().empty());
+}
+
+TEST_CASE("a deleted entry is gone at once while the store answers", "[platform]") {
+    server_directory directory;
+    directory.on_contact(start);
+    directory.put("servers/i-1", entry("10.0.0.1:80", 1));
+    directory.on_contact(start + seconds{5});
+    directory.remove("servers/i-1", start + seconds{5});
+    CHECK(directory.servers().empty());
+}
+
+TEST_CASE("an entry that lapsed during an outage stays for the time in which it comes back", "[platform]") {
+    server_directory directory;
+    directory.on_contact(start);
+    directory.put("servers/i-1", entry("10.0.0.1:80", 1));
+    directory.put("servers/i-2", entry("10.0.0.2:80", 1));
+    directory.put("servers/i-3", entry("10.0.0.3:80", 1, "draining"));
+    directory.on_failure();
+    const time_point back = start + seconds{4};
+    directory.on_contact(back);
+    directory.keep_only({}, back);
+
+    // A server that drained before the outage has left.
+    CHECK(directory.servers().size() == 2);
+    directory.put("servers/i-2", entry("10.0.0.2:80", 3));
+    CHECK(directory.expire(back + seconds{1}) == back + server_directory::return_time);
+    CHECK(directory.servers().size() == 2);
+    CHECK(directory.expire(back + server_directory::return_time) == std::nullopt);
+    REQUIRE(directory.servers().size() == 1);
+    CHECK(directory.servers().at(0).instance == "i-2");
+}
+
+TEST_CASE("a call that failed once is no outage", "[platform]") {
+    server_directory directory;
+    directory.on_contact(start);
+    directory.put("servers/i-1", entry("10.0.0.1:80", 1));
+    directory.on_failure();
+    directory.on_contact(start + milliseconds{300});
+    directory.remove("servers/i-1", start + milliseconds{300});
+    CHECK(directory.servers().empty());
+}
+
+} // namespace cornelpier::platform
