--- a/src/cornelpier/admission/slot_forecast.cpp
+++ b/src/cornelpier/admission/slot_forecast.cpp
@@ -12,7 +12,7 @@
     while (free_at.size() < slots) {
         free_at.push_back(duration::zero());
     }
-    const auto later = std::greater<duration>{};
+    const std::greater<> later{};
     std::ranges::make_heap(free_at, later);
 
     // With more runs in progress than slots, the first ones to end free no slot.
--- a/src/cornelpier/message/control_messages.hpp
+++ b/src/cornelpier/message/control_messages.hpp
@@ -54,6 +54,14 @@
     std::string sheet;
 };
 
-using control_message = std::variant<gossip, plan_pull, plan_push>;
+/// Word of a node that reads the platform's service for others.
+struct source_update {
+    target_id from;
+    std::uint64_t since = 0;    ///< Position in the service's changes that the receiver must have reached.
+    std::uint64_t position = 0; ///< Position up to which it is complete afterwards.
+    std::string changes;        ///< Written and read by the adapter to the platform; empty: nothing changed.
+};
+
+using control_message = std::variant<gossip, plan_pull, plan_push, source_update>;
 
 } // namespace cornelpier
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -179,6 +179,15 @@
     visit(it.sheet);
 }
 
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, source_update>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.from);
+    visit(it.since);
+    visit(it.position);
+    visit(it.changes);
+}
+
 /// Types with a list of fields.
 template <typename Message>
 concept has_message_fields = requires(Message& it) {
--- a/src/cornelpier/node/control_core.cpp
+++ b/src/cornelpier/node/control_core.cpp
@@ -272,6 +272,9 @@
         m_query.answered(message.from);
     }
 
+    /// Concerns nodes that have another source than the configuration service.
+    void on_message(const source_update& /*message*/, const std::string& /*address*/) {}
+
     void on_message(const gossip& message, const std::string& address) {
         // During a query, a message may have waited through the pause, and its ages would be too low.
         const bool trusted_reply = !message.wants_reply && message.exchange >= m_first_trusted_exchange;
--- a/src/daemon/gossip/gossip_socket.cpp
+++ b/src/daemon/gossip/gossip_socket.cpp
@@ -14,6 +14,14 @@
 using boost::asio::ip::udp;
 using boost::system::error_code;
 
+namespace {
+
+bool is_datagram(const control_message& message) {
+    return std::holds_alternative<gossip>(message) || std::holds_alternative<source_update>(message);
+}
+
+} // namespace
+
 /// Holds the socket and the datagram that is being received.
 class gossip_socket::implementation {
   public:
@@ -74,7 +82,7 @@
         auto outcome = decode(bytes);
         if (auto* message = std::get_if<node_message>(&outcome)) {
             auto* control = std::get_if<control_message>(message);
-            if (control != nullptr && std::holds_alternative<gossip>(*control)) {
+            if (control != nullptr && is_datagram(*control)) {
                 m_on_message(std::move(*control), format_address(m_sender));
                 return;
             }
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/manifest.hpp"
 #include "platform/platform_settings.hpp"
 #include "platform/platform_wire.hpp"
+#include "platform/relayed_changes.hpp"
 #include "platform/server_entry.hpp"
 #include "platform/store_client.hpp"
 
@@ -47,7 +48,8 @@
 }
 
 nlohmann::json settings_example() {
-    return nlohmann::json::parse(R"({"platform":{"address":"10.0.0.1:80"},"listen":{"ready":"10.0.0.2:81"},
+    return nlohmann::json::parse(
+        R"({"ip":"10.0.0.2","platform":{"address":"10.0.0.1:80"},"listen":{"ready":"10.0.0.2:81"},
       "port_range":[7380,7395],"bounds":["grace=6s","retry_budget_ratio=0.2","retry_slack=58",
       "probes_per_s=60"]})");
 }
@@ -236,7 +238,27 @@
     CHECK(place_with("/listen/ready", nullptr) == "/listen/ready");
     CHECK(place_with("/port_range", nlohmann::json::array()) == "/port_range");
     CHECK(place_with("/port_range/0", 70000) == "/port_range");
+    CHECK(place_with("/ip", "here") == "/ip");
     CHECK(place_with("/bounds/0", "grace=soon") == "/bounds");
 }
 
 } // namespace cornelpier::platform
+
+namespace cornelpier::platform {
+
+TEST_CASE("relayed changes come back as they were, and nothing else is taken for them", "[platform]") {
+    const std::vector<relayed_change> changes{{"op/config", "{}"}, {"servers/i-1", std::nullopt}};
+    const auto text = encode_changes(changes);
+    const auto decoded = decode_relayed(text);
+    REQUIRE(decoded);
+    REQUIRE(decoded->size() == 2);
+    CHECK(decoded->at(0).value == "{}");
+    CHECK_FALSE(decoded->at(1).value);
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        CHECK_FALSE(decode_relayed(std::string_view{text}.substr(0, n)));
+    }
+    CHECK_FALSE(decode_relayed("\x81\x80"));
+    CHECK_FALSE(decode_relayed("\x81\x81\x01"));
+}
+
+} // namespace cornelpier::platform
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -5,6 +5,6 @@
 
 build=${BUILD_DIR:-build}
 jobs=${JOBS:-$(nproc)}
-if [ $# -gt 0 ]; then files=("$@"); else mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'examples/*.cpp'); fi
+if [ $# -gt 0 ]; then files=("$@"); else mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'examples/*.cpp'); fi
 printf '%s\0' "${files[@]}" | xargs -0 -r -n 1 -P "$jobs" clang-tidy -p "$build" --quiet 2> >(grep -v 'warnings generated' >&2)
 echo "lint: ${#files[@]} files checked"
