--- a/src/daemon/log/event_log.cpp
+++ b/src/daemon/log/event_log.cpp
@@ -35,7 +35,7 @@
         : m_level(options.level), m_formatter(options.format, options.node, options.process),
           m_clock(options.clock), m_recent(options.recent) {
         const auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
         backend->auto_flush(true);
         m_sink = boost::make_shared<line_sink>(backend);
         logging::core::get()->add_sink(m_sink);
--- /dev/null
+++ b/tests/process/sidecar_test.cpp
@@ -0,0 +1,285 @@
+#include "tests/process/support/child_process.hpp"
+#include "tests/process/support/http_call.hpp"
+#include "tests/standins/store_standin.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <map>
+#include <thread>
+#include <unistd.h>
+
+namespace cornelpier {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using test::call;
+using test::get_request;
+
+/// Ports of one VM; the VMs differ by their loopback addresses.
+constexpr int caller_port = 28101;
+constexpr int ready_port = 28102;
+constexpr int server_port = 28103;
+constexpr int node_port = 28104;
+constexpr int store_port = 28106;
+
+std::string vm_address(int vm) {
+    return "127.9." + std::to_string(getpid() % 250) + '.' + std::to_string(vm + 1);
+}
+
+std::string at(int vm, int port) {
+    return vm_address(vm) + ':' + std::to_string(port);
+}
+
+std::string manifest(int version, bool with_new_route) {
+    json rows =
+        json::array({{"r-1", "a.example", "/l/", "safe", "1500ms", "500ms", 2, "status", 2, nullptr}});
+    if (with_new_route) {
+        rows.push_back({"r-2", "a.example", "/new/", "safe", "1500ms", "500ms", 2, "status", 2, nullptr});
+    }
+    return json{
+        {"version", "r" + std::to_string(version)},
+        {"routes",
+         {{"columns",
+           {"name", "host", "path_prefix", "kind", "timeout", "objective", "priority", "service",
+            "max_attempts", "traffic_split"}},
+          {"rows", rows}}},
+        {"services",
+         {{"columns", {"name", "health_path", "max_connections"}}, {"rows", {{"status", "/health", 100}}}}},
+        {"limits", {{"idle_timeout", "15000ms"}}}}
+        .dump();
+}
+
+std::string server_entry(int vm, const std::string& state) {
+    return json{{"address", at(vm, server_port)},
+                {"info", {{"service", "status"}, {"zone", "z"}, {"slots", 4}}},
+                {"status", {{"state", state}, {"sequence", 1}, {"cold_left", "0ms"}}}}
+        .dump();
+}
+
+/// Store, two servers and two sidecars on loopback; everything ends with the object.
+class sidecar_fleet {
+  public:
+    sidecar_fleet() : m_store(m_context, at(9, store_port)) {
+        m_directory =
+            std::filesystem::temp_directory_path() / ("cornelpier-sidecar-" + std::to_string(getpid()));
+        std::filesystem::create_directories(m_directory);
+        m_store.put("op/config", manifest(3, false));
+        for (int vm = 0; vm < 2; ++vm) {
+            m_store.put("servers/i-" + std::to_string(vm), server_entry(vm, "ready"));
+            m_servers.push_back(std::make_unique<standins::http_service>(
+                m_context, at(vm, server_port), [this, vm](const auto& it) { serve(vm, it); }));
+        }
+        m_thread = std::thread([this] { m_context.run(); });
+        for (int vm = 0; vm < 2; ++vm) {
+            write_settings(vm);
+            nodes.emplace_back(std::vector<std::string>{CORNELPIER_SIDECAR, "--settings", file(vm)},
+                               file(vm) + ".log");
+        }
+    }
+
+    ~sidecar_fleet() {
+        nodes.clear();
+        m_context.stop();
+        m_thread.join();
+        std::filesystem::remove_all(m_directory);
+    }
+
+    sidecar_fleet(const sidecar_fleet&) = delete;
+    sidecar_fleet& operator=(const sidecar_fleet&) = delete;
+    sidecar_fleet(sidecar_fleet&&) = delete;
+    sidecar_fleet& operator=(sidecar_fleet&&) = delete;
+
+    /// Does something with the store on its thread.
+    template <typename Function>
+    auto store(Function function) {
+        std::promise<decltype(function(m_store))> result;
+        boost::asio::post(m_context, [&] {
+            if constexpr (std::is_void_v<decltype(function(m_store))>) {
+                function(m_store);
+                result.set_value();
+            } else {
+                result.set_value(function(m_store));
+            }
+        });
+        return result.get_future().get();
+    }
+
+    /// @return whether a condition holds within the time.
+    template <typename Condition>
+    static bool within(std::chrono::milliseconds limit, Condition condition) {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (std::chrono::steady_clock::now() < end) {
+            if (condition()) {
+                return true;
+            }
+            std::this_thread::sleep_for(20ms);
+        }
+        return false;
+    }
+
+    static int status(int vm, const std::string& path) {
+        try {
+            return call(at(vm, caller_port), get_request(path, "a.example",
+                                                         "X-Attempt-Id: " + std::to_string(++last_id) +
+                                                             "\r\nX-Deadline-Ms: 1500\r\n"))
+                .status;
+        } catch (const std::runtime_error&) {
+            return 0;
+        }
+    }
+
+    static int readiness(int vm) {
+        try {
+            return call(at(vm, ready_port), get_request("/readiness", "node")).status;
+        } catch (const std::runtime_error&) {
+            return 0;
+        }
+    }
+
+    bool wait_until_serving() {
+        return within(10s, [] {
+            return readiness(0) == 200 && readiness(1) == 200 && status(0, "/l/1") == 200 &&
+                   status(1, "/l/1") == 200;
+        });
+    }
+
+    /// @return requests that each server ran.
+    std::map<int, int> runs() {
+        return store([this](auto&) { return m_runs; });
+    }
+
+    std::vector<test::child_process> nodes;
+    static inline int last_id = 0;
+
+  private:
+    [[nodiscard]] std::string file(int vm) const { return m_directory / ("node-" + std::to_string(vm)); }
+
+    void serve(int vm, const std::shared_ptr<standins::http_exchange>& it) {
+        const std::string instance = "i-" + std::to_string(vm);
+        const auto& request = it->request();
+        it->answer_fields = {{"X-Instance-Id", instance}, {"X-Server-Load", "0,0,4,100"}};
+        if (request.target() == "/health") {
+            it->respond(200, "");
+            return;
+        }
+        if (request["X-Expected-Instance"] != instance || request["X-Caller-Service"] != "status") {
+            it->respond(421, "");
+            return;
+        }
+        ++m_runs[vm];
+        it->answer_fields.emplace_back("X-Attempt-Id", std::string{request["X-Attempt-Id"]});
+        it->answer_fields.emplace_back("X-Response-Seal", "s");
+        it->respond(200, std::string{request.target()});
+    }
+
+    void write_settings(int vm) const {
+        const json adapter{{"ip", vm_address(vm)},
+                           {"platform", {{"address", at(9, store_port)}}},
+                           {"listen", {{"ready", at(vm, ready_port)}}},
+                           {"port_range", {node_port, node_port + 1}},
+                           {"bounds", {{"grace", "6s"}, {"probes_per_s", 60}}}};
+        const json settings{{"target", vm_address(vm)},
+                            {"vm", "vm-" + std::to_string(vm)},
+                            {"data_centre", "z"},
+                            {"service", "status"},
+                            {"caller_address", at(vm, caller_port)},
+                            {"node_address", at(vm, node_port)},
+                            {"operator_address", at(vm, node_port + 1)},
+                            {"server_address", at(vm, server_port)},
+                            {"configuration_address", at(9, store_port)},
+                            {"vm_list_address", at(9, store_port)},
+                            {"adapter", adapter}};
+        std::ofstream{file(vm)} << settings.dump();
+    }
+
+    boost::asio::io_context m_context{1};
+    standins::store_standin m_store;
+    std::vector<std::unique_ptr<standins::http_service>> m_servers;
+    std::map<int, int> m_runs;
+    std::filesystem::path m_directory;
+    std::thread m_thread;
+};
+
+} // namespace
+
+TEST_CASE("sidecars serve what the store lists and take up its changes", "[process][sidecar]") {
+    sidecar_fleet fleet;
+    REQUIRE(fleet.wait_until_serving());
+    CHECK(sidecar_fleet::status(0, "/x/1") == 404);
+    CHECK(sidecar_fleet::status(1, "/new/1") == 404);
+
+    fleet.store([](auto& it) { it.put("op/config", manifest(4, true)); });
+    CHECK(sidecar_fleet::within(2s, [] {
+        return sidecar_fleet::status(0, "/new/1") == 200 && sidecar_fleet::status(1, "/new/1") == 200;
+    }));
+    // An older manifest and one that is cut short change nothing.
+    fleet.store([](auto& it) { it.put("op/config", manifest(2, false)); });
+    fleet.store([](auto& it) { it.put("op/config", R"({"version":"r9")"); });
+    std::this_thread::sleep_for(1500ms);
+    CHECK(sidecar_fleet::status(0, "/new/1") == 200);
+
+    // A server that leaves gets nothing within the bound of 2 s.
+    fleet.store([](auto& it) { it.put("servers/i-0", server_entry(0, "draining")); });
+    std::this_thread::sleep_for(2s);
+    const int before = fleet.runs()[0];
+    for (int n = 0; n < 20; ++n) {
+        CHECK(sidecar_fleet::status(n % 2, "/l/1") == 200);
+    }
+    CHECK(fleet.runs()[0] == before);
+}
+
+TEST_CASE("sidecars go on without the store and one of them reads for both", "[process][sidecar]") {
+    sidecar_fleet fleet;
+    REQUIRE(fleet.wait_until_serving());
+    std::this_thread::sleep_for(2s);
+    const auto before = fleet.store([](auto& it) { return it.calls(); });
+    std::this_thread::sleep_for(2s);
+    // One reader at one call a second.
+    const auto calls = fleet.store([](auto& it) { return it.calls(); }) - before;
+    CHECK(calls >= 1);
+    CHECK(calls <= 5);
+
+    fleet.store([](auto& it) { it.set_down(true); });
+    std::this_thread::sleep_for(3s);
+    CHECK(sidecar_fleet::status(0, "/l/1") == 200);
+    CHECK(sidecar_fleet::status(1, "/l/1") == 200);
+    fleet.store([](auto& it) {
+        it.set_down(false);
+        it.put("op/config", manifest(4, true));
+    });
+    CHECK(sidecar_fleet::within(3s, [] {
+        return sidecar_fleet::status(0, "/new/1") == 200 && sidecar_fleet::status(1, "/new/1") == 200;
+    }));
+}
+
+TEST_CASE("a sidecar that is asked to stop says so, serves callers for a while and ends",
+          "[process][sidecar]") {
+    sidecar_fleet fleet;
+    REQUIRE(fleet.wait_until_serving());
+    fleet.nodes[0].send_signal(SIGTERM);
+    CHECK(sidecar_fleet::within(500ms, [] { return sidecar_fleet::readiness(0) == 503; }));
+    for (int n = 0; n < 10; ++n) {
+        CHECK(sidecar_fleet::status(0, "/l/1") == 200);
+        std::this_thread::sleep_for(200ms);
+    }
+    CHECK(fleet.nodes[0].wait(6s) == 0);
+    CHECK(sidecar_fleet::status(1, "/l/1") == 200);
+}
+
+TEST_CASE("a changed settings file that is wrong changes nothing", "[process][sidecar]") {
+    sidecar_fleet fleet;
+    REQUIRE(fleet.wait_until_serving());
+    fleet.nodes[0].send_signal(SIGHUP);
+    std::this_thread::sleep_for(200ms);
+    CHECK(sidecar_fleet::status(0, "/l/1") == 200);
+    CHECK(sidecar_fleet::readiness(0) == 200);
+}
+
+} // namespace cornelpier
--- a/tests/standins/http_service.cpp
+++ b/tests/standins/http_service.cpp
@@ -26,6 +26,7 @@
         m_request = {};
         m_answered = false;
         on_cancelled = nullptr;
+        answer_fields.clear();
         http::async_read(m_socket, m_buffer, m_request,
                          [self = shared_from_this()](error_code ec, std::size_t) {
                              if (!ec) {
@@ -44,6 +45,9 @@
         m_response.version(11);
         m_response.result(static_cast<unsigned>(status));
         m_response.set(http::field::content_type, content_type);
+        for (const auto& [name, value] : answer_fields) {
+            m_response.set(name, value);
+        }
         m_response.body() = std::move(body);
         m_response.keep_alive(m_request.keep_alive());
         m_response.prepare_payload();
--- a/tests/standins/http_service.hpp
+++ b/tests/standins/http_service.hpp
@@ -8,6 +8,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace cornelpier::standins {
 
@@ -31,6 +33,9 @@
     /// Closes the connection without an answer.
     virtual void abort() = 0;
 
+    /// Fields that `respond` adds.
+    std::vector<std::pair<std::string, std::string>> answer_fields;
+
     /// Called once if the peer closes the connection before the answer.
     std::function<void()> on_cancelled;
 };
--- /dev/null
+++ b/tests/standins/store_standin.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "tests/standins/http_service.hpp"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cornelpier::standins {
+
+/// Stand-in for the store of the users' platform: items, pages and watches as their pages say. Used on the
+/// thread of its context.
+class store_standin {
+  public:
+    store_standin(boost::asio::io_context& context, const std::string& address);
+
+    /// Writes a key and wakes the watches.
+    void put(const std::string& key, const std::string& value);
+
+    /// Deletes a key and wakes the watches.
+    void remove(const std::string& key);
+
+    /// @param down whether calls are refused and waiting watches are cut.
+    void set_down(bool down);
+
+    /// @return calls that were answered or refused.
+    [[nodiscard]] std::uint64_t calls() const { return m_calls; }
+
+  private:
+    using exchange = std::shared_ptr<http_exchange>;
+
+    struct item {
+        std::string value;
+        std::uint64_t revision = 0;
+        bool deleted = false;
+    };
+
+    struct watch {
+        exchange waiting;
+        std::uint64_t after = 0;
+        std::unique_ptr<boost::asio::steady_timer> limit;
+    };
+
+    void on_request(const exchange& it);
+    void list(const exchange& it);
+    void begin_watch(const exchange& it, const std::string& target);
+    bool answer_changes(const exchange& it, std::uint64_t after) const;
+    void wake();
+
+    boost::asio::io_context& m_context;
+    std::map<std::string, item> m_items;
+    std::list<watch> m_watches;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_calls = 0;
+    bool m_down = false;
+    http_service m_service;
+};
+
+} // namespace cornelpier::standins
