--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -25,7 +25,7 @@
 
 // Bytes between data centres have a price, and an answer within the objective is worth no more for being
 // faster, so that a little wait in the own data centre is accepted.
-constexpr duration cost_of_crossing = std::chrono::milliseconds{25};
+constexpr duration cost_of_crossing = std::chrono::milliseconds{90};
 
 duration failure_penalty(double rate) {
     return duration{static_cast<duration::rep>(static_cast<double>(cost_of_failure.count()) * rate)};
