--- a/src/cornelpier/base/units.hpp
+++ b/src/cornelpier/base/units.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <ratio>
+#include <string>
 
 namespace cornelpier {
 
@@ -31,6 +32,11 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
+/// @return the length in whole milliseconds, for the log.
+inline std::string milliseconds_text(duration value) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
 /// Events per second.
 struct rate {
     double per_second = 0;
--- a/src/cornelpier/entry/attempt_text.cpp
+++ b/src/cornelpier/entry/attempt_text.cpp
@@ -30,10 +30,6 @@
 
 } // namespace
 
-std::string milliseconds_text(duration length) {
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
-}
-
 std::string describe_attempts(const call_state& call) {
     std::string text;
     for (const auto& it : call.attempts) {
--- a/src/cornelpier/entry/attempt_text.hpp
+++ b/src/cornelpier/entry/attempt_text.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "cornelpier/base/units.hpp"
 #include "cornelpier/entry/call_state.hpp"
 
 #include <string>
@@ -11,7 +10,4 @@
 /// after the call arrived, and whether it was a hedge.
 std::string describe_attempts(const call_state& call);
 
-/// @return the length in whole milliseconds.
-std::string milliseconds_text(duration length);
-
 } // namespace cornelpier
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -86,8 +86,8 @@
 }
 
 std::string request_label(const http_request& request, const std::string& field) {
-    const auto it = std::ranges::find(request.fields, field, &http_fields::value_type::first);
-    return it == request.fields.end() ? std::string{} : it->second;
+    const std::string* value = find_field(request.fields, field);
+    return value == nullptr ? std::string{} : *value;
 }
 
 } // namespace
--- a/src/cornelpier/message/http_fields.hpp
+++ b/src/cornelpier/message/http_fields.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -10,6 +12,13 @@
 /// Header fields in order, names in lower case.
 using http_fields = std::vector<std::pair<std::string, std::string>>;
 
+/// @param name in lower case.
+/// @return the value of the first field of that name, or nullptr.
+inline const std::string* find_field(const http_fields& fields, std::string_view name) {
+    const auto it = std::ranges::find(fields, name, &http_fields::value_type::first);
+    return it == fields.end() ? nullptr : &it->second;
+}
+
 /// Body shared between messages and actions without copies; never null where a body is expected.
 using shared_body = std::shared_ptr<const std::string>;
 
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -191,15 +191,12 @@
     if (entry.route.empty()) {
         return;
     }
-    const auto whole_ms = [](duration length) {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
-    };
     m_state.outbox.record(event_number::run_ended,
                           {{"route", entry.route},
                            {"status", std::to_string(status)},
-                           {"waited_ms", whole_ms(entry.handed_over - entry.accepted_at)},
-                           {"took_ms", whole_ms(age(entry))},
-                           {"expected_ms", whole_ms(entry.work)},
+                           {"waited_ms", milliseconds_text(entry.handed_over - entry.accepted_at)},
+                           {"took_ms", milliseconds_text(age(entry))},
+                           {"expected_ms", milliseconds_text(entry.work)},
                            {"slowness", std::to_string(std::lround(entry.slowness * percent)) + '%'},
                            {"running", std::to_string(entry.running_at_start)}});
 }
--- a/src/cornelpier/plan/plan.cpp
+++ b/src/cornelpier/plan/plan.cpp
@@ -16,11 +16,11 @@
         const request_rule* rule = service.match(request.method, request.path);
         return rule != nullptr && rule->idempotent;
     }
-    const auto host = std::ranges::find(request.fields, "host", &http_fields::value_type::first);
-    if (host == request.fields.end()) {
+    const std::string* host = find_field(request.fields, "host");
+    if (host == nullptr) {
         return false;
     }
-    const route* found = routes->find(host->second, request.path);
+    const route* found = routes->find(*host, request.path);
     return found != nullptr && found->idempotent;
 }
 
--- a/src/daemon/net/hop_by_hop.cpp
+++ b/src/daemon/net/hop_by_hop.cpp
@@ -61,9 +61,4 @@
     std::erase_if(fields, [&](const auto& field) { return field.first == name; });
 }
 
-const std::string* find_field(const http_fields& fields, std::string_view name) {
-    const auto it = std::ranges::find(fields, name, &http_fields::value_type::first);
-    return it == fields.end() ? nullptr : &it->second;
-}
-
 } // namespace cornelpier
--- a/src/daemon/net/hop_by_hop.hpp
+++ b/src/daemon/net/hop_by_hop.hpp
@@ -22,7 +22,4 @@
 /// Removes every field of the name.
 void remove_field(http_fields& fields, std::string_view name);
 
-/// @return the value of the first field of the name (lower case), or nullptr.
-const std::string* find_field(const http_fields& fields, std::string_view name);
-
 } // namespace cornelpier
--- a/tests/process/process_failure_test.cpp
+++ b/tests/process/process_failure_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/process/support/becomes_true.hpp"
 #include "tests/process/support/child_process.hpp"
 #include "tests/process/support/http_call.hpp"
 #include "tests/process/support/small_fleet.hpp"
@@ -19,6 +20,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::becomes_true;
 using test::call;
 using test::get_request;
 using test::http_answer;
@@ -27,17 +29,6 @@
 
 const std::vector<std::string> nodes{"comenzi-1", "comenzi-2", "atelier-1"};
 
-bool becomes_true(std::chrono::milliseconds limit, const std::function<bool()>& condition) {
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < end) {
-        if (condition()) {
-            return true;
-        }
-        std::this_thread::sleep_for(20ms);
-    }
-    return false;
-}
-
 nlohmann::json plan_state(const small_fleet& fleet, const std::string& node) {
     return nlohmann::json::parse(call(fleet.operators(node), get_request("/state", "any")).body).at("plan");
 }
--- a/tests/process/sidecar_test.cpp
+++ b/tests/process/sidecar_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/process/support/becomes_true.hpp"
 #include "tests/process/support/child_process.hpp"
 #include "tests/process/support/http_call.hpp"
 #include "tests/standins/store_standin.hpp"
@@ -19,6 +20,7 @@
 
 using namespace std::chrono_literals;
 using nlohmann::json;
+using test::becomes_true;
 using test::call;
 using test::get_request;
 
@@ -111,19 +113,6 @@
         return result.get_future().get();
     }
 
-    /// @return whether a condition holds within the time.
-    template <typename Condition>
-    static bool within(std::chrono::milliseconds limit, Condition condition) {
-        const auto end = std::chrono::steady_clock::now() + limit;
-        while (std::chrono::steady_clock::now() < end) {
-            if (condition()) {
-                return true;
-            }
-            std::this_thread::sleep_for(20ms);
-        }
-        return false;
-    }
-
     static int status(int vm, const std::string& path) {
         try {
             return call(at(vm, caller_port), get_request(path, "a.example",
@@ -144,7 +133,7 @@
     }
 
     bool wait_until_serving() {
-        return within(10s, [] {
+        return becomes_true(10s, [] {
             return readiness(0) == 200 && readiness(1) == 200 && status(0, "/l/1") == 200 &&
                    status(1, "/l/1") == 200;
         });
@@ -216,7 +205,7 @@
     CHECK(sidecar_fleet::status(1, "/new/1") == 404);
 
     fleet.store([](auto& it) { it.put("op/config", manifest(4, true)); });
-    CHECK(sidecar_fleet::within(2s, [] {
+    CHECK(becomes_true(2s, [] {
         return sidecar_fleet::status(0, "/new/1") == 200 && sidecar_fleet::status(1, "/new/1") == 200;
     }));
     // An older manifest and one that is cut short change nothing.
@@ -254,7 +243,7 @@
         it.set_down(false);
         it.put("op/config", manifest(4, true));
     });
-    CHECK(sidecar_fleet::within(3s, [] {
+    CHECK(becomes_true(3s, [] {
         return sidecar_fleet::status(0, "/new/1") == 200 && sidecar_fleet::status(1, "/new/1") == 200;
     }));
 }
@@ -264,7 +253,7 @@
     sidecar_fleet fleet;
     REQUIRE(fleet.wait_until_serving());
     fleet.nodes[0].send_signal(SIGTERM);
-    CHECK(sidecar_fleet::within(500ms, [] { return sidecar_fleet::readiness(0) == 503; }));
+    CHECK(becomes_true(500ms, [] { return sidecar_fleet::readiness(0) == 503; }));
     for (int n = 0; n < 10; ++n) {
         CHECK(sidecar_fleet::status(0, "/l/1") == 200);
         std::this_thread::sleep_for(200ms);
