--- a/src/cornelpier/message/http_fields.hpp
+++ b/src/cornelpier/message/http_fields.hpp
@@ -12,6 +12,17 @@
 /// Header fields in order, names in lower case.
 using http_fields = std::vector<std::pair<std::string, std::string>>;
 
+/// @return the text with ASCII letters in lower case.
+inline std::string lower_case(std::string_view text) {
+    std::string result{text};
+    for (char& c : result) {
+        if (c >= 'A' && c <= 'Z') {
+            c = static_cast<char>(c - 'A' + 'a');
+        }
+    }
+    return result;
+}
+
 /// @param name in lower case.
 /// @return the value of the first field of that name, or nullptr.
 inline const std::string* find_field(const http_fields& fields, std::string_view name) {
--- a/src/cornelpier/plan/route.cpp
+++ b/src/cornelpier/plan/route.cpp
@@ -1,5 +1,7 @@
 #include "cornelpier/plan/route.hpp"
 
+#include "cornelpier/message/http_fields.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -8,13 +10,7 @@
 namespace {
 
 std::string host_name(std::string_view host) {
-    std::string name{host.substr(0, host.rfind(':'))};
-    for (char& c : name) {
-        if (c >= 'A' && c <= 'Z') {
-            c = static_cast<char>(c - 'A' + 'a');
-        }
-    }
-    return name;
+    return lower_case(host.substr(0, host.rfind(':')));
 }
 
 } // namespace
--- a/src/daemon/caller/caller_session.cpp
+++ b/src/daemon/caller/caller_session.cpp
@@ -378,7 +378,7 @@
 
 void caller_session::write_some() {
     m_write_deadline.set(m_context->options().write_limit, shared_from_this(),
-                         &caller_session::on_write_expired);
+                         &caller_session::on_gone_while_writing);
     http::async_write_some(m_socket, m_writer->serializer(),
                            [self = shared_from_this()](error_code ec, std::size_t) {
                                if (self->m_input == input::closed) {
@@ -468,10 +468,6 @@
     }
 }
 
-void caller_session::on_write_expired() {
-    on_gone_while_writing();
-}
-
 void caller_session::shut_down() {
     boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->on_stopping(); });
 }
--- a/src/daemon/caller/caller_session.hpp
+++ b/src/daemon/caller/caller_session.hpp
@@ -86,7 +86,6 @@
     void linger();
     void close();
     void on_input_expired();
-    void on_write_expired();
     void on_stopping();
 
     boost::asio::ip::tcp::socket m_socket;
--- a/src/daemon/net/hop_by_hop.cpp
+++ b/src/daemon/net/hop_by_hop.cpp
@@ -20,16 +20,6 @@
 
 } // namespace
 
-std::string lower_case(std::string_view text) {
-    std::string result{text};
-    for (char& c : result) {
-        if (c >= 'A' && c <= 'Z') {
-            c = static_cast<char>(c - 'A' + 'a');
-        }
-    }
-    return result;
-}
-
 std::vector<std::string> list_elements(std::string_view value) {
     std::vector<std::string> result;
     while (!value.empty()) {
--- a/src/daemon/net/hop_by_hop.hpp
+++ b/src/daemon/net/hop_by_hop.hpp
@@ -8,9 +8,6 @@
 
 namespace cornelpier {
 
-/// @return the text with ASCII letters in lower case.
-std::string lower_case(std::string_view text);
-
 /// @return the elements of a comma-separated header value in lower case, without blanks around them.
 std::vector<std::string> list_elements(std::string_view value);
 
--- a/src/daemon/server/server_client.cpp
+++ b/src/daemon/server/server_client.cpp
@@ -69,7 +69,7 @@
                 self->on_done(run, std::move(result), std::move(connection));
             },
             server_exchange::answer_rules{m_options.names.request_id, m_options.names.seal,
-                                          m_options.names.not_run, m_options.names.unframed_answers});
+                                          m_options.names.unframed_answers});
         m_runs.insert_or_assign(run, exchange);
         launch(*exchange, action.fresh_connection, action.timeout);
     }
--- a/src/daemon/server/server_exchange.hpp
+++ b/src/daemon/server/server_exchange.hpp
@@ -31,7 +31,6 @@
     struct answer_rules {
         std::string request_id_field; ///< Repeated by the server; empty: not checked.
         std::string seal_field;       ///< Present on every success; empty: not checked.
-        std::string not_run_field;    ///< Its answers need not repeat the id.
         bool unframed = false;        ///< An answer may end with its connection.
     };
 
