--- a/tests/process/sidecar_test.cpp
+++ b/tests/process/sidecar_test.cpp
@@ -132,6 +132,12 @@
         }
     }
 
+    static std::chrono::microseconds plan_confirmed_age(int vm) {
+        const auto state = call(at(vm, node_port + 1), get_request("/state", "node"));
+        return std::chrono::microseconds{
+            json::parse(state.body).at("plan").at("confirmed_age_us").get<std::int64_t>()};
+    }
+
     bool wait_until_serving() {
         return becomes_true(10s, [] {
             return readiness(0) == 200 && readiness(1) == 200 && status(0, "/l/1") == 200 &&
@@ -230,6 +236,10 @@
     std::this_thread::sleep_for(2s);
     const auto before = fleet.store([](auto& it) { return it.calls(); });
     std::this_thread::sleep_for(2s);
+    // What a reader said confirms the plan for the others too.
+    for (int vm = 0; vm < 2; ++vm) {
+        CHECK(sidecar_fleet::plan_confirmed_age(vm) < 2s);
+    }
     // One reader at one call a second.
     const auto calls = fleet.store([](auto& it) { return it.calls(); }) - before;
     CHECK(calls >= 1);
