--- a/tests/platform/server_directory_test.cpp
+++ b/tests/platform/server_directory_test.cpp
@@ -70,10 +70,12 @@
 
     // A server that drained before the outage has left.
     CHECK(directory.servers().size() == 2);
+    CHECK(directory.has_missing());
     directory.put("servers/i-2", entry("10.0.0.2:80", 3));
     CHECK(directory.expire(back + seconds{1}) == back + server_directory::return_time);
     CHECK(directory.servers().size() == 2);
     CHECK(directory.expire(back + server_directory::return_time) == std::nullopt);
+    CHECK_FALSE(directory.has_missing());
     REQUIRE(directory.servers().size() == 1);
     CHECK(directory.servers().at(0).instance == "i-2");
 }
--- a/tests/process/sidecar_test.cpp
+++ b/tests/process/sidecar_test.cpp
@@ -258,6 +258,28 @@
     }));
 }
 
+TEST_CASE("servers whose entries lapsed during an outage are known to all again", "[process][sidecar]") {
+    sidecar_fleet fleet;
+    REQUIRE(fleet.wait_until_serving());
+    fleet.store([](auto& it) {
+        it.set_down(true);
+        it.remove("servers/i-0");
+        it.remove("servers/i-1");
+    });
+    std::this_thread::sleep_for(4s);
+    fleet.store([](auto& it) { it.set_down(false); });
+    // By now both have read that the entries are missing, and one of them reads for both again.
+    std::this_thread::sleep_for(1500ms);
+    fleet.store([](auto& it) {
+        it.put("servers/i-0", server_entry(0, "ready"));
+        it.put("servers/i-1", server_entry(1, "ready"));
+    });
+    std::this_thread::sleep_for(3s);
+    for (int vm = 0; vm < 2; ++vm) {
+        CHECK(sidecar_fleet::status(vm, "/l/1") == 200);
+    }
+}
+
 TEST_CASE("a sidecar that is asked to stop says so, serves callers for a while and ends",
           "[process][sidecar]") {
     sidecar_fleet fleet;
