Tell nodes whose server leaves, and let a reader's word carry a digest

Excluded: late relays (all other nodes knew within 0.2 s), lost links. Change: changes are told before the roles change, so the leaving node hears of them; a node that takes over as reader starts its chain of words where it stands; a word carries a hash of what the reader published. A node that differs reads on, and lists everything anew after two contradictions at one position.

--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -185,6 +185,7 @@
     visit(it.from);
     visit(it.since);
     visit(it.position);
+    visit(it.digest);
     visit(it.changes);
 }
 
--- a/tests/platform/known_position_test.cpp
+++ b/tests/platform/known_position_test.cpp
@@ -4,28 +4,46 @@
 
 namespace cornelpier::platform {
 
-TEST_CASE("a reader's word moves the position unless changes before it were lost", "[platform]") {
+namespace {
+
+constexpr std::uint64_t same = 77;
+constexpr std::uint64_t different = 78;
+
+known_position at(revision current) {
     known_position position;
-    position.restart(10);
-    CHECK(position.on_word(8, 12, false));
+    position.restart(current);
+    return position;
+}
+
+} // namespace
+
+TEST_CASE("a reader's word moves the position unless changes before it were lost", "[platform]") {
+    auto position = at(10);
+    CHECK(position.on_word({8, 12, same}, same, false) == word_value::covers);
     CHECK(position.known() == 12);
-    CHECK_FALSE(position.on_word(14, 20, false));
+    CHECK(position.on_word({14, 20, same}, same, false) == word_value::falls_short);
     CHECK(position.known() == 12);
-    CHECK(position.on_word(8, 11, false));
+    CHECK(position.on_word({8, 11, same}, same, false) == word_value::covers);
     CHECK(position.known() == 12);
 }
 
 TEST_CASE("a node that misses entries reads on until they are back", "[platform]") {
-    known_position position;
-    position.restart(10);
-    CHECK_FALSE(position.on_word(8, 12, true));
+    auto position = at(10);
+    CHECK(position.on_word({8, 12, same}, same, true) == word_value::falls_short);
+    CHECK(position.known() == 10);
+}
+
+TEST_CASE("a node that believes something else than the reader does not skip changes", "[platform]") {
+    auto position = at(10);
+    CHECK(position.on_word({8, 12, same}, different, false) == word_value::falls_short);
     CHECK(position.known() == 10);
+    // At one position there is nothing left to read that could explain it.
+    CHECK(position.on_word({8, 10, same}, different, false) == word_value::contradicts);
 }
 
 TEST_CASE("an answer of the store that a word has overtaken is no news", "[platform]") {
-    known_position position;
-    position.restart(10);
-    REQUIRE(position.on_word(8, 12, false));
+    auto position = at(10);
+    REQUIRE(position.on_word({8, 12, same}, same, false) == word_value::covers);
     CHECK_FALSE(position.on_read(11));
     CHECK(position.on_read(12));
     CHECK(position.on_read(15));
@@ -33,8 +51,7 @@
 }
 
 TEST_CASE("others are told only up to what was published", "[platform]") {
-    known_position position;
-    position.restart(10);
+    auto position = at(10);
     position.on_settled();
     REQUIRE(position.on_read(15));
     CHECK(position.settled() == 10);
--- a/tests/platform/server_directory_test.cpp
+++ b/tests/platform/server_directory_test.cpp
@@ -57,6 +57,28 @@
     CHECK(directory.servers().empty());
 }
 
+TEST_CASE("a node that was told until just now takes one failed call for no outage", "[platform]") {
+    server_directory directory;
+    directory.on_contact(start);
+    directory.put("servers/i-1", entry("10.0.0.1:80", 1));
+    directory.on_told(start + seconds{9});
+    directory.on_failure();
+    directory.on_contact(start + seconds{10});
+    directory.remove("servers/i-1", start + seconds{10});
+    CHECK(directory.servers().empty());
+}
+
+TEST_CASE("a word of another node does not end an outage that was seen here", "[platform]") {
+    server_directory directory;
+    directory.on_contact(start);
+    directory.put("servers/i-1", entry("10.0.0.1:80", 1));
+    directory.on_failure();
+    directory.on_told(start + seconds{5});
+    directory.on_contact(start + seconds{5});
+    directory.remove("servers/i-1", start + seconds{5});
+    CHECK(directory.servers().size() == 1);
+}
+
 TEST_CASE("an entry that lapsed during an outage stays for the time in which it comes back", "[platform]") {
     server_directory directory;
     directory.on_contact(start);
