Read the store at a pace that follows from the time for taking up changes

Each node that had just read for itself read again at once unless it had heard a word; watches waited 0.5 s wherever the bound was 2.5 s. Change: an own answer confirms what a node knows like a reader's word; pause, longest wait and silence come from the least of config_apply and drain, with 0.7 s left for a node's own reading (small sites as before: 0.5, 0.5, 1.3 s; grown: 0.5, 1.0, 1.8 s).

--- a/src/cornelpier/membership/reader_roles.hpp
+++ b/src/cornelpier/membership/reader_roles.hpp
@@ -13,22 +13,21 @@
 /// waits for a reader that is gone.
 class reader_roles {
   public:
-    /// A node that heard no reader for so long reads for itself. Two intervals between words, so that one of
-    /// them may be lost, and well below the 2 s within which changes must be taken up.
-    static constexpr duration silence_limit = std::chrono::milliseconds{1300};
-
     /// Data centres of at least this many nodes have a second reader.
     static constexpr std::size_t size_for_two = 6;
 
     /// @param self name of the own node.
-    explicit reader_roles(target_id self) : m_self(std::move(self)) {}
+    /// @param silence_limit time after which a node that heard no reader reads for itself: longer than the
+    /// interval between words, and below the time within which changes must be taken up.
+    reader_roles(target_id self, duration silence_limit)
+        : m_self(std::move(self)), m_silence_limit(silence_limit) {}
 
     /// Takes the nodes of the own data centre.
     /// @param group its name; nodes of different groups choose independently.
     void set_members(const data_centre_id& group, std::vector<target_id> members);
 
-    /// Notes a word of a reader.
-    void on_word(time_point now) { m_word_at = now; }
+    /// Notes that this node knew everything, by a reader's word or by its own reading.
+    void on_confirmed(time_point now) { m_confirmed_at = now; }
 
     /// @return whether this node reads for the others too.
     [[nodiscard]] bool is_reader() const { return m_reader; }
@@ -36,13 +35,14 @@
     /// @return whether this node has to read now.
     [[nodiscard]] bool must_read(time_point now) const { return m_reader || now >= reads_at(); }
 
-    /// @return when this node has to read unless it hears a reader before.
-    [[nodiscard]] time_point reads_at() const { return m_word_at + silence_limit; }
+    /// @return when this node has to read unless it hears a reader before then.
+    [[nodiscard]] time_point reads_at() const { return m_confirmed_at + m_silence_limit; }
 
   private:
     target_id m_self;
+    duration m_silence_limit;
     bool m_reader = true; ///< Until the others are known.
-    time_point m_word_at{};
+    time_point m_confirmed_at{};
 };
 
 } // namespace cornelpier
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -224,6 +224,10 @@
     CHECK(settings.grace == std::chrono::seconds{4});
     CHECK(settings.repeat_share == Approx(0.1));
     CHECK(settings.repeat_reserve == Approx(20));
+
+    document["bounds"] = {"config_apply=2500ms", "drain=2200ms"};
+    settings = std::get<platform_settings>(read_platform_settings(document));
+    CHECK(settings.take_up_limit == std::chrono::milliseconds{2200});
 }
 
 TEST_CASE("mistakes in the platform's settings have a place", "[platform]") {
