Name the changed places of a settings file in the log

Cause: the log said only that something differs, so nobody could tell whether a restart is needed. The process test now changes the file: without effect, with one field, broken.

--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -158,14 +158,18 @@
     }
 
     void reload() {
-        const auto outcome = m_options.reload ? m_options.reload() : result<bool>{false};
+        const auto outcome = m_options.reload ? m_options.reload()
+                                              : result<std::vector<std::string>>{std::vector<std::string>{}};
         if (const auto* problem = std::get_if<error>(&outcome)) {
             m_log.write(
                 {event_number::settings_invalid, {{"place", problem->place}, {"reason", problem->reason}}});
             return;
         }
-        const bool changed = std::get<bool>(outcome);
-        m_log.write({event_number::settings_reloaded, {{"changed", changed ? "yes" : "no"}}});
+        std::string changed;
+        for (const auto& it : std::get<std::vector<std::string>>(outcome)) {
+            changed += (changed.empty() ? "" : " ") + it;
+        }
+        m_log.write({event_number::settings_reloaded, {{"changed", changed}}});
     }
 
     void on_terminate() {
--- a/src/daemon/node/node_options.hpp
+++ b/src/daemon/node/node_options.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace cornelpier {
 
@@ -27,9 +28,9 @@
     /// Time after a request to stop at which the process ends whatever is in progress; zero: none.
     std::chrono::milliseconds stop_limit{0};
 
-    /// Reads the settings file again after SIGHUP. Returns whether anything differs, or what is wrong with
-    /// it; then the settings in force stay. Empty: SIGHUP changes nothing.
-    std::function<result<bool>()> reload = {};
+    /// Reads the settings file again after SIGHUP. Returns the places that differ, or what is wrong with it;
+    /// either way the settings in force stay. Empty: SIGHUP changes nothing.
+    std::function<result<std::vector<std::string>>()> reload = {};
 
     bool single_thread = false; ///< Traffic and control share one thread.
 };
--- a/tests/process/sidecar_test.cpp
+++ b/tests/process/sidecar_test.cpp
@@ -145,6 +145,21 @@
         });
     }
 
+    void append_to_settings(int vm, const std::string& text) const {
+        std::ofstream{file(vm), std::ios::app} << text;
+    }
+
+    void change_settings(int vm, const std::string& field, const std::string& value) const {
+        auto settings = json::parse(std::ifstream{file(vm)});
+        settings[field] = value;
+        std::ofstream{file(vm)} << settings.dump();
+    }
+
+    [[nodiscard]] bool log_holds(int vm, const std::string& text) const {
+        std::ifstream log{file(vm) + ".log"};
+        return std::string{std::istreambuf_iterator<char>{log}, {}}.find(text) != std::string::npos;
+    }
+
     /// @return requests that each server ran.
     std::map<int, int> runs() {
         return store([this](auto&) { return m_runs; });
@@ -294,11 +309,18 @@
     CHECK(sidecar_fleet::status(1, "/l/1") == 200);
 }
 
-TEST_CASE("a changed settings file that is wrong changes nothing", "[process][sidecar]") {
+TEST_CASE("a changed settings file is named in the log and changes nothing", "[process][sidecar]") {
     sidecar_fleet fleet;
     REQUIRE(fleet.wait_until_serving());
+    fleet.append_to_settings(0, "  ");
+    fleet.nodes[0].send_signal(SIGHUP);
+    CHECK(becomes_true(2s, [&] { return fleet.log_holds(0, R"("fields":{"changed":""})"); }));
+    fleet.change_settings(0, "data_centre", "other");
+    fleet.nodes[0].send_signal(SIGHUP);
+    CHECK(becomes_true(2s, [&] { return fleet.log_holds(0, R"("fields":{"changed":"/data_centre"})"); }));
+    fleet.append_to_settings(0, "}");
     fleet.nodes[0].send_signal(SIGHUP);
-    std::this_thread::sleep_for(200ms);
+    CHECK(becomes_true(2s, [&] { return fleet.log_holds(0, "settings_invalid"); }));
     CHECK(sidecar_fleet::status(0, "/l/1") == 200);
     CHECK(sidecar_fleet::readiness(0) == 200);
 }
