--- /dev/null
+++ b/tests/soak/cornelpier_soak.cpp
@@ -0,0 +1,61 @@
+#include "tests/soak/soak_runner.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <exception>
+#include <filesystem>
+#include <iostream>
+#include <unistd.h>
+
+namespace {
+
+using namespace cornelpier::soak;
+
+/// Plays seeds until one breaks a promise.
+int play(const soak_options& wanted, std::uint32_t count) {
+    for (std::uint32_t n = 0; n < count; ++n) {
+        soak_options options = wanted;
+        options.seed = wanted.seed + n;
+        options.directory =
+            std::filesystem::temp_directory_path() /
+            ("cornelpier-soak-" + std::to_string(options.seed) + '-' + std::to_string(getpid()));
+        const auto complaints = soak_runner{options}.run();
+        if (!complaints.empty()) {
+            for (const auto& it : complaints) {
+                std::cout << it << '\n';
+            }
+            std::cout << "logs in " << options.directory << '\n';
+            return 1;
+        }
+        std::filesystem::remove_all(options.directory);
+    }
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"Plays random faults against real processes on loopback and checks the promises.",
+                 "cornelpier-soak"};
+    soak_options options;
+    options.sidecar = CORNELPIER_SIDECAR;
+    std::uint32_t count = 1;
+    int seconds = 16;
+    app.add_option("--seed", options.seed, "First seed");
+    app.add_option("--count", count, "Seeds, one after the other")->check(CLI::Range(1, 10'000));
+    app.add_option("--seconds", seconds, "Length of the schedule")->check(CLI::Range(1, 3600));
+    app.add_option("--vms", options.vms, "Nodes, each with a server")->check(CLI::Range(2, 100));
+    app.add_option("--connections", options.connections,
+                   "Callers of a node; every other one has four times as many")
+        ->check(CLI::Range(1, 50));
+    app.add_option("--program", options.sidecar, "The node's program")->check(CLI::ExistingFile);
+    app.add_flag("--verbose", options.verbose, "Print each event");
+    CLI11_PARSE(app, argc, argv);
+    options.length = std::chrono::seconds{seconds};
+    try {
+        return play(options, count);
+    } catch (const std::exception& problem) {
+        std::cerr << "cornelpier-soak: " << problem.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/tests/soak/fault_schedule_test.cpp
@@ -0,0 +1,43 @@
+#include "tests/soak/fault_schedule.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace cornelpier::soak {
+
+using std::chrono::seconds;
+
+TEST_CASE("a seed always gives the same faults, another seed others", "[soak]") {
+    const auto describe = [](std::uint32_t seed) {
+        std::string text;
+        for (const auto& it : make_schedule(seed, 4, seconds{40})) {
+            text += std::to_string(it.at.count()) + to_string(it.kind) + std::to_string(it.vm) + ' ';
+        }
+        return text;
+    };
+    CHECK(describe(7) == describe(7));
+    CHECK(describe(7) != describe(8));
+}
+
+TEST_CASE("all faults come, in order, and calm stretches with planned work alone between them", "[soak]") {
+    std::set<fault_kind> kinds;
+    int calm_rounds = 0;
+    for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+        const auto events = make_schedule(seed, 4, seconds{16});
+        CHECK(std::ranges::is_sorted(events, {}, &fault_event::at));
+        std::chrono::milliseconds disturbed_until{0};
+        for (const auto& it : events) {
+            kinds.insert(it.kind);
+            if (!is_planned(it.kind)) {
+                disturbed_until = std::max(disturbed_until, it.at + it.lasts);
+            }
+        }
+        calm_rounds += events.back().at >= disturbed_until + stable_time ? 1 : 0;
+    }
+    CHECK(kinds.size() == static_cast<std::size_t>(fault_kind::slow_server) + 1);
+    CHECK(calm_rounds == 50);
+}
+
+} // namespace cornelpier::soak
--- /dev/null
+++ b/tests/soak/soak_callers.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "tests/soak/fault_clock.hpp"
+#include "tests/soak/promise_ledger.hpp"
+
+#include <boost/asio.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace cornelpier::soak {
+
+/// Callers that send requests on kept connections until the node closes them, and some that leave early.
+class soak_callers {
+  public:
+    soak_callers(boost::asio::io_context& context, promise_ledger& ledger, const fault_clock& faults,
+                 std::uint32_t seed);
+
+    /// Starts callers on connections of their own.
+    /// @param address `IP:port` of a node's callers.
+    void start(const std::string& address, int connections);
+
+    /// Sends no more requests.
+    void stop() { m_stopped = true; }
+
+    /// Asks a node for a route that a version of the plan has brought.
+    void check_plan(const std::string& address, int version,
+                    std::chrono::steady_clock::time_point changed_at);
+
+    /// @return requests answered with success by each node's address since the last question.
+    [[nodiscard]] std::map<std::string, int> take_served() { return std::exchange(m_served, {}); }
+
+  private:
+    class connection;
+
+    void call_on(const std::string& address, boost::asio::yield_context yield);
+    bool exchange(connection& it, const std::string& address, boost::asio::yield_context yield);
+    void ask_plan(const std::string& address, int version, std::chrono::steady_clock::time_point changed_at,
+                  boost::asio::yield_context yield);
+    void sleep(std::chrono::milliseconds time, boost::asio::yield_context yield);
+    request_record next_request();
+    int between(int least, int most) { return std::uniform_int_distribution{least, most}(m_random); }
+
+    boost::asio::io_context& m_context;
+    promise_ledger& m_ledger;
+    const fault_clock& m_faults;
+    std::mt19937 m_random;
+    std::uint64_t m_last_id = 0;
+    std::map<std::string, int> m_served;
+    bool m_stopped = false;
+};
+
+} // namespace cornelpier::soak
--- /dev/null
+++ b/tests/soak/soak_fleet.cpp
@@ -0,0 +1,143 @@
+#include "tests/soak/soak_fleet.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <unistd.h>
+
+namespace cornelpier::soak {
+
+namespace {
+
+using nlohmann::json;
+
+// Ports of one VM; the VMs differ by their loopback addresses. What others connect to is a proxy.
+constexpr int caller_port = 28301;
+constexpr int ready_port = 28302;
+constexpr int server_port = 28303;
+constexpr int node_port = 28304;
+constexpr int operator_port = 28305;
+constexpr int store_port = 28306;
+constexpr int real_server_port = 28313;
+constexpr int real_node_port = 28314;
+
+constexpr int store_vm = 249; ///< Host part of the store's address.
+
+std::string subnet() {
+    return "127.11." + std::to_string(getpid() % 250) + '.';
+}
+
+json routes(int version) {
+    json rows = json::array();
+    for (const char* kind : {"safe", "unsafe"}) {
+        rows.push_back({std::string{"r-"} + kind, "soak.example", std::string{"/"} + kind + '/', kind,
+                        "1500ms", "500ms", 2, "orders", 2, nullptr});
+    }
+    rows.push_back({"r-new", "soak.example", "/v" + std::to_string(version) + '/', "safe", "1500ms", "500ms",
+                    2, "orders", 2, nullptr});
+    return rows;
+}
+
+std::string plan_text(int version) {
+    return json{
+        {"version", "r" + std::to_string(version)},
+        {"routes",
+         {{"columns",
+           {"name", "host", "path_prefix", "kind", "timeout", "objective", "priority", "service",
+            "max_attempts", "traffic_split"}},
+          {"rows", routes(version)}}},
+        {"services",
+         {{"columns", {"name", "health_path", "max_connections"}}, {"rows", {{"orders", "/health", 100}}}}},
+        {"limits", {{"idle_timeout", "15000ms"}}}}
+        .dump();
+}
+
+} // namespace
+
+soak_fleet::soak_fleet(boost::asio::io_context& context, promise_ledger& ledger, std::string sidecar,
+                       std::filesystem::path directory, int vms_wanted, std::uint32_t seed)
+    : store(context, at(store_vm, store_port)), m_context(context), m_sidecar(std::move(sidecar)),
+      m_directory(std::move(directory)) {
+    std::filesystem::create_directories(m_directory);
+    store.put("op/config", plan_text(m_plan_version));
+    vms.resize(static_cast<std::size_t>(vms_wanted));
+    for (int vm = 0; vm < vms_wanted; ++vm) {
+        auto& it = vms[static_cast<std::size_t>(vm)];
+        it.server = std::make_unique<soak_server>(context, at(vm, real_server_port), ledger,
+                                                  seed + static_cast<std::uint32_t>(vm));
+        it.links = std::make_unique<loopback_proxy>(context, at(vm, node_port), at(vm, real_node_port));
+        it.store = std::make_unique<loopback_proxy>(context, at(vm, store_port), at(store_vm, store_port));
+        it.target = std::make_unique<loopback_proxy>(context, at(vm, server_port), at(vm, real_server_port));
+        it.server->instance = "i-" + std::to_string(vm) + "-0";
+        report_server(vm, "ready");
+        write_settings(vm);
+    }
+}
+
+void soak_fleet::start_node(int vm) {
+    const std::string settings = file(vm);
+    vms[static_cast<std::size_t>(vm)].node.emplace(
+        std::vector<std::string>{m_sidecar, "--settings", settings}, settings + ".log");
+}
+
+void soak_fleet::change_plan() {
+    store.put("op/config", plan_text(++m_plan_version));
+}
+
+void soak_fleet::replace_server(int vm) {
+    auto& it = vms[static_cast<std::size_t>(vm)];
+    store.remove("servers/" + it.server->instance);
+    it.server->begin_life("i-" + std::to_string(vm) + '-' + std::to_string(++it.lives));
+    report_server(vm, "ready");
+}
+
+void soak_fleet::report_server(int vm, const std::string& state) {
+    const auto& it = vms[static_cast<std::size_t>(vm)];
+    store.put(
+        "servers/" + it.server->instance,
+        json{{"address", at(vm, server_port)},
+             {"born", 1000 + it.lives},
+             {"info", {{"service", "orders"}, {"zone", vm % 2 == 0 ? "a" : "b"}, {"slots", 4}}},
+             {"status", {{"state", state}, {"sequence", state == "ready" ? 1 : 2}, {"cold_left", "0ms"}}}}
+            .dump());
+}
+
+std::string soak_fleet::caller_address(int vm) const {
+    return at(vm, caller_port);
+}
+
+std::string soak_fleet::readiness_address(int vm) const {
+    return at(vm, ready_port);
+}
+
+std::string soak_fleet::at(int vm, int port) const {
+    return subnet() + std::to_string(vm + 1) + ':' + std::to_string(port);
+}
+
+std::filesystem::path soak_fleet::file(int vm) const {
+    return m_directory / ("node-" + std::to_string(vm));
+}
+
+void soak_fleet::write_settings(int vm) const {
+    const std::string ip = subnet() + std::to_string(vm + 1);
+    const json adapter{{"ip", ip},
+                       {"platform", {{"address", at(vm, store_port)}}},
+                       {"listen", {{"ready", at(vm, ready_port)}}},
+                       {"port_range", {node_port, operator_port}},
+                       {"bounds", {{"grace", "6s"}, {"probes_per_s", 60}, {"config_apply", "2s"}}}};
+    const json settings{{"target", ip},
+                        {"vm", "vm-" + std::to_string(vm)},
+                        {"data_centre", vm % 2 == 0 ? "a" : "b"},
+                        {"service", "orders"},
+                        {"caller_address", at(vm, caller_port)},
+                        {"node_address", at(vm, real_node_port)},
+                        {"operator_address", at(vm, operator_port)},
+                        {"server_address", at(vm, server_port)},
+                        {"configuration_address", at(vm, store_port)},
+                        {"vm_list_address", at(vm, store_port)},
+                        {"log", {{"format", "json"}, {"level", "debug"}}},
+                        {"adapter", adapter}};
+    std::ofstream{file(vm)} << settings.dump();
+}
+
+} // namespace cornelpier::soak
--- /dev/null
+++ b/tests/soak/soak_runner.cpp
@@ -0,0 +1,367 @@
+#include "tests/soak/soak_runner.hpp"
+
+#include "tests/process/support/becomes_true.hpp"
+#include "tests/process/support/http_call.hpp"
+
+#include <csignal>
+#include <future>
+#include <iostream>
+#include <utility>
+
+namespace cornelpier::soak {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t max_attempts = 2; ///< As the routes of the plan say.
+
+/// Stated by the platform: the time a process has after SIGTERM, and the bounds on a plan and on a server
+/// that leaves.
+constexpr milliseconds grace{6000};
+constexpr milliseconds take_up_limit{2000};
+
+/// The server's process goes on for a little longer than that.
+constexpr milliseconds server_leaves_after{3000};
+
+/// Entries that lapsed are back within this time of the store's return. Stated by the platform as 2 s.
+constexpr milliseconds entries_back_after{1200};
+
+/// Stated by the platform: from then on, a quarter of what was served must be served again. This soak asks
+/// for all nodes to be ready and nearly all requests to be served.
+constexpr milliseconds recovery_limit{15000};
+constexpr milliseconds recovery_time{2000};
+constexpr int least_served_per_connection = 10;
+
+constexpr int busy_factor = 4;
+constexpr milliseconds link_delay{120};
+constexpr double fault_share = 0.3;
+constexpr double slow_factor = 6;
+
+} // namespace
+
+soak_runner::soak_runner(soak_options options)
+    : m_options(std::move(options)), m_ledger(max_attempts),
+      m_fleet(m_context, m_ledger, m_options.sidecar, m_options.directory, m_options.vms, m_options.seed),
+      m_callers(m_context, m_ledger, m_faults, m_options.seed),
+      m_busy(static_cast<std::size_t>(m_options.vms)), m_leaving(static_cast<std::size_t>(m_options.vms)),
+      m_started_at(steady_clock::now()), m_thread([this] {
+          const auto guard = boost::asio::make_work_guard(m_context);
+          m_context.run();
+      }) {
+    for (auto& it : m_fleet.vms) {
+        it.server->is_calm_since = [this](auto since) { return m_faults.calm_since(since); };
+    }
+}
+
+soak_runner::~soak_runner() {
+    for (auto& it : m_fleet.vms) {
+        it.node.reset();
+    }
+    m_context.stop();
+    m_thread.join();
+}
+
+std::vector<std::string> soak_runner::run() {
+    for (int vm = 0; vm < m_options.vms; ++vm) {
+        m_fleet.start_node(vm);
+    }
+    if (!wait_until_ready(recovery_limit)) {
+        return {"start: not all nodes are ready"};
+    }
+    on_context([this] {
+        for (int vm = 0; vm < m_options.vms; ++vm) {
+            m_callers.start(m_fleet.caller_address(vm), connections_of(vm));
+        }
+    });
+
+    m_started_at = steady_clock::now();
+    for (const auto& it : make_schedule(m_options.seed, m_options.vms, m_options.length)) {
+        run_due(m_started_at + it.at);
+        begin(it);
+    }
+    run_due(time_point::max());
+    check_recovery();
+
+    std::vector<std::string> complaints;
+    on_context([&] {
+        m_callers.stop();
+        m_ledger.finish();
+        complaints = m_ledger.complaints();
+    });
+    std::string answers;
+    for (const auto& [status, count] : m_ledger.answers()) {
+        answers += ' ' + (status == 0 ? "none" : std::to_string(status)) + ':' + std::to_string(count);
+    }
+    std::cout << "seed " << m_options.seed << " answers" << answers << ", broken " << complaints.size()
+              << '\n';
+    return complaints;
+}
+
+/// Every other VM has more callers than its server has slots, so that requests cross the links all the time.
+int soak_runner::connections_of(int vm) const {
+    return vm % 2 == 0 ? m_options.connections : busy_factor * m_options.connections;
+}
+
+void soak_runner::begin(const fault_event& event) {
+    say(to_string(event.kind) + " vm " + std::to_string(event.vm) + " for " +
+        std::to_string(event.lasts.count()) + " ms");
+    if (is_planned(event.kind)) {
+        work_by_plan(event);
+    } else {
+        on_context([this] { m_faults.begin(); });
+        disturb(event);
+        later(event.lasts, [this, event] {
+            say("end of " + to_string(event.kind) + " vm " + std::to_string(event.vm));
+            on_context([this] { m_faults.end(); });
+        });
+    }
+}
+
+void soak_runner::work_by_plan(const fault_event& event) {
+    const auto vm = static_cast<std::size_t>(event.vm);
+    switch (event.kind) {
+    case fault_kind::terminate:
+        if (!m_busy[vm]) {
+            terminate(event.vm);
+        }
+        break;
+    case fault_kind::hang_up:
+        if (!m_busy[vm]) {
+            m_fleet.vms[vm].node->send_signal(SIGHUP);
+        }
+        break;
+    case fault_kind::replace_server:
+        if (!m_leaving[vm]) {
+            replace_server(event.vm);
+        }
+        break;
+    default:
+        change_plan();
+    }
+}
+
+void soak_runner::terminate(int vm) {
+    const auto index = static_cast<std::size_t>(vm);
+    m_busy[index] = true;
+    m_fleet.vms[index].node->send_signal(SIGTERM);
+    later(grace, [this, vm, index] {
+        const auto status = m_fleet.vms[index].node->wait(milliseconds{0});
+        if (status != 0) {
+            const std::string text = status ? "status " + std::to_string(*status) : "it still runs";
+            on_context([this, text, vm] {
+                m_ledger.complain("grace", "-", "vm " + std::to_string(vm) + " after SIGTERM: " + text);
+            });
+        }
+        start_again(vm);
+    });
+}
+
+void soak_runner::start_again(int vm) {
+    m_fleet.vms[static_cast<std::size_t>(vm)].node.reset();
+    m_fleet.start_node(vm);
+    m_busy[static_cast<std::size_t>(vm)] = false;
+}
+
+void soak_runner::replace_server(int vm) {
+    const auto index = static_cast<std::size_t>(vm);
+    m_leaving[index] = true;
+    on_context([this, vm, index] {
+        m_fleet.report_server(vm, "draining");
+        m_fleet.vms[index].server->leave(steady_clock::now(), take_up_limit);
+    });
+    later(server_leaves_after, [this, vm, index] {
+        on_context([this, vm] { m_fleet.replace_server(vm); });
+        m_leaving[index] = false;
+    });
+}
+
+void soak_runner::change_plan() {
+    const int version = ++m_plan_version;
+    const auto now = steady_clock::now();
+    on_context([this] { m_fleet.change_plan(); });
+    later(take_up_limit, [this, version, now] {
+        if (version != m_plan_version) {
+            return;
+        }
+        on_context([this, version, now] {
+            for (int vm = 0; vm < m_options.vms; ++vm) {
+                m_callers.check_plan(m_fleet.caller_address(vm), version, now);
+            }
+        });
+    });
+}
+
+void soak_runner::disturb(const fault_event& event) {
+    const auto index = static_cast<std::size_t>(event.vm);
+    auto& vm = m_fleet.vms[index];
+    switch (event.kind) {
+    case fault_kind::kill:
+    case fault_kind::kill_all:
+        for (int n = 0; n < m_options.vms; ++n) {
+            const auto other = static_cast<std::size_t>(n);
+            if ((n == event.vm || event.kind == fault_kind::kill_all) && !m_busy[other]) {
+                m_busy[other] = true;
+                m_fleet.vms[other].node->send_signal(SIGKILL);
+                later(event.lasts, [this, n] { start_again(n); });
+            }
+        }
+        break;
+    case fault_kind::pause:
+        if (!m_busy[index]) {
+            m_busy[index] = true;
+            vm.node->send_signal(SIGSTOP);
+            later(event.lasts, [this, index] {
+                m_fleet.vms[index].node->send_signal(SIGCONT);
+                m_busy[index] = false;
+            });
+        }
+        break;
+    case fault_kind::lapse:
+    case fault_kind::store_down:
+        lapse(event);
+        break;
+    default:
+        disturb_link(event);
+    }
+}
+
+void soak_runner::lapse(const fault_event& event) {
+    if (std::exchange(m_store_busy, true)) {
+        return;
+    }
+    on_context([&] {
+        m_fleet.store.set_down(true);
+        if (event.kind == fault_kind::lapse) {
+            for (const auto& it : m_fleet.vms) {
+                m_fleet.store.remove("servers/" + it.server->instance);
+            }
+        }
+    });
+    later(event.lasts, [this] { on_context([this] { m_fleet.store.set_down(false); }); });
+    later(event.lasts + entries_back_after, [this] {
+        on_context([this] {
+            for (int vm = 0; vm < m_options.vms; ++vm) {
+                m_fleet.report_server(vm, m_leaving[static_cast<std::size_t>(vm)] ? "draining" : "ready");
+            }
+        });
+        m_store_busy = false;
+    });
+}
+
+void soak_runner::disturb_link(const fault_event& event) {
+    auto* vm = &m_fleet.vms[static_cast<std::size_t>(event.vm)];
+    const auto change = [&](const std::function<void(bool)>& apply) {
+        on_context([&] { apply(true); });
+        later(event.lasts, [this, apply] { on_context([&] { apply(false); }); });
+    };
+    switch (event.kind) {
+    case fault_kind::delay_links:
+        change([vm](bool on) { vm->links->set_fault({on ? link_delay : milliseconds{0}, false, false}); });
+        break;
+    case fault_kind::cut_to:
+        change([vm](bool on) { vm->links->set_fault({milliseconds{0}, on, false}); });
+        break;
+    case fault_kind::cut_from:
+        change([vm](bool on) { vm->links->set_fault({milliseconds{0}, false, on}); });
+        break;
+    case fault_kind::cut_store:
+        change([vm](bool on) { vm->store->set_fault({milliseconds{0}, on, on}); });
+        break;
+    case fault_kind::lose_answers:
+        change([vm](bool on) { vm->server->lost_share = on ? fault_share : 0; });
+        break;
+    case fault_kind::cut_answers:
+        change([vm](bool on) { vm->server->truncated_share = on ? fault_share : 0; });
+        break;
+    case fault_kind::slow_server:
+        change([vm](bool on) { vm->server->slowness = on ? slow_factor : 1; });
+        break;
+    case fault_kind::reset_links:
+        on_context([vm] { vm->links->reset_all(); });
+        break;
+    case fault_kind::mute_links:
+        on_context([vm] { vm->links->mute_all(); });
+        break;
+    case fault_kind::reset_store:
+        on_context([vm] { vm->store->reset_all(); });
+        break;
+    case fault_kind::mute_store:
+        on_context([vm] { vm->store->mute_all(); });
+        break;
+    default:
+        on_context([vm] { vm->target->reset_all(); });
+    }
+}
+
+void soak_runner::check_recovery() {
+    if (!wait_until_ready(recovery_limit)) {
+        on_context([this] { m_ledger.complain("recover", "-", "not all nodes are ready"); });
+        return;
+    }
+    std::this_thread::sleep_for(stable_time);
+    on_context([this] { static_cast<void>(m_callers.take_served()); });
+    std::this_thread::sleep_for(recovery_time);
+    on_context([this] {
+        auto served = m_callers.take_served();
+        for (int vm = 0; vm < m_options.vms; ++vm) {
+            const int wanted = least_served_per_connection * connections_of(vm);
+            const int count = served[m_fleet.caller_address(vm)];
+            if (count < wanted) {
+                m_ledger.complain("recover", "-",
+                                  "vm " + std::to_string(vm) + " served " + std::to_string(count) +
+                                      ", wanted " + std::to_string(wanted));
+            }
+        }
+    });
+}
+
+bool soak_runner::wait_until_ready(milliseconds limit) {
+    return test::becomes_true(limit, [this] {
+        for (int vm = 0; vm < m_options.vms; ++vm) {
+            try {
+                const auto address = m_fleet.readiness_address(vm);
+                if (test::call(address, test::get_request("/readiness", "node")).status != 200) {
+                    return false;
+                }
+            } catch (const std::runtime_error&) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
+void soak_runner::later(milliseconds after, std::function<void()> action) {
+    m_due.emplace(steady_clock::now() + after, std::move(action));
+}
+
+void soak_runner::run_due(time_point until) {
+    while (!m_due.empty() && m_due.begin()->first <= until) {
+        const auto first = m_due.extract(m_due.begin());
+        std::this_thread::sleep_until(first.key());
+        first.mapped()();
+    }
+    if (until != time_point::max()) {
+        std::this_thread::sleep_until(until);
+    }
+}
+
+void soak_runner::on_context(const std::function<void()>& action) {
+    std::promise<void> done;
+    boost::asio::post(m_context, [&] {
+        action();
+        done.set_value();
+    });
+    done.get_future().get();
+}
+
+void soak_runner::say(const std::string& text) const {
+    if (m_options.verbose) {
+        const auto now = std::chrono::duration_cast<milliseconds>(steady_clock::now() - m_started_at);
+        std::cout << now.count() << " ms " << text << std::endl;
+    }
+}
+
+} // namespace cornelpier::soak
--- /dev/null
+++ b/tests/soak/soak_runner.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "tests/soak/fault_clock.hpp"
+#include "tests/soak/fault_schedule.hpp"
+#include "tests/soak/promise_ledger.hpp"
+#include "tests/soak/soak_callers.hpp"
+#include "tests/soak/soak_fleet.hpp"
+
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cornelpier::soak {
+
+struct soak_options {
+    std::uint32_t seed = 1;
+    int vms = 4;
+    int connections = 2; ///< Callers of each calm VM.
+    std::chrono::milliseconds length{16000};
+    bool verbose = false;
+    std::string sidecar; ///< Path of the node's program.
+    std::filesystem::path directory;
+};
+
+/// Plays a schedule of faults against a fleet and judges what callers and servers saw.
+class soak_runner {
+  public:
+    explicit soak_runner(soak_options options);
+    ~soak_runner();
+
+    soak_runner(const soak_runner&) = delete;
+    soak_runner& operator=(const soak_runner&) = delete;
+    soak_runner(soak_runner&&) = delete;
+    soak_runner& operator=(soak_runner&&) = delete;
+
+    /// @return the broken promises, one line each.
+    std::vector<std::string> run();
+
+  private:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    [[nodiscard]] int connections_of(int vm) const;
+    void begin(const fault_event& event);
+    void disturb(const fault_event& event);
+    void disturb_link(const fault_event& event);
+    void work_by_plan(const fault_event& event);
+    void terminate(int vm);
+    void replace_server(int vm);
+    void change_plan();
+    void lapse(const fault_event& event);
+    void start_again(int vm);
+    void run_due(time_point until);
+    void later(std::chrono::milliseconds after, std::function<void()> action);
+    bool wait_until_ready(std::chrono::milliseconds limit);
+    void check_recovery();
+
+    /// Does something on the thread of the context and waits for it.
+    void on_context(const std::function<void()>& action);
+    void say(const std::string& text) const;
+
+    soak_options m_options;
+    boost::asio::io_context m_context{1};
+    promise_ledger m_ledger;
+    fault_clock m_faults;
+    soak_fleet m_fleet;
+    soak_callers m_callers;
+    std::multimap<time_point, std::function<void()>> m_due;
+    std::vector<bool> m_busy; ///< VMs whose node is stopped, starting or paused by an event.
+    std::vector<bool> m_leaving;
+    int m_plan_version = 1;
+    bool m_store_busy = false;
+    time_point m_started_at;
+    std::thread m_thread;
+};
+
+} // namespace cornelpier::soak
