Refuse CBOR whose sizes exceed all memory instead of ending the process

Cause: the JSON library throws out_of_range for an array or map size beyond size_t although exceptions are switched off; one damaged message between nodes, or of a reader, ended the process with an uncaught exception. Change: read_cbor is the one place that parses foreign CBOR and turns that exception into a discarded item.

--- /dev/null
+++ b/src/cornelpier/message/cbor_reader.cpp
@@ -0,0 +1,18 @@
+#include "cornelpier/message/cbor_reader.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace cornelpier {
+
+nlohmann::json read_cbor(std::string_view bytes) {
+    using nlohmann::json;
+    try {
+        return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    } catch (const json::out_of_range&) {
+        // Thrown for a size beyond all memory, although exceptions are switched off.
+        json nothing = json::value_t::discarded;
+        return nothing;
+    }
+}
+
+} // namespace cornelpier
--- a/src/cornelpier/message/codec.cpp
+++ b/src/cornelpier/message/codec.cpp
@@ -1,5 +1,6 @@
 #include "cornelpier/message/codec.hpp"
 
+#include "cornelpier/message/cbor_reader.hpp"
 #include "cornelpier/message/message_fields.hpp"
 
 #include <nlohmann/json.hpp>
@@ -276,7 +277,7 @@
 }
 
 result<stamped_message> decode_stamped(std::string_view bytes) {
-    const json item = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const json item = read_cbor(bytes);
     if (item.is_discarded()) {
         return error{"", "not one CBOR item"};
     }
