--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -19,6 +19,8 @@
     event_description{node_stopped, severity::info, "node_stopped", "The node stopped."},
     event_description{pause_detected, severity::warning, "pause_detected",
                       "The process did not run for a while; readings and permits were dropped."},
+    event_description{stop_requested, severity::info, "stop_requested", "The process was asked to stop."},
+    event_description{process_ended, severity::info, "process_ended", "The process ends."},
     event_description{plan_accepted, severity::info, "plan_accepted", "A plan came into force."},
     event_description{plan_refused_older, severity::warning, "plan_refused_older",
                       "A plan of a lower version than the one in force was refused."},
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -16,6 +16,8 @@
     drain_cancelled = 103,
     node_stopped = 104,
     pause_detected = 105,
+    stop_requested = 106,
+    process_ended = 107,
     plan_accepted = 200,
     plan_refused_older = 201,
     plan_refused_conflict = 202,
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -174,6 +174,7 @@
 
     void on_terminate() {
         m_terminated_at = std::chrono::steady_clock::now();
+        m_log.write({event_number::stop_requested, {}});
         m_traffic.post(terminate_requested{});
         if (m_options.entry_linger > std::chrono::milliseconds{0}) {
             m_stop_timer.expires_at(*m_terminated_at + m_options.entry_linger);
@@ -187,7 +188,7 @@
             m_limit_timer.expires_at(*m_terminated_at + m_options.stop_limit);
             m_limit_timer.async_wait([this](error_code ec) {
                 if (!ec) {
-                    stop();
+                    stop("time_limit");
                 }
             });
         }
@@ -229,10 +230,11 @@
             return;
         }
         m_stop_timer.expires_after(flush_time);
-        m_stop_timer.async_wait([this](error_code) { stop(); });
+        m_stop_timer.async_wait([this](error_code) { stop("done"); });
     }
 
-    void stop() {
+    void stop(const char* cause) {
+        m_log.write({event_number::process_ended, {{"cause", cause}}});
         m_source->stop();
         m_links.stop();
         m_server.stop();
--- a/tests/process/sidecar_test.cpp
+++ b/tests/process/sidecar_test.cpp
@@ -306,6 +306,8 @@
         std::this_thread::sleep_for(200ms);
     }
     CHECK(fleet.nodes[0].wait(6s) == 0);
+    CHECK(fleet.log_holds(0, R"("name":"stop_requested")"));
+    CHECK(fleet.log_holds(0, R"("name":"process_ended","fields":{"cause":"done"})"));
     CHECK(sidecar_fleet::status(1, "/l/1") == 200);
 }
 
