Read the soak's answers on the thread that writes them

Cause: the summary read the ledger's map while answers of calls in flight could still enter it. Found by reading; no run has failed by it.

--- a/tests/soak/soak_runner.cpp
+++ b/tests/soak/soak_runner.cpp
@@ -85,15 +85,15 @@
     check_recovery();
 
     std::vector<std::string> complaints;
+    std::string answers;
     on_context([&] {
         m_callers.stop();
         m_ledger.finish();
         complaints = m_ledger.complaints();
+        for (const auto& [status, count] : m_ledger.answers()) {
+            answers += ' ' + (status == 0 ? "none" : std::to_string(status)) + ':' + std::to_string(count);
+        }
     });
-    std::string answers;
-    for (const auto& [status, count] : m_ledger.answers()) {
-        answers += ' ' + (status == 0 ? "none" : std::to_string(status)) + ':' + std::to_string(count);
-    }
     std::cout << "seed " << m_options.seed << " answers" << answers << ", broken " << complaints.size()
               << '\n';
     return complaints;
