--- a/src/cornelpier/admission/slowness_meter.cpp
+++ b/src/cornelpier/admission/slowness_meter.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Mean rest of a spell that was noticed just now; spells last about half a second.
-constexpr duration usual_rest = std::chrono::milliseconds{300};
-
 /// A spell that has lasted long is expected to last on for this share of its length.
 constexpr double rest_share = 0.5;
 
@@ -40,7 +37,7 @@
 
 duration slowness_meter::rest_of_spell(time_point now) const {
     const duration lasted = now - m_spell_began;
-    return std::max(usual_rest, from_seconds(to_seconds(lasted) * rest_share));
+    return std::max(usual_spell_rest, from_seconds(to_seconds(lasted) * rest_share));
 }
 
 duration slowness_meter::loss_by_starting(duration work) const {
--- a/src/cornelpier/admission/slowness_meter.hpp
+++ b/src/cornelpier/admission/slowness_meter.hpp
@@ -4,6 +4,9 @@
 
 namespace cornelpier {
 
+/// Mean rest of a spell of slowness that was noticed just now; spells last about half a second.
+inline constexpr duration usual_spell_rest = std::chrono::milliseconds{300};
+
 /// How much slower than usual a server is, as it told with its last answer. Answers the load of neighbours on
 /// its machine, which slow it several times over for some hundred milliseconds: a run takes as long as the
 /// speed at its start says, so that waiting for the end of the spell is often faster than to start.
--- a/src/cornelpier/entry/call_state.cpp
+++ b/src/cornelpier/entry/call_state.cpp
@@ -22,10 +22,7 @@
 }
 
 std::uint32_t call_state::possible_runs() const {
-    const auto may_run = [](const attempt_state& it) {
-        return it.phase != attempt_phase::settled || it.outcome != verdict::not_run;
-    };
-    return static_cast<std::uint32_t>(std::ranges::count_if(attempts, may_run));
+    return static_cast<std::uint32_t>(std::ranges::count_if(attempts, &attempt_state::may_run));
 }
 
 bool call_state::has_open_attempt() const {
--- a/src/cornelpier/entry/call_state.hpp
+++ b/src/cornelpier/entry/call_state.hpp
@@ -50,6 +50,11 @@
     refusal reason = refusal::none;          ///< Of the owner; for the log.
     time_point begun_at;
     time_point ended_at;
+
+    /// @return whether it ran or may still run.
+    [[nodiscard]] bool may_run() const {
+        return phase != attempt_phase::settled || outcome != verdict::not_run;
+    }
 };
 
 /// What is known about an attempt once it is settled.
--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -145,9 +145,8 @@
         return group::unhealthy;
     }
     const bool tried = std::ranges::any_of(call.attempts, [&](const attempt_state& it) {
-        const bool may_run = it.phase != attempt_phase::settled || it.outcome != verdict::not_run;
         const bool asked = !call.route.empty() && it.wait_limit && it.reason == refusal::wait_limit;
-        return it.target == target && (may_run || asked);
+        return it.target == target && (it.may_run() || asked);
     });
     if (tried) {
         return group::tried;
--- a/src/cornelpier/membership/reader_roles.hpp
+++ b/src/cornelpier/membership/reader_roles.hpp
@@ -29,6 +29,9 @@
     /// Notes that this node knew everything, by a reader's word or by its own reading.
     void on_confirmed(time_point now) { m_confirmed_at = now; }
 
+    /// @return when it last knew everything.
+    [[nodiscard]] time_point confirmed_at() const { return m_confirmed_at; }
+
     /// @return whether this node reads for the others too.
     [[nodiscard]] bool is_reader() const { return m_reader; }
 
--- a/src/cornelpier/node/service_reader.cpp
+++ b/src/cornelpier/node/service_reader.cpp
@@ -1,5 +1,7 @@
 #include "cornelpier/node/service_reader.hpp"
 
+#include "cornelpier/base/backoff.hpp"
+
 #include <algorithm>
 
 namespace cornelpier {
@@ -32,12 +34,6 @@
     return m_outstanding ? m_outstanding->newer_than : std::nullopt;
 }
 
-duration service_reader::backoff(duration first, duration longest) {
-    constexpr std::uint32_t max_shift = 8;
-    const duration full = std::min(first * (1U << std::min(m_repeats, max_shift)), longest);
-    return from_seconds(to_seconds(full) * (0.5 + m_random.unit() / 2));
-}
-
 void service_reader::enter(reading_role role, time_point now) {
     if (role == m_role) {
         return;
@@ -84,13 +80,13 @@
 
     switch (m_role) {
     case reading_role::reader:
-        m_next = now + backoff(reader_first_backoff, reader_longest_backoff);
+        m_next = now + backoff(reader_first_backoff, reader_longest_backoff, m_repeats, m_random);
         break;
     case reading_role::bootstrap:
-        m_next = now + backoff(bootstrap_first_backoff, bootstrap_longest_backoff);
+        m_next = now + backoff(bootstrap_first_backoff, bootstrap_longest_backoff, m_repeats, m_random);
         break;
     default:
-        m_next = now + backoff(fallback_first_backoff, fallback_longest_backoff);
+        m_next = now + backoff(fallback_first_backoff, fallback_longest_backoff, m_repeats, m_random);
         break;
     }
     ++m_repeats;
--- a/src/cornelpier/node/service_reader.hpp
+++ b/src/cornelpier/node/service_reader.hpp
@@ -50,7 +50,6 @@
     };
 
     void enter(reading_role role, time_point now);
-    duration backoff(duration first, duration longest);
 
     random_source m_random;
     reading_role m_role = reading_role::none;
--- a/src/cornelpier/owner/arrival_gate.hpp
+++ b/src/cornelpier/owner/arrival_gate.hpp
@@ -38,8 +38,6 @@
     /// Asks for a figure unless one is on its way.
     void ask();
 
-    [[nodiscard]] bool empty() const { return m_waiting.empty(); }
-
   private:
     struct arrival {
         link_id link;
--- a/src/cornelpier/owner/measuring_schedule.cpp
+++ b/src/cornelpier/owner/measuring_schedule.cpp
@@ -55,8 +55,7 @@
     }
     m_report_due = false;
     m_last_report = now;
-    m_state.outbox.count(metric::measurement);
-    m_state.outbox.act(read_server_report{m_state.service()->report_path});
+    ask_server();
     schedule(now + m_period);
 }
 
@@ -64,9 +63,13 @@
     if (m_state.service() == nullptr || !m_budget.try_take(m_state.now())) {
         return false;
     }
+    ask_server();
+    return true;
+}
+
+void measuring_schedule::ask_server() {
     m_state.outbox.count(metric::measurement);
     m_state.outbox.act(read_server_report{m_state.service()->report_path});
-    return true;
 }
 
 bool measuring_schedule::probe_fits() const {
--- a/src/cornelpier/owner/measuring_schedule.hpp
+++ b/src/cornelpier/owner/measuring_schedule.hpp
@@ -29,6 +29,7 @@
   private:
     [[nodiscard]] bool probe_fits() const;
     void read_report();
+    void ask_server();
     void schedule(time_point due);
 
     owner_state& m_state;
--- a/src/cornelpier/routing/load_estimate.cpp
+++ b/src/cornelpier/routing/load_estimate.cpp
@@ -1,5 +1,7 @@
 #include "cornelpier/routing/load_estimate.hpp"
 
+#include "cornelpier/admission/slowness_meter.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -27,8 +29,7 @@
 // slow one before it gets a run.
 constexpr double service_difference_weight = 0.5;
 
-// Servers on shared machines are slowed for about a quarter of the time, in spells of about half a second.
-constexpr duration spell_rest = std::chrono::milliseconds{300};
+// Servers on shared machines are slowed for about a quarter of the time.
 constexpr duration spell_relevance = std::chrono::milliseconds{400};
 constexpr double usual_slow_share = 0.2;
 constexpr double percent = 100;
@@ -109,12 +110,12 @@
 
 duration expected_loss(const target_load* load, duration work, time_point now) {
     if (load == nullptr || !load->last) {
-        return scale(spell_rest, usual_slow_share);
+        return scale(usual_spell_rest, usual_slow_share);
     }
     const double slowness = load->last->slowness_percent / percent;
-    const duration told = std::min(scale(work, std::max(slowness, 1.0) - 1), spell_rest);
+    const duration told = std::min(scale(work, std::max(slowness, 1.0) - 1), usual_spell_rest);
     const double weight = std::exp(-to_seconds(now - load->received_at) / to_seconds(spell_relevance));
-    return scale(told, weight) + scale(spell_rest, usual_slow_share * (1 - weight));
+    return scale(told, weight) + scale(usual_spell_rest, usual_slow_share * (1 - weight));
 }
 
 } // namespace cornelpier
--- a/src/daemon/caller/answer_writer.cpp
+++ b/src/daemon/caller/answer_writer.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon/net/hop_by_hop.hpp"
 
+#include <boost/beast/core/string.hpp>
+
 #include <utility>
 
 namespace cornelpier {
@@ -49,10 +51,9 @@
 }
 
 void answer_writer::set_fields(const answer_caller& answer, const wire_names& names) {
-    const std::string verdict_name = lower_case(names.verdict);
-    const std::string token_name = lower_case(names.token);
     for (const auto& [name, value] : answer.response.fields) {
-        const bool replaced = name == verdict_name || name == token_name ||
+        const bool replaced = boost::beast::iequals(name, names.verdict) ||
+                              boost::beast::iequals(name, names.token) ||
                               (name == "retry-after" && answer.retry_after > duration::zero());
         if (!replaced) {
             m_message.insert(name, value);
--- a/src/programs/cornelpier_node.cpp
+++ b/src/programs/cornelpier_node.cpp
@@ -1,35 +1,15 @@
 #include "daemon/node/node_daemon.hpp"
 #include "daemon/program/program.hpp"
-#include "daemon/settings/node_settings.hpp"
+#include "daemon/settings/settings_file.hpp"
 
 #include <CLI/CLI.hpp>
 
 #include <iostream>
-#include <optional>
 #include <string>
-#include <variant>
-#include <vector>
+#include <utility>
 
 namespace {
 
-/// @return the settings, or nothing after a message for each mistake.
-std::optional<cornelpier::node_settings> read_settings(const std::string& path) {
-    const auto text = cornelpier::read_file(path);
-    if (!text) {
-        std::cerr << path << ": cannot be read\n";
-        return std::nullopt;
-    }
-
-    auto outcome = cornelpier::check_node_settings(*text);
-    if (auto* settings = std::get_if<cornelpier::node_settings>(&outcome)) {
-        return std::move(*settings);
-    }
-    for (const auto& it : std::get<std::vector<cornelpier::error>>(outcome)) {
-        std::cerr << path << ": " << it.place << ": " << it.reason << '\n';
-    }
-    return std::nullopt;
-}
-
 int run(int argc, char** argv) {
     CLI::App app{"Node of the cornelpier load balancer: entry for callers and owner of one server.",
                  "cornelpier-node"};
@@ -41,15 +21,15 @@
         return *status;
     }
 
-    auto settings = read_settings(path);
-    if (!settings) {
+    auto file = cornelpier::load_settings_file(path);
+    if (!file) {
         return cornelpier::exit_bad_input;
     }
     if (check) {
         std::cout << path << ": valid\n";
         return 0;
     }
-    cornelpier::node_daemon node(*std::move(settings));
+    cornelpier::node_daemon node(std::move(file->settings));
     return node.run();
 }
 
