--- a/tests/process/sidecar_test.cpp
+++ b/tests/process/sidecar_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/process/support/becomes_true.hpp"
 #include "tests/process/support/child_process.hpp"
 #include "tests/process/support/http_call.hpp"
+#include "tests/process/support/sidecar_documents.hpp"
 #include "tests/standins/store_standin.hpp"
 
 #include <catch2/catch.hpp>
@@ -40,29 +41,15 @@
 }
 
 std::string manifest(int version, bool with_new_route) {
-    json rows =
-        json::array({{"r-1", "a.example", "/l/", "safe", "1500ms", "500ms", 2, "status", 2, nullptr}});
+    json rows = json::array({test::route_row("r-1", "a.example", "/l/", "safe", "status")});
     if (with_new_route) {
-        rows.push_back({"r-2", "a.example", "/new/", "safe", "1500ms", "500ms", 2, "status", 2, nullptr});
+        rows.push_back(test::route_row("r-2", "a.example", "/new/", "safe", "status"));
     }
-    return json{
-        {"version", "r" + std::to_string(version)},
-        {"routes",
-         {{"columns",
-           {"name", "host", "path_prefix", "kind", "timeout", "objective", "priority", "service",
-            "max_attempts", "traffic_split"}},
-          {"rows", rows}}},
-        {"services",
-         {{"columns", {"name", "health_path", "max_connections"}}, {"rows", {{"status", "/health", 100}}}}},
-        {"limits", {{"idle_timeout", "15000ms"}}}}
-        .dump();
+    return test::manifest_text(version, rows, "status");
 }
 
 std::string server_entry(int vm, const std::string& state) {
-    return json{{"address", at(vm, server_port)},
-                {"info", {{"service", "status"}, {"zone", "z"}, {"slots", 4}}},
-                {"status", {{"state", state}, {"sequence", 1}, {"cold_left", "0ms"}}}}
-        .dump();
+    return test::entry_text({at(vm, server_port), "status", "z", state});
 }
 
 /// Store, two servers and two sidecars on loopback; everything ends with the object.
@@ -190,22 +177,18 @@
     }
 
     void write_settings(int vm) const {
-        const json adapter{{"ip", vm_address(vm)},
-                           {"platform", {{"address", at(9, store_port)}}},
-                           {"listen", {{"ready", at(vm, ready_port)}}},
-                           {"port_range", {node_port, node_port + 1}},
-                           {"bounds", {{"grace", "6s"}, {"probes_per_s", 60}}}};
-        const json settings{{"target", vm_address(vm)},
-                            {"vm", "vm-" + std::to_string(vm)},
-                            {"data_centre", "z"},
-                            {"service", "status"},
-                            {"caller_address", at(vm, caller_port)},
-                            {"node_address", at(vm, node_port)},
-                            {"operator_address", at(vm, node_port + 1)},
-                            {"server_address", at(vm, server_port)},
-                            {"configuration_address", at(9, store_port)},
-                            {"vm_list_address", at(9, store_port)},
-                            {"adapter", adapter}};
+        const auto settings = test::sidecar_settings({.ip = vm_address(vm),
+                                                      .vm = "vm-" + std::to_string(vm),
+                                                      .data_centre = "z",
+                                                      .service = "status",
+                                                      .callers = at(vm, caller_port),
+                                                      .readiness = at(vm, ready_port),
+                                                      .node_links = at(vm, node_port),
+                                                      .operators = at(vm, node_port + 1),
+                                                      .server = at(vm, server_port),
+                                                      .store = at(9, store_port),
+                                                      .first_port = node_port,
+                                                      .last_port = node_port + 1});
         std::ofstream{file(vm)} << settings.dump();
     }
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -1,6 +1,6 @@
 #include "tests/soak/soak_fleet.hpp"
 
-#include <nlohmann/json.hpp>
+#include "tests/process/support/sidecar_documents.hpp"
 
 #include <fstream>
 #include <unistd.h>
@@ -21,35 +21,26 @@
 constexpr int real_server_port = 28313;
 constexpr int real_node_port = 28314;
 
+/// Start time of a server's first life, in ms; later ones follow it.
+constexpr int first_birth = 1000;
+
 constexpr int store_vm = 249; ///< Host part of the store's address.
 
 std::string subnet() {
     return "127.11." + std::to_string(getpid() % 250) + '.';
 }
 
-json routes(int version) {
-    json rows = json::array();
-    for (const char* kind : {"safe", "unsafe"}) {
-        rows.push_back({std::string{"r-"} + kind, "soak.example", std::string{"/"} + kind + '/', kind,
-                        "1500ms", "500ms", 2, "orders", 2, nullptr});
-    }
-    rows.push_back({"r-new", "soak.example", "/v" + std::to_string(version) + '/', "safe", "1500ms", "500ms",
-                    2, "orders", 2, nullptr});
-    return rows;
+std::string plan_text(int version) {
+    const std::string versioned = "/v" + std::to_string(version) + '/';
+    const json rows =
+        json::array({test::route_row("r-safe", "soak.example", "/safe/", "safe", "orders"),
+                     test::route_row("r-unsafe", "soak.example", "/unsafe/", "unsafe", "orders"),
+                     test::route_row("r-new", "soak.example", versioned, "safe", "orders")});
+    return test::manifest_text(version, rows, "orders");
 }
 
-std::string plan_text(int version) {
-    return json{
-        {"version", "r" + std::to_string(version)},
-        {"routes",
-         {{"columns",
-           {"name", "host", "path_prefix", "kind", "timeout", "objective", "priority", "service",
-            "max_attempts", "traffic_split"}},
-          {"rows", routes(version)}}},
-        {"services",
-         {{"columns", {"name", "health_path", "max_connections"}}, {"rows", {{"orders", "/health", 100}}}}},
-        {"limits", {{"idle_timeout", "15000ms"}}}}
-        .dump();
+std::string data_centre_of(int vm) {
+    return vm % 2 == 0 ? "a" : "b";
 }
 
 } // namespace
@@ -93,13 +84,10 @@
 
 void soak_fleet::report_server(int vm, const std::string& state) {
     const auto& it = vms[static_cast<std::size_t>(vm)];
-    store.put(
-        "servers/" + it.server->instance,
-        json{{"address", at(vm, server_port)},
-             {"born", 1000 + it.lives},
-             {"info", {{"service", "orders"}, {"zone", vm % 2 == 0 ? "a" : "b"}, {"slots", 4}}},
-             {"status", {{"state", state}, {"sequence", state == "ready" ? 1 : 2}, {"cold_left", "0ms"}}}}
-            .dump());
+    const std::uint64_t sequence = state == "ready" ? 1 : 2;
+    store.put("servers/" + it.server->instance,
+              test::entry_text({at(vm, server_port), "orders", data_centre_of(vm), state, sequence,
+                                static_cast<std::uint64_t>(first_birth + it.lives)}));
 }
 
 std::string soak_fleet::caller_address(int vm) const {
@@ -120,23 +108,19 @@
 
 void soak_fleet::write_settings(int vm) const {
     const std::string ip = subnet() + std::to_string(vm + 1);
-    const json adapter{{"ip", ip},
-                       {"platform", {{"address", at(vm, store_port)}}},
-                       {"listen", {{"ready", at(vm, ready_port)}}},
-                       {"port_range", {node_port, operator_port}},
-                       {"bounds", {{"grace", "6s"}, {"probes_per_s", 60}, {"config_apply", "2s"}}}};
-    const json settings{{"target", ip},
-                        {"vm", "vm-" + std::to_string(vm)},
-                        {"data_centre", vm % 2 == 0 ? "a" : "b"},
-                        {"service", "orders"},
-                        {"caller_address", at(vm, caller_port)},
-                        {"node_address", at(vm, real_node_port)},
-                        {"operator_address", at(vm, operator_port)},
-                        {"server_address", at(vm, server_port)},
-                        {"configuration_address", at(vm, store_port)},
-                        {"vm_list_address", at(vm, store_port)},
-                        {"log", {{"format", "json"}, {"level", "debug"}}},
-                        {"adapter", adapter}};
+    auto settings = test::sidecar_settings({.ip = ip,
+                                            .vm = "vm-" + std::to_string(vm),
+                                            .data_centre = data_centre_of(vm),
+                                            .service = "orders",
+                                            .callers = at(vm, caller_port),
+                                            .readiness = at(vm, ready_port),
+                                            .node_links = at(vm, real_node_port),
+                                            .operators = at(vm, operator_port),
+                                            .server = at(vm, server_port),
+                                            .store = at(vm, store_port),
+                                            .first_port = node_port,
+                                            .last_port = operator_port});
+    settings["log"] = {{"format", "json"}, {"level", "debug"}};
     std::ofstream{file(vm)} << settings.dump();
 }
 
