Name the server's process from its own report, keep measurements for a start, and be careful with slots then

Entries meant processes that no longer ran: 421 for about a second, nested calls failed with it, and the runs that had made them were lost (500). Owners then filled 9 of 9 slots of cold servers, which slow down above four fifths: runs took 500 to 700 ms that take 340 with 7 at a time.

Change: a report names the server's process, and runs are sent to that one; an eighth of a large measuring rate is kept for the first second of a process and never spent later; until the crowding of the server is learned, 10 s at most, a fifth of the slots stays free; short runs, mostly calls of servers at work, are queued as long as they can be answered.

Tried with it: order a backlog by what each run gains from starting now, and plan work with the part of the slowness that lasts.

Excluded: processor time (the same without it), the store (in force within 50 ms).

--- a/src/cornelpier/admission/crowding_meter.cpp
+++ b/src/cornelpier/admission/crowding_meter.cpp
@@ -18,6 +18,14 @@
 /// Occupancies below this bin are taken for uncrowded.
 constexpr std::size_t first_crowded_bin = 6;
 
+/// Servers that slow down when nearly full do so above about four fifths of their slots.
+constexpr std::uint32_t quiet_numerator = 4;
+constexpr std::uint32_t quiet_denominator = 5;
+
+/// Cold starts and the return of callers after a loss take some seconds; servers that are never crowded must
+/// not go without a fifth of their slots for longer.
+constexpr duration cautious_time = std::chrono::seconds{10};
+
 /// Differences below this are variation of the work.
 constexpr double least_stretch = 1.25;
 
@@ -59,6 +67,18 @@
     return result < least_stretch ? 1 : result;
 }
 
+bool crowding_meter::has_learned(std::uint32_t slots) const {
+    const auto first = bin_of(slots * quiet_numerator / quiet_denominator + 1, slots);
+    return std::any_of(m_bins.begin() + static_cast<std::ptrdiff_t>(first), m_bins.end(),
+                       [](const bin& it) { return it.samples >= least_samples; });
+}
+
+std::uint32_t crowding_meter::best_limit(std::uint32_t slots, duration age) const {
+    const std::uint32_t quiet = slots * quiet_numerator / quiet_denominator;
+    const bool is_cautious = age < cautious_time && slots >= quiet_denominator && !has_learned(slots);
+    return is_cautious ? std::min(quiet, best_limit(slots)) : best_limit(slots);
+}
+
 std::uint32_t crowding_meter::best_limit(std::uint32_t slots) const {
     std::uint32_t best = slots;
     double most = slots / stretch(slots, slots);
--- a/src/cornelpier/admission/crowding_meter.hpp
+++ b/src/cornelpier/admission/crowding_meter.hpp
@@ -11,6 +11,10 @@
 /// Learns how much longer runs take that start while the server is nearly full, and which concurrency brings
 /// the most runs to an end. Answers servers that slow down before their slots are used up: there, fewer runs
 /// at a time serve more.
+///
+/// A process that just started knows nothing of this and finds its server cold and callers returning, so that
+/// it would learn at the worst moment: until it has learned, and for a while at most, it keeps to the
+/// concurrency below which servers are rarely slowed.
 class crowding_meter {
   public:
     /// Notes a run that the server completed.
@@ -23,6 +27,9 @@
     /// @return the concurrency with the highest throughput; `slots` while nothing speaks for less.
     [[nodiscard]] std::uint32_t best_limit(std::uint32_t slots) const;
 
+    /// @return the same for a process of that age: less than `slots` while it is young and has not learned.
+    [[nodiscard]] std::uint32_t best_limit(std::uint32_t slots, duration age) const;
+
     /// @return how much longer than on a quiet server a run takes at that occupancy, at least 1.
     [[nodiscard]] double stretch(std::uint32_t running, std::uint32_t slots) const;
 
@@ -36,6 +43,7 @@
 
     static std::size_t bin_of(std::uint32_t running, std::uint32_t slots);
     [[nodiscard]] double base_ratio() const;
+    [[nodiscard]] bool has_learned(std::uint32_t slots) const;
 
     std::array<bin, bin_count> m_bins{};
 };
--- a/src/cornelpier/admission/measuring_budget.cpp
+++ b/src/cornelpier/admission/measuring_budget.cpp
@@ -12,16 +12,23 @@
 /// Rates below this count as none; the window would not fit a duration.
 constexpr double least_rate = 1e-6;
 
+/// Part of a rate that is kept for the first window of a process, and the least rate of which one is kept.
+constexpr std::size_t start_divisor = 8;
+constexpr std::size_t least_divided_rate = 24;
+
 } // namespace
 
 void measuring_budget::set_rate(rate limit) {
     m_window = one_second;
+    m_at_start = 0;
     if (limit.per_second < least_rate) {
         m_per_window = 0;
         return;
     }
     if (limit.per_second >= 1) {
-        m_per_window = static_cast<std::size_t>(limit.per_second);
+        const auto whole = static_cast<std::size_t>(limit.per_second);
+        m_at_start = whole < least_divided_rate ? 0 : whole / start_divisor;
+        m_per_window = whole - m_at_start;
         return;
     }
     m_per_window = 1;
@@ -42,6 +49,9 @@
     if (m_per_window == 0) {
         return std::nullopt;
     }
+    if (now <= m_start + m_window && m_taken.size() < m_at_start) {
+        return now;
+    }
     // Windows are closed: two measurements exactly one window apart share one.
     constexpr duration after{1};
     time_point earliest = std::max(now, m_start + m_window + after);
--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -78,6 +78,8 @@
     event_description{server_draining, severity::info, "server_draining",
                       "The server reports that it drains."},
     event_description{bad_request, severity::debug, "bad_request", "A caller's request was malformed."},
+    event_description{server_instance_seen, severity::info, "server_instance_seen",
+                      "The server's report names another process than before."},
     event_description{link_message_malformed, severity::warning, "link_message_malformed",
                       "A node link was closed because a message on it could not be read."},
     event_description{link_queue_full, severity::warning, "link_queue_full",
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -49,6 +49,7 @@
     server_unreachable = 602,
     server_draining = 603,
     bad_request = 604,
+    server_instance_seen = 605,
     link_message_malformed = 610,
     link_queue_full = 611,
     gossip_malformed = 612,
--- a/src/cornelpier/node/traffic_events.hpp
+++ b/src/cornelpier/node/traffic_events.hpp
@@ -85,6 +85,7 @@
     bool draining = false;
     std::uint32_t in_flight = 0;
     std::optional<server_load_figures> load = std::nullopt;
+    std::string instance = {}; ///< Process that answered; empty if it does not say.
 };
 
 /// The server's report could not be read.
--- a/src/cornelpier/owner/arrival_gate.cpp
+++ b/src/cornelpier/owner/arrival_gate.cpp
@@ -5,7 +5,8 @@
 namespace cornelpier {
 
 void arrival_gate::on_run(link_id link, const run& message) {
-    const bool decided_by_speed = !message.route.empty() && m_state.slowness.is_known();
+    // Before its first report nothing is known of the server, not even which of its processes runs.
+    const bool decided_by_speed = !message.route.empty() && (m_state.slowness.is_known() || !m_reported);
     if (!decided_by_speed || m_state.slowness.is_fresh(m_state.now())) {
         m_intake.on_run(link, message);
         return;
@@ -27,6 +28,7 @@
 }
 
 void arrival_gate::on_report() {
+    m_reported = true;
     m_asked = false;
     m_limit_timer.cancel();
     release();
--- a/src/cornelpier/owner/arrival_gate.hpp
+++ b/src/cornelpier/owner/arrival_gate.hpp
@@ -52,6 +52,7 @@
     measuring_schedule& m_measuring;
     std::deque<arrival> m_waiting;
     bool m_asked = false;
+    bool m_reported = false; ///< Or could not be asked in time.
     scoped_timer m_limit_timer;
 };
 
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -188,6 +188,7 @@
 }
 
 void owner_manager::on_server_report(const server_report& event) {
+    m_implementation->m_executor.on_instance(event.instance);
     m_implementation->m_lifecycle.on_server_draining(event.draining);
     m_implementation->take_figures(event.load);
     m_implementation->m_gate.on_report();
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -15,11 +15,14 @@
 
 constexpr double percent = 100;
 
+/// Calls that a run makes take a small part of its own work.
+constexpr duration::rep short_work_divisor = 4;
+
 } // namespace
 
 owner_state::owner_state(const node_identity& node, timer_service& timer, random_source generator)
     : identity(node), timers(timer), random(generator), outbox(timer, node.service), permits(node.process),
-      homes(node.self, timer.now()) {}
+      homes(node.self, timer.now()), started_at(timer.now()) {}
 
 void owner_state::set_view(shared_fleet_view next) {
     view = std::move(next);
@@ -47,17 +50,23 @@
     result.slowness_percent = static_cast<std::uint32_t>(slowness.current() * percent);
     if (work.mean() > duration::zero()) {
         result.service_time = work.mean();
-        result.expected_wait = std::max(slot_wait(queue.size()), load.failing_wait(now()));
+        result.expected_wait = std::max(slot_wait(queue.in_time(now())), load.failing_wait(now()));
     }
     return result;
 }
 
 std::uint32_t owner_state::run_limit() const {
-    return std::min(load.limit(), crowding.best_limit(load.limit()));
+    const bool has_routes = view != nullptr && view->current_plan->routes != nullptr;
+    return std::min(load.limit(), has_routes ? crowding.best_limit(load.limit(), now() - started_at)
+                                             : crowding.best_limit(load.limit()));
 }
 
 duration owner_state::slot_wait(std::size_t ahead) const {
-    return wait_for_slot(runs.remaining_times(now()), run_limit(), ahead, work.mean());
+    return wait_for_slot(runs.remaining_times(now()), run_limit(), ahead, mean_work());
+}
+
+bool owner_state::is_short(duration expected) const {
+    return expected < work.mean() / short_work_divisor;
 }
 
 duration owner_state::retry_after() {
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int first_server_error = 500;
+constexpr int status_misdirected = 421;
 constexpr int status_too_many_requests = 429;
 constexpr double percent = 100;
 
@@ -49,7 +50,7 @@
         return true;
     }
     if (!entry.route.empty()) {
-        return left < entry.work;
+        return left < m_state.slowness.lasting_work(entry.work);
     }
     // An idle server always gets a run: without one, a service time above the deadline could never fall.
     const server_load load = m_state.runs.load(m_state.now());
@@ -78,7 +79,7 @@
     if (!message.route.empty()) {
         entry.route = message.route;
         entry.work = m_state.work.of(message.route, message.objective);
-        entry.latest_start = m_state.now() + message.objective - entry.work;
+        entry.latest_start = m_state.now() + message.objective - m_state.slowness.lasting_work(entry.work);
     }
 
     owned_run& added = m_state.runs.add(std::move(entry));
@@ -89,21 +90,17 @@
         return;
     }
     // Too little time for the work is as good as none; the caller learns it at once.
-    const time_point last_start = deadline - added.work;
+    const time_point last_start = deadline - m_state.slowness.lasting_work(added.work);
     added.timer.call_at(m_state.timers, last_start, [this, id] { on_deadline(id); });
-    const time_point late_after = is_short(added) ? last_start : added.latest_start;
-    if (const auto offered = m_state.queue.offer(id, message.priority, added.latest_start, late_after);
+    const bool is_short = !added.route.empty() && m_state.is_short(added.work);
+    const time_point late_after = is_short ? last_start : added.latest_start;
+    if (const auto offered = m_state.queue.offer(id, message.priority, added.latest_start, late_after,
+                                                 m_state.slowness.lasting_work(added.work));
         offered.shed) {
         conclude_refused(*offered.shed, refusal::overloaded);
     }
 }
 
-/// Short runs are mostly calls of servers that work on something longer; all of that is lost with them.
-bool run_executor::is_short(const owned_run& entry) const {
-    constexpr duration::rep short_divisor = 4;
-    return !entry.route.empty() && entry.work < m_state.work.mean() / short_divisor;
-}
-
 bool run_executor::must_hold(const owned_run& entry) const {
     return !entry.route.empty() && m_state.slowness.is_better_held(entry.work, m_state.now());
 }
@@ -112,7 +109,7 @@
     if (!may_start()) {
         return false;
     }
-    const auto id = m_state.queue.next(m_state.now());
+    const auto id = m_state.queue.next(m_state.now(), m_state.time_per_start());
     return id && must_hold(*m_state.runs.find(*id));
 }
 
@@ -133,13 +130,29 @@
     }
     action.depth = entry.depth;
     action.outer_retry = entry.outer_retry;
-    action.instance = entry.instance;
+    action.instance = expected_instance(entry);
     m_state.outbox.act(std::move(action));
 }
 
+/// A run may be meant for a process that has been replaced since. Any process of the server will do, but it is
+/// named, so that the run does not start at another service's server that was given the address meanwhile.
+std::string run_executor::expected_instance(const owned_run& entry) const {
+    const bool is_own_service = m_state.service() != nullptr && m_state.service()->id == m_state.identity.service;
+    const bool is_known = is_own_service && !m_state.server_instance.empty();
+    return is_known && !entry.instance.empty() ? m_state.server_instance : entry.instance;
+}
+
+void run_executor::on_instance(const std::string& instance) {
+    if (instance.empty() || instance == m_state.server_instance) {
+        return;
+    }
+    m_state.server_instance = instance;
+    m_state.outbox.record(event_number::server_instance_seen, {{"instance", instance}});
+}
+
 void run_executor::start_queued() {
     while (may_start()) {
-        const auto id = m_state.queue.next(m_state.now());
+        const auto id = m_state.queue.next(m_state.now(), m_state.time_per_start());
         if (!id) {
             return;
         }
@@ -171,6 +184,9 @@
     }
     const int status = event.response.status;
     const bool refused = event.refused || is_refusal(m_state.service(), status);
+    if (status == status_misdirected) {
+        m_state.server_instance.clear();
+    }
     const bool error = status >= first_server_error || status == status_too_many_requests || refused;
     const std::uint32_t in_flight = m_state.runs.load(m_state.now()).in_flight;
     const duration took = from_seconds(to_seconds(age(*entry)) / entry->slowness);
@@ -195,6 +211,7 @@
                           {{"route", entry.route},
                            {"status", std::to_string(status)},
                            {"waited_ms", milliseconds_text(entry.handed_over - entry.accepted_at)},
+                           {"slack_ms", milliseconds_text(entry.latest_start - entry.handed_over)},
                            {"took_ms", milliseconds_text(age(entry))},
                            {"expected_ms", milliseconds_text(entry.work)},
                            {"slowness", std::to_string(std::lround(entry.slowness * percent)) + '%'},
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -24,6 +24,10 @@
     /// @param key text of the key that the run opens in the key ledger, if any.
     void accept(link_id link, const run& message, time_point deadline, std::optional<std::string> key);
 
+    /// Takes the name of the server process that runs now. Entries learn it from the store only seconds after
+    /// a restart.
+    void on_instance(const std::string& instance);
+
     void on_answered(const server_answered& event);
     void on_failed(const server_failed& event);
     void on_cancel(const attempt_id& attempt);
@@ -40,7 +44,6 @@
 
   private:
     [[nodiscard]] bool may_start() const;
-    [[nodiscard]] bool is_short(const owned_run& entry) const;
     /// @return whether a run had better wait until its server's slow spell is over.
     [[nodiscard]] bool must_hold(const owned_run& entry) const;
     /// @return whether a queued run would probably be cancelled at its deadline if it started now.
@@ -48,6 +51,7 @@
     [[nodiscard]] duration age(const owned_run& entry) const;
 
     void hand_over(owned_run& entry);
+    [[nodiscard]] std::string expected_instance(const owned_run& entry) const;
     void record_end(const owned_run& entry, int status);
     void on_deadline(run_id id);
     void on_late_limit(run_id id);
--- a/src/cornelpier/owner/run_intake.cpp
+++ b/src/cornelpier/owner/run_intake.cpp
@@ -167,10 +167,15 @@
 refusal run_intake::check_routed(const run& message, duration left) const {
     const time_point now = m_state.now();
     const duration work = m_state.work.of(message.route, message.objective);
-    const std::size_t ahead = m_state.queue.ahead_of(message.priority, now + message.objective - work);
+    const duration lasting_work = m_state.slowness.lasting_work(work);
+    const time_point latest_start = now + message.objective - lasting_work;
+    const std::size_t ahead = latest_start < now
+                                  ? m_state.queue.size()
+                                  : m_state.queue.ahead_of(message.priority, latest_start, lasting_work, now,
+                                                           m_state.time_per_start());
     const duration loss = m_state.slowness.expected_loss(work, now);
     const duration wait = m_state.slot_wait(ahead) + loss;
-    const run_prospect prospect{work, message.objective, left};
+    const run_prospect prospect{work, message.objective, left, m_state.is_short(work)};
     if (is_hopeless(prospect)) {
         return refusal::deadline;
     }
--- a/src/daemon/server/server_client.cpp
+++ b/src/daemon/server/server_client.cpp
@@ -186,6 +186,10 @@
         report.healthy = response.status == status_ok;
         report.load = load_of(response);
         report.in_flight = report.load ? report.load->running : 0;
+        const auto& name = m_options.names.own_instance;
+        if (const auto* instance = name.empty() ? nullptr : find_field(response.fields, name)) {
+            report.instance = *instance;
+        }
         return report;
     }
 
--- a/src/daemon/wire/wire_names.hpp
+++ b/src/daemon/wire/wire_names.hpp
@@ -22,6 +22,7 @@
     std::string request_id;        ///< Id that the caller chose; servers repeat it on their answers.
     std::string origin_service;    ///< Service on whose VM a request began; set by the entry.
     std::string expected_instance; ///< Server process that may run the request.
+    std::string own_instance;      ///< On reports: the server process that answered.
     std::string not_run;           ///< Present on answers of servers that did not run the request.
     std::string seal;              ///< Present on every success of a server.
     std::string load;              ///< Load of the server, read by `parse_load`.
--- a/tests/admission/measuring_budget_test.cpp
+++ b/tests/admission/measuring_budget_test.cpp
@@ -55,4 +55,27 @@
     CHECK_FALSE(budget.try_take(later + milliseconds{3002}));
 }
 
+TEST_CASE("a part of a large rate is kept for the start, so that windows with a restart keep the rate",
+          "[budget]") {
+    constexpr std::size_t rate_per_second = 40;
+    const time_point restart = start + seconds{10};
+    measuring_budget predecessor{start};
+    predecessor.set_rate({rate_per_second});
+    measuring_budget successor{restart};
+    successor.set_rate({rate_per_second});
+
+    std::size_t taken = 0;
+    while (predecessor.try_take(restart)) {
+        ++taken;
+    }
+    std::size_t taken_at_start = 0;
+    while (successor.try_take(restart)) {
+        ++taken_at_start;
+    }
+    CHECK(taken_at_start > 0);
+    CHECK(taken + taken_at_start == rate_per_second);
+    CHECK_FALSE(successor.try_take(restart + seconds{1}));
+    CHECK(successor.try_take(restart + seconds{1} + duration{1}));
+}
+
 } // namespace cornelpier
--- a/tests/admission/speed_test.cpp
+++ b/tests/admission/speed_test.cpp
@@ -89,6 +89,22 @@
     CHECK(even.best_limit(12) == 12);
 }
 
+TEST_CASE("a process that just started leaves some slots free until it knows whether its server is crowded",
+          "[admission][speed]") {
+    constexpr std::uint32_t slots = 9;
+    crowding_meter meter;
+    CHECK(meter.best_limit(slots, seconds{1}) == 7);
+    CHECK(meter.best_limit(slots, seconds{10}) == 9);
+    // A fifth of few slots is less than one.
+    CHECK(meter.best_limit(4, seconds{1}) == 4);
+
+    const milliseconds usual{100};
+    for (int n = 0; n < 10; ++n) {
+        meter.add(9, slots, usual, usual);
+    }
+    CHECK(meter.best_limit(slots, seconds{1}) == 9);
+}
+
 TEST_CASE("a wait is useful if the answer is in time or the caller has long to wait", "[admission][speed]") {
     // Objective 600 ms, deadline 1500 ms, work 220 ms.
     CHECK(longest_useful_wait({milliseconds{220}, milliseconds{600}, milliseconds{1500}}) ==
