Go back to the order by latest starts, keep a slot for runs in time, and take runs of the own service only

A run in time starts at once although others wait; before, it waited for the next end.

An owner takes runs of its own service only, whatever the plan still lists.

--- a/src/cornelpier/admission/admission_queue.hpp
+++ b/src/cornelpier/admission/admission_queue.hpp
@@ -13,20 +13,9 @@
 
 namespace cornelpier {
 
-/// Answers a backlog of runs that cannot all be in time.
-/// @param slack time until the latest start with which the objective is met.
-/// @param work expected time at the server, which varies between runs.
-/// @param backlog time after which the run would start if all others went first.
-/// @return by how much the chance to be in time is higher if the run starts now.
-double gain_by_starting(duration slack, duration work, duration backlog);
-
 /// Bounded queue of runs, ordered by request class, then by the latest start with which the objective is met,
-/// then by arrival. Answers overload:
-/// - runs that still meet their objective go before those that are late anyway, which are served with what is
-///   left;
-/// - when more runs of a class wait than can be in time, the order of their latest starts would begin each one
-///   with nothing to spare, and half of them would be late by the variation of the work. Then those go first
-///   that gain most by not waiting for the others, see `gain_by_starting`.
+/// then by arrival. Answers overload: runs that still meet their objective go before those that are late
+/// anyway, which are served with what is left.
 class admission_queue {
   public:
     /// Start time of runs that have no objective.
@@ -48,30 +37,19 @@
     /// lower than that of the new run; else the new run is not accepted.
     /// @param latest_start start with which the objective is met.
     /// @param late_after time after which the run goes behind those that are in time; usually the same.
-    /// @param work expected time at the server; zero if unknown.
     offer_result offer(run_id id, request_class priority, time_point latest_start = no_limit,
-                       time_point late_after = no_limit, duration work = {});
+                       time_point late_after = no_limit);
 
-    /// @param per_start time between two starts of runs as slots become free; zero if there is no backlog.
-    /// @return the next run: of the first class that has runs in time, the one that gains most by starting
-    /// now; without such a class the first run.
-    [[nodiscard]] std::optional<run_id> next(time_point now, duration per_start = {}) const;
+    /// @return the next run: the first one that meets its objective if it starts now, else the first one.
+    [[nodiscard]] std::optional<run_id> next(time_point now) const;
 
     /// Takes a run out of the queue.
     /// @return false if it was not queued.
     bool remove(run_id id);
 
-    /// @return queued runs that a new run of the class would wait for, by their latest starts.
+    /// @return queued runs that a new run of the class would wait for.
     [[nodiscard]] std::size_t ahead_of(request_class priority, time_point latest_start = no_limit) const;
 
-    /// @param work of the new run; its latest start has not passed.
-    /// @return queued runs that `next` would choose before a new run.
-    [[nodiscard]] std::size_t ahead_of(request_class priority, time_point latest_start, duration work,
-                                       time_point now, duration per_start) const;
-
-    /// @return queued runs that still meet their objective if they start now.
-    [[nodiscard]] std::size_t in_time(time_point now) const;
-
     [[nodiscard]] std::size_t size() const { return m_order.size(); }
     [[nodiscard]] bool empty() const { return m_order.empty(); }
 
@@ -81,18 +59,11 @@
     struct entry {
         run_id id;
         time_point late_after;
-        duration work;
     };
 
-    using places = std::map<position, entry>;
-
-    /// @return count of runs of the class of `first` that are in time, from there on.
-    static std::size_t in_time_of_class(places::const_iterator first, places::const_iterator last,
-                                        time_point now);
-
     std::size_t m_capacity = 0;
     std::uint64_t m_arrivals = 0;
-    places m_order;
+    std::map<position, entry> m_order;
     std::unordered_map<run_id, position> m_positions;
 };
 
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -50,7 +50,7 @@
     result.slowness_percent = static_cast<std::uint32_t>(slowness.current() * percent);
     if (work.mean() > duration::zero()) {
         result.service_time = work.mean();
-        result.expected_wait = std::max(slot_wait(queue.in_time(now())), load.failing_wait(now()));
+        result.expected_wait = std::max(slot_wait(queue.size()), load.failing_wait(now()));
     }
     return result;
 }
@@ -62,7 +62,7 @@
 }
 
 duration owner_state::slot_wait(std::size_t ahead) const {
-    return wait_for_slot(runs.remaining_times(now()), run_limit(), ahead, mean_work());
+    return wait_for_slot(runs.remaining_times(now()), run_limit(), ahead, work.mean());
 }
 
 bool owner_state::is_short(duration expected) const {
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -2,6 +2,7 @@
 
 #include "cornelpier/admission/admission_queue.hpp"
 #include "cornelpier/admission/crowding_meter.hpp"
+#include "cornelpier/admission/late_reserve.hpp"
 #include "cornelpier/admission/load_meter.hpp"
 #include "cornelpier/admission/slowness_meter.hpp"
 #include "cornelpier/admission/work_table.hpp"
@@ -48,16 +49,10 @@
     /// @return time until a new run of a route gets a slot.
     [[nodiscard]] duration slot_wait(std::size_t ahead) const;
 
-    /// @return time that a run of a route takes on average at the server's lasting speed.
-    [[nodiscard]] duration mean_work() const { return slowness.lasting_work(work.mean()); }
-
     /// @return whether work is much shorter than most of the server's: such runs are mostly calls of servers
     /// that work on something longer, and all of that is lost with them.
     [[nodiscard]] bool is_short(duration expected) const;
 
-    /// @return time between two starts of queued runs while all slots are taken.
-    [[nodiscard]] duration time_per_start() const { return mean_work() / run_limit(); }
-
     /// Sends an answer with a fresh reading, and counts it if it is a refusal.
     void deliver(link_id link, answer message);
 
@@ -77,6 +72,7 @@
     load_meter load;                         ///< run_executor.
     work_table work;                         ///< run_executor.
     crowding_meter crowding;                 ///< run_executor.
+    late_reserve late_runs;                  ///< run_executor.
     slowness_meter slowness;                 ///< owner_manager.
     drain_machine drain;                     ///< owner_lifecycle.
     time_point started_at;                   ///< Of the process.
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -50,7 +50,7 @@
         return true;
     }
     if (!entry.route.empty()) {
-        return left < m_state.slowness.lasting_work(entry.work);
+        return left < entry.work;
     }
     // An idle server always gets a run: without one, a service time above the deadline could never fall.
     const server_load load = m_state.runs.load(m_state.now());
@@ -79,7 +79,7 @@
     if (!message.route.empty()) {
         entry.route = message.route;
         entry.work = m_state.work.of(message.route, message.objective);
-        entry.latest_start = m_state.now() + message.objective - m_state.slowness.lasting_work(entry.work);
+        entry.latest_start = m_state.now() + message.objective - entry.work;
     }
 
     owned_run& added = m_state.runs.add(std::move(entry));
@@ -90,30 +90,41 @@
         return;
     }
     // Too little time for the work is as good as none; the caller learns it at once.
-    const time_point last_start = deadline - m_state.slowness.lasting_work(added.work);
+    const time_point last_start = deadline - added.work;
     added.timer.call_at(m_state.timers, last_start, [this, id] { on_deadline(id); });
     const bool is_short = !added.route.empty() && m_state.is_short(added.work);
     const time_point late_after = is_short ? last_start : added.latest_start;
-    if (const auto offered = m_state.queue.offer(id, message.priority, added.latest_start, late_after,
-                                                 m_state.slowness.lasting_work(added.work));
+    if (const auto offered = m_state.queue.offer(id, message.priority, added.latest_start, late_after);
         offered.shed) {
         conclude_refused(*offered.shed, refusal::overloaded);
     }
+    // A slot may be kept for this one while others wait.
+    start_queued();
 }
 
 bool run_executor::must_hold(const owned_run& entry) const {
     return !entry.route.empty() && m_state.slowness.is_better_held(entry.work, m_state.now());
 }
 
+/// The queue offers a late run only if none that is in time waits.
+bool run_executor::must_leave_room(const owned_run& entry) const {
+    const bool is_late = !entry.route.empty() && entry.latest_start < m_state.now();
+    return is_late && !m_state.is_short(entry.work) &&
+           !m_state.late_runs.admits_late(m_state.runs.at_server(), m_state.run_limit(), m_state.now());
+}
+
 bool run_executor::is_holding() const {
     if (!may_start()) {
         return false;
     }
-    const auto id = m_state.queue.next(m_state.now(), m_state.time_per_start());
+    const auto id = m_state.queue.next(m_state.now());
     return id && must_hold(*m_state.runs.find(*id));
 }
 
 void run_executor::hand_over(owned_run& entry) {
+    if (!entry.route.empty() && entry.latest_start >= m_state.now()) {
+        m_state.late_runs.on_start_in_time(m_state.now());
+    }
     m_state.runs.mark_handed_over(entry, m_state.now());
     entry.timer.call_at(m_state.timers, entry.deadline, [this, id = entry.id] { on_deadline(id); });
     entry.slowness = m_state.slowness.current();
@@ -134,11 +145,10 @@
     m_state.outbox.act(std::move(action));
 }
 
-/// A run may be meant for a process that has been replaced since. Any process of the server will do, but it is
-/// named, so that the run does not start at another service's server that was given the address meanwhile.
+/// A run may be meant for a process that has been replaced since. Any process of the own server will do, but it
+/// is named, so that the run does not start at a server that was given the address meanwhile.
 std::string run_executor::expected_instance(const owned_run& entry) const {
-    const bool is_own_service = m_state.service() != nullptr && m_state.service()->id == m_state.identity.service;
-    const bool is_known = is_own_service && !m_state.server_instance.empty();
+    const bool is_known = !m_state.server_instance.empty();
     return is_known && !entry.instance.empty() ? m_state.server_instance : entry.instance;
 }
 
@@ -152,7 +162,7 @@
 
 void run_executor::start_queued() {
     while (may_start()) {
-        const auto id = m_state.queue.next(m_state.now(), m_state.time_per_start());
+        const auto id = m_state.queue.next(m_state.now());
         if (!id) {
             return;
         }
@@ -161,7 +171,7 @@
             conclude_refused(*id, refusal::deadline);
             continue;
         }
-        if (must_hold(entry)) {
+        if (must_hold(entry) || must_leave_room(entry)) {
             return;
         }
         m_state.queue.remove(*id);
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -46,6 +46,8 @@
     [[nodiscard]] bool may_start() const;
     /// @return whether a run had better wait until its server's slow spell is over.
     [[nodiscard]] bool must_hold(const owned_run& entry) const;
+    /// @return whether a run has to wait because a slot is kept for runs that are in time.
+    [[nodiscard]] bool must_leave_room(const owned_run& entry) const;
     /// @return whether a queued run would probably be cancelled at its deadline if it started now.
     [[nodiscard]] bool is_too_late(const owned_run& entry) const;
     [[nodiscard]] duration age(const owned_run& entry) const;
--- a/src/cornelpier/owner/run_intake.cpp
+++ b/src/cornelpier/owner/run_intake.cpp
@@ -131,7 +131,9 @@
         return refusal::draining;
     }
     const service_plan* service = m_state.service();
-    if (service == nullptr || service->id != message.service) {
+    // The plan may still list a server of another service that had this address before.
+    const bool is_own = message.service == m_state.identity.service;
+    if (!is_own || service == nullptr || service->id != message.service) {
         return refusal::unknown_service;
     }
     const permit_status leave = m_state.permits.check(message.leave, m_state.now());
@@ -167,12 +169,7 @@
 refusal run_intake::check_routed(const run& message, duration left) const {
     const time_point now = m_state.now();
     const duration work = m_state.work.of(message.route, message.objective);
-    const duration lasting_work = m_state.slowness.lasting_work(work);
-    const time_point latest_start = now + message.objective - lasting_work;
-    const std::size_t ahead = latest_start < now
-                                  ? m_state.queue.size()
-                                  : m_state.queue.ahead_of(message.priority, latest_start, lasting_work, now,
-                                                           m_state.time_per_start());
+    const std::size_t ahead = m_state.queue.ahead_of(message.priority, now + message.objective - work);
     const duration loss = m_state.slowness.expected_loss(work, now);
     const duration wait = m_state.slot_wait(ahead) + loss;
     const run_prospect prospect{work, message.objective, left, m_state.is_short(work)};
--- a/tests/admission/speed_test.cpp
+++ b/tests/admission/speed_test.cpp
@@ -1,4 +1,5 @@
 #include "cornelpier/admission/crowding_meter.hpp"
+#include "cornelpier/admission/late_reserve.hpp"
 #include "cornelpier/admission/slot_forecast.hpp"
 #include "cornelpier/admission/slowness_meter.hpp"
 #include "cornelpier/admission/useful_wait.hpp"
@@ -105,6 +106,20 @@
     CHECK(meter.best_limit(slots, seconds{1}) == 9);
 }
 
+TEST_CASE("late runs leave a slot to runs in time, while there are any", "[admission][speed]") {
+    const time_point start{seconds{100}};
+    late_reserve reserve;
+    CHECK(reserve.admits_late(6, 7, start));
+    reserve.on_start_in_time(start);
+    CHECK(reserve.admits_late(5, 7, start));
+    CHECK_FALSE(reserve.admits_late(6, 7, start + seconds{1}));
+    CHECK(reserve.admits_late(6, 7, start + milliseconds{1001}));
+    reserve.on_start_in_time(start);
+    CHECK_FALSE(reserve.admits_late(14, 16, start));
+    CHECK(reserve.admits_late(13, 16, start));
+    CHECK(reserve.admits_late(1, 2, start));
+}
+
 TEST_CASE("a wait is useful if the answer is in time or the caller has long to wait", "[admission][speed]") {
     // Objective 600 ms, deadline 1500 ms, work 220 ms.
     CHECK(longest_useful_wait({milliseconds{220}, milliseconds{600}, milliseconds{1500}}) ==
--- a/tests/owner/routed_runs_test.cpp
+++ b/tests/owner/routed_runs_test.cpp
@@ -172,4 +172,86 @@
     CHECK(started[0].instance == "i-7");
 }
 
+TEST_CASE("a run that means a former process goes to the one that the server reports", "[owner]") {
+    routed_fixture it;
+    const auto report = [&it](const std::string& instance) {
+        server_report message;
+        message.load = server_load_figures{0, 0, 4, 1};
+        message.instance = instance;
+        it.owner.on_server_report(message);
+    };
+    report("i-8");
+    run message = it.routed(1);
+    message.instance = "i-7";
+    it.receive(message);
+    const auto started = it.take<start_run>();
+    REQUIRE(started.size() == 1);
+    CHECK(started[0].instance == "i-8");
+
+    // A refusal for the wrong process shows that the report is out of date.
+    server_answered event{started[0].run, {421, {}, make_body()}};
+    event.refused = true;
+    it.owner.on_server_answered(event);
+    CHECK(it.sent<answer>().at(0).outcome == verdict::not_run);
+    message = it.routed(2);
+    message.instance = "i-9";
+    it.receive(message);
+    CHECK(it.take<start_run>().at(0).instance == "i-9");
+}
+
+// The load after a loss: callers who came back late fill the queue while others arrive that can be in time.
+TEST_CASE("a run in time finds a slot although late runs wait", "[owner][speed]") {
+    routed_fixture it;
+    it.learn(milliseconds{200});
+    std::vector<run_id> running;
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+        running.push_back(*it.submit(it.routed(n)));
+    }
+    for (std::uint64_t n = 5; n <= 8; ++n) {
+        CHECK_FALSE(it.submit(it.routed(n, milliseconds{-100}, seconds{4})));
+    }
+    it.advance(milliseconds{200});
+    it.finish(running[0]);
+    CHECK(it.take<start_run>().empty());
+    CHECK(it.submit(it.routed(9)));
+
+    // With two slots free, one is for the late.
+    it.advance(milliseconds{1});
+    it.finish(running[1]);
+    it.finish(running[2]);
+    const auto started = it.take<start_run>();
+    REQUIRE(started.size() == 1);
+}
+
+// Seen on a day on which addresses were given to servers of another service.
+TEST_CASE("an owner takes no run for the service that had its address before", "[owner]") {
+    routed_fixture it;
+    it.service.id = service_id{"atelier"};
+    it.publish();
+    run message = it.routed(1);
+    message.service = service_id{"atelier"};
+    const auto refused = it.ask<answer>(message);
+    CHECK(refused.outcome == verdict::not_run);
+    CHECK(refused.reason == refusal::unknown_service);
+    CHECK(it.take<start_run>().empty());
+}
+
+TEST_CASE("after a start runs wait for the server's first report", "[owner][speed]") {
+    owner_fixture it;
+    it.service.measuring = rate{40};
+    it.publish();
+    run message = it.lookup(1);
+    message.route = "status";
+    message.objective = milliseconds{500};
+    message.instance = "i-7";
+    CHECK_FALSE(it.submit(message));
+    server_report report;
+    report.load = server_load_figures{0, 0, 2, 1};
+    report.instance = "i-8";
+    it.owner.on_server_report(report);
+    const auto started = it.take<start_run>();
+    REQUIRE(started.size() == 1);
+    CHECK(started[0].instance == "i-8");
+}
+
 } // namespace cornelpier::owner_test
