Ask for lookups behind a silent link instead of giving them up

Orders were asked for on a new link already; lookups were given up or sent again.

A peer that does not know the run, another process, or a new link that fails ends the attempt as before. A lost link without silence changes nothing.

--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -77,7 +77,7 @@
     // A retry may choose the same target again; it waits for the next link.
     const auto waiting = m_index.waiting(target);
     for (const auto& id : m_index.sent(target)) {
-        lose_sent(id);
+        lose_sent(id, cause);
     }
     for (const auto& id : waiting) {
         lose_waiting(target, id, cause);
@@ -102,7 +102,9 @@
             continue;
         }
         auto& attempt = *call->find(id.number);
-        if (attempt.phase == attempt_phase::asking && attempt.owner != process) {
+        // Of lookups the owner's process is not kept; the owner itself tells that it does not know them.
+        const bool is_other = attempt.owner != process && attempt.owner != incarnation{};
+        if (attempt.phase == attempt_phase::asking && is_other) {
             settle(*call, attempt, {attempt_end::fate_unknown, verdict::unknown, refusal::none, {}, {}});
         }
     }
@@ -273,14 +275,15 @@
     settle(*call, attempt, {attempt_end::not_sent, verdict::not_run, refusal::none, {}, {}});
 }
 
-/// Owners keep no record of idempotent runs, so only the others can be asked for.
-void attempt_dispatcher::lose_sent(const attempt_id& id) {
+/// Owners keep no record of idempotent runs that ended, so that these are asked for only while they may still be
+/// running: behind a link that went silent, and not if a new one cannot be opened either.
+void attempt_dispatcher::lose_sent(const attempt_id& id, link_loss cause) {
     auto* call = m_tables.calls.find(id);
     if (call == nullptr) {
         return;
     }
     auto& attempt = *call->find(id.number);
-    if (call->idempotent) {
+    if (call->idempotent && cause != link_loss::silent) {
         settle(*call, attempt, {attempt_end::lost, verdict::unknown, refusal::none, {}, {}});
         return;
     }
--- a/src/cornelpier/entry/attempt_dispatcher.hpp
+++ b/src/cornelpier/entry/attempt_dispatcher.hpp
@@ -59,7 +59,7 @@
     void ask_fate(const attempt_state& attempt);
     void ask_fate_later(const attempt_state& attempt);
     void lose_waiting(const target_id& target, const attempt_id& id, link_loss cause);
-    void lose_sent(const attempt_id& id);
+    void lose_sent(const attempt_id& id, link_loss cause);
     void observe_distance(const attempt_state& attempt, const answer& reply);
     void settle(call_state& call, attempt_state& attempt, const attempt_result& result);
     void release(attempt_state& attempt);
--- a/tests/entry/routed_calls_test.cpp
+++ b/tests/entry/routed_calls_test.cpp
@@ -186,6 +186,44 @@
     CHECK(repeats >= 8);
 }
 
+// An owner whose link is full or whose process waits for the processor is silent for a while and works on.
+TEST_CASE("a lookup behind a silent link is asked for on a new one instead of given up",
+          "[entry][routes][field-reports]") {
+    routed_entry it(1);
+    it.ask("/l/1");
+    const auto word = it.sent_run();
+    it.advance(milliseconds{500});
+    REQUIRE(it.take<close_link>().size() == 1);
+    CHECK(it.take<answer_caller>().empty());
+
+    it.open_links();
+    CHECK(it.sent<run>().empty());
+    const auto asked = it.sent<fate_query>();
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].second.attempt == word.second.attempt);
+
+    SECTION("the run goes on, and its answer comes on the new link") {
+        it.tell_fate(asked[0].first, word.second.attempt, fate_outcome::running);
+        it.advance(milliseconds{25});
+        CHECK(it.sent<fate_query>().size() == 1);
+        it.answer_run({asked[0].first, word.second}, verdict::ran, refusal::none, 200);
+        CHECK(it.answered().response.status == 200);
+    }
+    SECTION("the owner does not know it, so that it is sent again") {
+        it.tell_fate(asked[0].first, word.second.attempt, fate_outcome::unknown);
+        const auto again = it.sent<run>();
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].second.attempt.number == 2);
+    }
+    SECTION("the new link ends without a word") {
+        it.entry.on_link_closed(asked[0].first);
+        it.open_links();
+        const auto again = it.sent<run>();
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].second.attempt.number == 2);
+    }
+}
+
 TEST_CASE("a leaving target gets nothing even if no other is left", "[entry][routes]") {
     routed_entry it(1);
     it.vm_states[target_id{"shop-1"}] = vm_state::leaving;
