Cut off bytes without end, know late answers on reused connections, and survive unexpected errors

Looked for what operators of similar systems reported; each case below was shown by a test that failed before. - A late copy of a refusal or failure without an id, on a connection that carries the next request, became that request's answer: its caller was told that it had not run. Such answers are taken for the own one only on a connection that has carried no request before; a connection with a surprise is not used again, as before. - A late answer to a run was taken for the server's report. - The size line of a chunk without end was read for as long as the caller waited, with unbounded memory; interim and stray answers were read for ever. Head, size line, passed-over answers are bounded. Of eleven forms of bytes without end only the size line failed before; the others are kept as tests. - A status that promises that a request has not run was passed on from a server that had not said so.

--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -21,6 +21,8 @@
                       "The process did not run for a while; readings and permits were dropped."},
     event_description{stop_requested, severity::info, "stop_requested", "The process was asked to stop."},
     event_description{process_ended, severity::info, "process_ended", "The process ends."},
+    event_description{handler_failed, severity::error, "handler_failed",
+                      "An unexpected error ended the handling of one event; the process goes on."},
     event_description{plan_accepted, severity::info, "plan_accepted", "A plan came into force."},
     event_description{plan_refused_older, severity::warning, "plan_refused_older",
                       "A plan of a lower version than the one in force was refused."},
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -18,6 +18,7 @@
     pause_detected = 105,
     stop_requested = 106,
     process_ended = 107,
+    handler_failed = 108,
     plan_accepted = 200,
     plan_refused_older = 201,
     plan_refused_conflict = 202,
--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -3,6 +3,7 @@
 #include "cornelpier/entry/request_token.hpp"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <string_view>
 
@@ -65,6 +66,12 @@
     return status_bad_gateway;
 }
 
+/// Callers take these for a promise that the request has not run and never will.
+bool promises_not_run(int status) {
+    constexpr std::array promising{408, 421, 429, status_unavailable};
+    return std::ranges::find(promising, status) != promising.end();
+}
+
 std::string_view text_for(fate_outcome outcome) {
     switch (outcome) {
     case fate_outcome::ran:
@@ -106,9 +113,14 @@
     const attempt_result& last = *call.last_result;
     auto result = base(call);
     const bool may_pass_on = !m_context.options.statuses_promise || last.outcome != verdict::not_run;
-    if (last.response && may_pass_on) {
+    const bool may_promise = !m_context.options.statuses_promise || result.outcome == verdict::not_run;
+    const auto is_false_promise = [&](const http_response& it) {
+        return !may_promise && promises_not_run(it.status);
+    };
+    if (last.response && may_pass_on && !is_false_promise(*last.response)) {
         result.response = *last.response;
-    } else if (result.outcome == verdict::unknown && call.failure_response) {
+    } else if (result.outcome == verdict::unknown && call.failure_response &&
+               !is_false_promise(*call.failure_response)) {
         result.response = *call.failure_response;
     } else {
         result.response = text_response(status_for(last, result.outcome, m_context.options.statuses_promise),
@@ -144,9 +156,11 @@
     auto result = base(call);
     const bool promises = m_context.options.statuses_promise && result.outcome == verdict::not_run;
     const int status = promises ? status_unavailable : status_gateway_timeout;
-    result.response = result.outcome == verdict::unknown && call.failure_response
-                          ? *call.failure_response
-                          : text_response(status, "the deadline has passed");
+    const bool has_response =
+        result.outcome == verdict::unknown && call.failure_response &&
+        !(m_context.options.statuses_promise && promises_not_run(call.failure_response->status));
+    result.response =
+        has_response ? *call.failure_response : text_response(status, "the deadline has passed");
     if (result.outcome == verdict::not_run) {
         result.retry_after = spread(default_retry_after);
     }
--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -275,8 +275,8 @@
     settle(*call, attempt, {attempt_end::not_sent, verdict::not_run, refusal::none, {}, {}});
 }
 
-/// Owners keep no record of idempotent runs that ended, so that these are asked for only while they may still be
-/// running: behind a link that went silent, and not if a new one cannot be opened either.
+/// Owners keep no record of idempotent runs that ended, so that these are asked for only while they may still
+/// be running: behind a link that went silent, and not if a new one cannot be opened either.
 void attempt_dispatcher::lose_sent(const attempt_id& id, link_loss cause) {
     auto* call = m_tables.calls.find(id);
     if (call == nullptr) {
--- a/src/cornelpier/node/traffic_events.hpp
+++ b/src/cornelpier/node/traffic_events.hpp
@@ -110,9 +110,9 @@
     duration length{};
 };
 
-using traffic_event = std::variant<call_arrived, call_fate_asked, call_abandoned, link_opened, link_closed,
-                                   message_received, server_answered, server_failed, server_report,
-                                   server_report_failed, fleet_changed, terminate_requested, calls_overdue,
-                                   clock_gap>;
+using traffic_event =
+    std::variant<call_arrived, call_fate_asked, call_abandoned, link_opened, link_closed, message_received,
+                 server_answered, server_failed, server_report, server_report_failed, fleet_changed,
+                 terminate_requested, calls_overdue, clock_gap>;
 
 } // namespace cornelpier
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -19,8 +19,8 @@
 /// for the drain to wait for it.
 constexpr duration late_result_time = std::chrono::seconds{10};
 
-/// Within this time an entry that lost a link has opened the next one and asked for its runs. Servers must not
-/// work for callers that left half a second ago.
+/// Within this time an entry that lost a link has opened the next one and asked for its runs. Servers must
+/// not work for callers that left half a second ago.
 constexpr duration return_limit = std::chrono::milliseconds{350};
 
 /// Keeps a full queue of the largest bodies within the memory of a node.
@@ -149,8 +149,8 @@
     m_state.outbox.act(std::move(action));
 }
 
-/// A run may be meant for a process that has been replaced since. Any process of the own server will do, but it
-/// is named, so that the run does not start at a server that was given the address meanwhile.
+/// A run may be meant for a process that has been replaced since. Any process of the own server will do, but
+/// it is named, so that the run does not start at a server that was given the address meanwhile.
 std::string run_executor::expected_instance(const owned_run& entry) const {
     const bool is_known = !m_state.server_instance.empty();
     return is_known && !entry.instance.empty() ? m_state.server_instance : entry.instance;
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -4,6 +4,7 @@
 #include "daemon/log/event_clock.hpp"
 #include "daemon/log/recent_lines.hpp"
 #include "daemon/metrics/metrics.hpp"
+#include "daemon/net/run_through.hpp"
 #include "daemon/node/periodic_timer.hpp"
 #include "daemon/node/traffic_runner.hpp"
 #include "daemon/operator/operator_pages.hpp"
@@ -20,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <string_view>
 #include <sys/resource.h>
 #include <thread>
 #include <utility>
@@ -108,9 +110,9 @@
         const auto control_work = boost::asio::make_work_guard(m_control_context);
         std::vector<std::thread> threads;
         for (std::uint32_t n = 0; !m_options.single_thread && n < m_settings.traffic_threads; ++n) {
-            threads.emplace_back([this] { m_traffic_context.run(); });
+            threads.emplace_back([this] { run_through(m_traffic_context, failure_sink()); });
         }
-        m_control_context.run();
+        run_through(m_control_context, failure_sink());
 
         for (auto& it : threads) {
             it.join();
@@ -266,6 +268,12 @@
         return options;
     }
 
+    std::function<void(std::string_view)> failure_sink() {
+        return [this](std::string_view reason) {
+            m_log.write({event_number::handler_failed, {{"reason", std::string{reason}}}});
+        };
+    }
+
     std::function<void(traffic_event)> traffic_sink() {
         return [this](traffic_event event) { m_traffic.post(std::move(event)); };
     }
--- a/src/daemon/platform/http_get.cpp
+++ b/src/daemon/platform/http_get.cpp
@@ -18,6 +18,9 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+/// Largest part of an answer that waits to be parsed: a head, or the size line of a chunk.
+constexpr std::size_t max_buffer_bytes = std::size_t{128} * 1024;
+
 /// One request on one connection. The stream's own time limit covers all of it.
 class get_operation : public std::enable_shared_from_this<get_operation> {
   public:
@@ -86,7 +89,7 @@
     http_get_target m_target;
     std::function<void(http_get_outcome)> m_on_done;
     http::request<http::empty_body> m_request;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{max_buffer_bytes};
     http::response_parser<http::string_body> m_parser;
 };
 
--- a/src/daemon/server/server_client.cpp
+++ b/src/daemon/server/server_client.cpp
@@ -96,7 +96,7 @@
                 self->m_on_event(response != nullptr ? self->read_report_answer(*response)
                                                      : server_report_failed{});
             },
-            server_exchange::answer_rules{});
+            server_exchange::answer_rules{m_options.names.request_id, {}, false});
         launch(*exchange, false, report_limit);
     }
 
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -26,6 +26,15 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t max_answer_head_bytes = 32 * 1024;
+
+/// Largest part of an answer that waits to be parsed: a head, or the size line of a chunk with its
+/// extensions. A server in trouble may send either without end.
+constexpr std::size_t max_buffer_bytes = std::size_t{128} * 1024;
+
+/// Interim answers and answers to earlier requests before the own one. A server in trouble repeats them for
+/// ever.
+constexpr std::uint32_t max_passed_over = 16;
+
 constexpr int first_final_status = 200;
 constexpr int switching_protocols = 101;
 constexpr int first_refusal_status = 400;
@@ -86,7 +95,7 @@
 
     http::request<http::span_body<const char>> message;
     http::request_serializer<http::span_body<const char>> serializer;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_buffer_bytes};
     std::optional<http::response_parser<http::string_body>> parser;
 };
 
@@ -99,6 +108,7 @@
 
 void server_exchange::start(connection_pool::socket_ptr socket, std::chrono::microseconds timeout) {
     m_socket = std::move(socket);
+    m_reused = true;
     write(timeout);
 }
 
@@ -178,7 +188,7 @@
         return;
     }
     if (status < first_final_status) {
-        read();
+        pass_over();
         return;
     }
 
@@ -193,7 +203,7 @@
     auto response = copy_response(parser.get(), m_request.method == "HEAD");
     if (is_stray(response) && framed) {
         m_strays_seen = true;
-        read();
+        pass_over();
         return;
     }
     if (is_stray(response) || !is_trusted(response)) {
@@ -207,18 +217,25 @@
     finish(std::move(response), std::move(connection));
 }
 
-/// An answer to an earlier request may come twice or late.
+void server_exchange::pass_over() {
+    if (++m_passed_over > max_passed_over) {
+        fail(server_failure::lost);
+        return;
+    }
+    read();
+}
+
+/// An answer to an earlier request may come twice or late. Without an id, a failure is taken for the own one
+/// only where no earlier request can be meant.
 bool server_exchange::is_stray(const http_response& response) const {
     if (m_rules.request_id_field.empty()) {
         return false;
     }
     const auto* sent = find_field(m_request.fields, m_rules.request_id_field);
     const auto* repeated = find_field(response.fields, m_rules.request_id_field);
-    if (sent == nullptr) {
-        return false;
-    }
-    if (repeated == nullptr) {
-        return response.status < first_refusal_status;
+    if (sent == nullptr || repeated == nullptr) {
+        return sent != repeated &&
+               (m_reused || repeated != nullptr || response.status < first_refusal_status);
     }
     return *repeated != *sent;
 }
--- a/src/daemon/server/server_exchange.hpp
+++ b/src/daemon/server/server_exchange.hpp
@@ -67,6 +67,8 @@
     void on_head(boost::system::error_code ec);
     void on_read(boost::system::error_code ec);
     void take_answer();
+    /// Reads on after an answer that is not the own one.
+    void pass_over();
     [[nodiscard]] bool is_stray(const http_response& response) const;
     [[nodiscard]] bool is_trusted(const http_response& response) const;
     void on_expired();
@@ -80,9 +82,11 @@
     lazy_deadline m_deadline;
     connection_pool::socket_ptr m_socket;
     std::unique_ptr<http_state> m_http;
-    bool m_written = false;     ///< Some of the request may have reached the server.
-    bool m_write_ended = false; ///< All of it was written.
-    bool m_strays_seen = false; ///< The connection carried bytes that belong to no request.
+    bool m_written = false;          ///< Some of the request may have reached the server.
+    bool m_write_ended = false;      ///< All of it was written.
+    bool m_reused = false;           ///< The connection has carried requests before.
+    std::uint32_t m_passed_over = 0; ///< Answers that were not the own one.
+    bool m_strays_seen = false;      ///< The connection carried bytes that belong to no request.
 };
 
 } // namespace cornelpier
--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -288,6 +288,184 @@
     CHECK_FALSE(std::get<server_answered>(failed).refused);
 }
 
+namespace {
+
+/// Server that answers the n-th request of a connection with what a function makes of it, and counts the
+/// bytes that the peer let it send.
+class replying_server {
+  public:
+    using reply = std::function<std::string(std::size_t n, const std::string& request)>;
+
+    /// @param endless sent again and again after the first answer.
+    explicit replying_server(reply make, std::string endless = {})
+        : m_make(std::move(make)), m_endless(std::move(endless)),
+          m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0}) {
+        address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~replying_server() {
+        stopping = true;
+        tcp::socket wake(m_context);
+        boost::system::error_code ec;
+        wake.connect(m_acceptor.local_endpoint(), ec);
+        m_thread.join();
+    }
+
+    std::string address;
+    std::atomic<std::size_t> bytes = 0;
+    std::atomic<std::size_t> connections = 0;
+    std::atomic<bool> stopping = false;
+
+  private:
+    void run() {
+        while (true) {
+            tcp::socket socket = m_acceptor.accept();
+            if (stopping) {
+                return;
+            }
+            ++connections;
+            serve(socket);
+        }
+    }
+
+    void serve(tcp::socket& socket) {
+        std::string buf;
+        boost::system::error_code ec;
+        for (std::size_t n = 0; !ec; ++n) {
+            const auto end =
+                boost::asio::read_until(socket, boost::asio::dynamic_buffer(buf), "\r\n\r\n", ec);
+            if (ec) {
+                return;
+            }
+            bytes += boost::asio::write(socket, boost::asio::buffer(m_make(n, buf.substr(0, end))), ec);
+            buf.erase(0, end);
+            while (!ec && !m_endless.empty() && !stopping) {
+                bytes += boost::asio::write(socket, boost::asio::buffer(m_endless), ec);
+            }
+        }
+    }
+
+    reply m_make;
+    std::string m_endless;
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+void send_numbered(client_under_test& it, std::uint64_t n, const std::string& method = "GET",
+                   duration timeout = 1s) {
+    start_run action;
+    action.run = run_id{n};
+    action.request = {method, "/x", {{"x-id", std::to_string(n)}}, make_body()};
+    action.timeout = timeout;
+    action.deadline = std::chrono::seconds{2};
+    it.client.start(std::move(action));
+}
+
+} // namespace
+
+// A server sends the answer to one request twice, the second time when the connection carries the next
+// request.
+TEST_CASE("a second copy of an answer never becomes the next request's answer", "[server][field-reports]") {
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n";
+    const std::vector<std::pair<std::string, std::string>> copies{
+        {"the same", sealed("1", "one")},
+        {"without an id", "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\none"},
+        {"in chunks", head + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"},
+        {"a refusal without an id", "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+        {"a failure without an id", "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"},
+        {"a refusal with the old id",
+         "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+        {"without content", "HTTP/1.1 204 No Content\r\nX-Id: 1\r\nX-Seal: s\r\n\r\n"},
+        {"not modified", "HTTP/1.1 304 Not Modified\r\nX-Id: 1\r\nX-Seal: s\r\n\r\n"},
+        {"behind an interim answer", "HTTP/1.1 100 Continue\r\n\r\n" + sealed("1", "one")},
+        {"cut short", head + "Content-Length: 99\r\n\r\npart"},
+    };
+    for (const auto& [name, copy] : copies) {
+        INFO(name);
+        replying_server server([copy = copy](std::size_t n, const std::string&) {
+            return n == 0 ? sealed("1", "one") : copy + sealed("2", "two");
+        });
+        client_under_test it(server.address, adapter_names());
+        send_numbered(it, 1);
+        REQUIRE(it.events.wait(1).size() == 1);
+        send_numbered(it, 2);
+        const auto events = it.events.wait(2);
+        REQUIRE(events.size() == 2);
+        if (const auto* answered = std::get_if<server_answered>(&events[1])) {
+            CHECK(*answered->response.body == "two");
+            CHECK_FALSE(answered->refused);
+        } else {
+            CHECK(is_lost(events[1]));
+        }
+
+        // Nor is the connection used again.
+        send_numbered(it, 3);
+        REQUIRE(it.events.wait(3).size() == 3);
+        CHECK(server.connections == 2);
+    }
+}
+
+TEST_CASE("a late answer to a run is not taken for a report", "[server][field-reports]") {
+    auto names = adapter_names();
+    names.load = "x-load";
+    names.own_instance = "x-me";
+    names.parse_load = [](std::string_view) { return std::optional{server_load_figures{1, 2, 3, 4}}; };
+    replying_server server([](std::size_t n, const std::string&) {
+        return n == 0 ? sealed("1", "one")
+                      : sealed("1", "one") + "HTTP/1.1 200 OK\r\nX-Me: i-1\r\nX-Load: 1\r\n"
+                                             "Content-Length: 0\r\n\r\n";
+    });
+    client_under_test it(server.address, names);
+    send_numbered(it, 1);
+    REQUIRE(it.events.wait(1).size() == 1);
+    it.client.read_report("/health");
+    const auto events = it.events.wait(2);
+    REQUIRE(events.size() == 2);
+    const auto* report = std::get_if<server_report>(&events[1]);
+    REQUIRE(report != nullptr);
+    CHECK(report->instance == "i-1");
+    CHECK(report->load);
+}
+
+// Bytes that are no answer may come until the caller closes.
+TEST_CASE("bytes without end are cut off at a bound and the run counts as lost", "[server][field-reports]") {
+    constexpr std::size_t bound = std::size_t{16} * 1024 * 1024;
+    const std::string block(64 * 1024, 'a');
+    const std::string ok = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n";
+    struct form {
+        std::string name;
+        std::string start;
+        std::string endless;
+    };
+    const std::vector<form> forms{
+        {"status line", "HTTP/1.1 200 ", block},
+        {"field", ok + "X-A: ", block},
+        {"fields", ok, "X-A: b\r\n"},
+        {"chunk size", ok + "Transfer-Encoding: chunked\r\n\r\n", std::string(64 * 1024, '0')},
+        {"chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n1;a=", block},
+        {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + block + "\r\n"},
+        {"trailer", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: " + block + "\r\n"},
+        {"body without a length", ok + "\r\n", block},
+        {"interim answers", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"strays", sealed("0", "stray"), sealed("0", "stray")},
+        {"no answer at all", "", block},
+    };
+    for (const auto& it : forms) {
+        INFO(it.name);
+        replying_server server([&](std::size_t, const std::string&) { return it.start; }, it.endless);
+        client_under_test client(server.address, adapter_names());
+        const auto begin = std::chrono::steady_clock::now();
+        send_numbered(client, 1, "GET", 20s);
+        const auto events = client.events.wait(1, 10s);
+        REQUIRE(events.size() == 1);
+        CHECK(is_lost(events[0]));
+        CHECK(server.bytes < bound);
+        CHECK(std::chrono::steady_clock::now() - begin < 10s);
+    }
+}
+
 TEST_CASE("a connection is not used beyond the time that the server announced", "[server]") {
     scripted_server server("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n");
     client_under_test it(server.address);
