Send queued runs back at once when their server leaves, and start none then

A view that says that the own server has left started queued runs.

Change: with such a view queued runs go back at once, before any is started; the 300 ms are gone.

Also: a cancellation waits only for links to targets in the plan; the rule for answers without an id in two steps.

--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -64,7 +64,9 @@
         m_tables.links.send(attempt.target, cancel{attempt.id});
         return;
     }
-    m_unsent_cancels[attempt.target].push_back(attempt.id);
+    if (m_context.find_target(attempt.target) != nullptr) {
+        m_unsent_cancels[attempt.target].push_back(attempt.id);
+    }
 }
 
 void attempt_dispatcher::on_ready(const target_id& target) {
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -65,7 +65,9 @@
         }
         m_lifecycle.on_view();
         // A server may also leave without a word: its entry is gone then.
-        m_executor.on_leaving(service == nullptr || m_state.drain.has_cause(drain_cause::vm_leaving));
+        if (service == nullptr || m_state.drain.has_cause(drain_cause::vm_leaving)) {
+            m_executor.refuse_queued();
+        }
         m_executor.start_queued();
     }
 
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -19,10 +19,6 @@
 /// for the drain to wait for it.
 constexpr duration late_result_time = std::chrono::seconds{10};
 
-/// Time for queued runs to start at a server that leaves. The bound on this is 2 s or more from the moment at
-/// which the server said so, of which word of it may take 1.3 s.
-constexpr duration last_starts_time = std::chrono::milliseconds{300};
-
 /// Keeps a full queue of the largest bodies within the memory of a node.
 constexpr std::size_t max_queued_bytes = std::size_t{16} * 1024 * 1024;
 
@@ -183,17 +179,6 @@
     }
 }
 
-void run_executor::on_leaving(bool leaving) {
-    if (leaving == m_leaving) {
-        return;
-    }
-    m_leaving = leaving;
-    m_leave_timer.cancel();
-    if (leaving) {
-        m_leave_timer.call_at(m_state.timers, m_state.now() + last_starts_time, [this] { refuse_queued(); });
-    }
-}
-
 void run_executor::refuse_queued() {
     for (const run_id id : m_state.runs.queued()) {
         conclude_refused(id, refusal::draining);
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -33,9 +33,9 @@
     void on_cancel(const attempt_id& attempt);
     void on_link_closed(link_id link);
 
-    /// Takes whether the own server leaves. Servers that leave must get nothing more after a few seconds, so
-    /// that runs which do not start soon go back to their entries.
-    void on_leaving(bool leaving);
+    /// The own server leaves: queued runs go back to their entries. Word of the leaving may have taken all of
+    /// the time within which a server that leaves may still get runs.
+    void refuse_queued();
 
     /// Refuses the queued runs whose deadline has passed.
     void refuse_overdue();
@@ -72,12 +72,8 @@
     /// After a run ended: its place may be used, and the drain may be over.
     void after_end();
 
-    void refuse_queued();
-
     owner_state& m_state;
     owner_lifecycle& m_lifecycle;
-    bool m_leaving = false;
-    scoped_timer m_leave_timer;
 };
 
 } // namespace cornelpier
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -233,9 +233,11 @@
     }
     const auto* sent = find_field(m_request.fields, m_rules.request_id_field);
     const auto* repeated = find_field(response.fields, m_rules.request_id_field);
-    if (sent == nullptr || repeated == nullptr) {
-        return sent != repeated &&
-               (m_reused || repeated != nullptr || response.status < first_refusal_status);
+    if (repeated == nullptr) {
+        return sent != nullptr && (m_reused || response.status < first_refusal_status);
+    }
+    if (sent == nullptr) {
+        return true;
     }
     return *repeated != *sent;
 }
