Cancel orders at their owners when their callers leave

Entries cancelled lookups only; owners drop a queued order that is cancelled and let one at its server end.

Change: orders without a key are cancelled too. Those with a key go on, so that a repeat finds the answer. The check that no cancellation is sent for an order now expects one; that a running order is not interrupted is checked at the owner, as before.

--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -50,7 +50,9 @@
             continue;
         }
         const bool was_sent = it.phase != attempt_phase::waiting;
-        if (was_sent && call.idempotent) {
+        // Orders too: the owner drops one that waits in its queue and lets one at its server end. An order
+        // with a key goes on, so that a repeat finds its answer.
+        if (was_sent && !call.is_keyed()) {
             cancel_run(it);
         }
         release(it);
--- a/tests/entry/link_test.cpp
+++ b/tests/entry/link_test.cpp
@@ -149,7 +149,10 @@
     }
     SECTION("of a call whose caller is gone") {
         it.entry.on_abandoned({call_id{it.last_call}});
-        CHECK(it.sent<cancel>().empty()); // Orders finish.
+        // The owner drops an order that waits in its queue; one at its server ends there.
+        const auto cancelled = it.sent<cancel>();
+        REQUIRE(cancelled.size() == 1);
+        CHECK(cancelled.at(0).second.attempt == first.second.attempt);
         it.answer_run(first, verdict::ran, refusal::none, 201);
         CHECK(it.take<answer_caller>().empty());
         CHECK(it.entry.calls_in_progress() == 0);
--- a/tests/entry/routed_calls_test.cpp
+++ b/tests/entry/routed_calls_test.cpp
@@ -237,6 +237,17 @@
     }
 }
 
+// Seen on a day: orders that waited in the queues of owners ran after their callers had left.
+TEST_CASE("an order whose caller leaves is cancelled at its owner", "[entry][routes]") {
+    routed_entry it(1);
+    it.ask("/o/1");
+    const auto word = it.sent_run();
+    it.entry.on_abandoned({call_id{it.last_call}});
+    const auto cancelled = it.sent<cancel>();
+    REQUIRE(cancelled.size() == 1);
+    CHECK(cancelled[0].second.attempt == word.second.attempt);
+}
+
 TEST_CASE("a leaving target gets nothing even if no other is left", "[entry][routes]") {
     routed_entry it(1);
     it.vm_states[target_id{"shop-1"}] = vm_state::leaving;
