Let one node of a region read the store, and relays tell the nodes of their data centres

Change: one node of the region reads and tells one or two relays in each data centre, which tell the nodes there. No node tells more than a data centre and the relays of the others.

--- a/src/cornelpier/membership/reader_roles.cpp
+++ b/src/cornelpier/membership/reader_roles.cpp
@@ -3,21 +3,59 @@
 #include "cornelpier/base/hash.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace cornelpier {
 
-void reader_roles::set_members(const data_centre_id& group, std::vector<target_id> members) {
-    if (std::ranges::find(members, m_self) == members.end()) {
+namespace {
+
+/// The key ranks the nodes of a region; those of a data centre are ranked by its name.
+constexpr std::string_view region_key = "reader";
+
+/// @return the first nodes by rank; different keys rank independently.
+std::vector<target_id> first_by_rank(std::string_view key, std::vector<target_id> nodes, std::size_t count) {
+    std::ranges::sort(nodes, std::ranges::greater{}, [&](const target_id& it) {
+        return std::pair{rendezvous_score(key, it.value()), it};
+    });
+    nodes.resize(std::min(nodes.size(), count));
+    return nodes;
+}
+
+bool contains(const std::vector<target_id>& nodes, const target_id& node) {
+    return std::ranges::find(nodes, node) != nodes.end();
+}
+
+} // namespace
+
+void reader_roles::set_members(const std::vector<reader_candidate>& members) {
+    std::map<data_centre_id, std::vector<target_id>> by_data_centre;
+    std::vector<target_id> all;
+    for (const auto& it : members) {
+        by_data_centre[it.data_centre].push_back(it.node);
+        all.push_back(it.node);
+    }
+    m_audience.clear();
+    m_is_reader = false;
+    m_is_relay = false;
+    const auto readers = first_by_rank(region_key, all, 1);
+    m_reader = readers.empty() ? std::nullopt : std::optional{readers.front()};
+    if (!contains(all, m_self)) {
         // The others do not know this node and tell it nothing.
-        m_reader = false;
         return;
     }
-    std::ranges::sort(members, std::ranges::greater{}, [&](const target_id& it) {
-        return std::pair{rendezvous_score(group.value(), it.value()), it};
-    });
-    const std::size_t readers = members.size() >= size_for_two ? 2 : 1;
-    members.resize(std::min(members.size(), readers));
-    m_reader = std::ranges::find(members, m_self) != members.end();
+
+    m_is_reader = m_reader == m_self;
+    for (const auto& [data_centre, nodes] : by_data_centre) {
+        const auto relays = first_by_rank(data_centre.value(), nodes, nodes.size() >= size_for_two ? 2 : 1);
+        const bool is_own = data_centre == m_data_centre;
+        m_is_relay = m_is_relay || (is_own && contains(relays, m_self));
+        if (is_own && m_is_relay) {
+            m_audience.insert(m_audience.end(), nodes.begin(), nodes.end());
+        } else if (m_is_reader) {
+            m_audience.insert(m_audience.end(), relays.begin(), relays.end());
+        }
+    }
+    std::erase(m_audience, m_self);
 }
 
 } // namespace cornelpier
