Let the shut-down test wait until the stop has begun

The test asks for the stop and sends the rest of a half-sent request right after. The stop is posted to a strand of its own, so that with two threads the request can be complete first and is then served. Trace: with the answer printed, 1 of 25 runs beside 8 busy processes had "HTTP/1.1 200 OK ... GET/late" in place of the 503. That is right: the stop had not begun.

Excluded: a cut or lost answer (each of the 25 runs had a whole answer), the end of the time of an idle connection (the test took 1.01 s, so the answer came at once).

Change: the test sends the rest once the idle connection has been closed, which shows that the stop has begun, and still wants the 503.

--- a/tests/daemon/caller_server_test.cpp
+++ b/tests/daemon/caller_server_test.cpp
@@ -353,9 +353,10 @@
 
     test::inbox<bool> done;
     server.server.shut_down([&] { done.push(true); });
+    // The end of the idle connection shows that the stop has begun; a request before that is served.
+    CHECK(idle.read_all().empty());
     late.send("te HTTP/1.1\r\nHost: comenzi\r\n\r\n");
     CHECK(contains(late.read_all(), "HTTP/1.1 503 "));
-    CHECK(idle.read_all().empty());
     CHECK(done.wait(1, 0ms).empty());
 
     server.reply(server.calls.wait(1).at(0).request.path == "/hold" ? server.calls.wait(1).at(0)
