--- a/src/daemon/caller/caller_session.cpp
+++ b/src/daemon/caller/caller_session.cpp
@@ -27,6 +27,9 @@
 /// Size lines, extensions and trailers of a chunked body must fit.
 constexpr std::size_t max_chunk_line_bytes = std::size_t{16} * 1024;
 
+/// Empty lines before a request that are passed over, in bytes; RFC 9112, 2.2 wants one line at least.
+constexpr std::size_t max_empty_line_bytes = 64;
+
 /// Time to read the rest of a refused request, so that a reset does not destroy the answer on its way.
 constexpr std::chrono::milliseconds linger_limit{1000};
 
@@ -164,11 +167,17 @@
 void caller_session::begin_request() {
     while (view(m_buffer).starts_with("\r\n")) {
         m_buffer.consume(2);
+        m_empty_line_bytes += 2;
+    }
+    if (m_empty_line_bytes > max_empty_line_bytes) {
+        fail({400, "empty lines in place of a request"});
+        return;
     }
-    if (m_buffer.size() == 0) {
+    if (m_buffer.size() == 0 || view(m_buffer) == "\r") {
         read();
         return;
     }
+    m_empty_line_bytes = 0;
     m_input = input::head;
     // The limit of a first request runs from the start of the connection, unless the stop has shortened it.
     if (!m_first_request || m_context->stopping()) {
--- a/src/daemon/caller/caller_session.hpp
+++ b/src/daemon/caller/caller_session.hpp
@@ -102,6 +102,7 @@
     checked_head m_head;
     std::deque<exchange> m_exchanges; ///< In the order of the requests.
     input m_input = input::idle;
+    std::size_t m_empty_line_bytes = 0; ///< Since the last request.
     bool m_reading = false;
     bool m_keep_alive = true;
     bool m_first_request = true;
--- a/tests/daemon/caller_server_test.cpp
+++ b/tests/daemon/caller_server_test.cpp
@@ -307,6 +307,15 @@
     CHECK(contains(answers, "GET/last"));
 }
 
+TEST_CASE("an empty line before a request is passed over, also in two parts", "[caller]") {
+    echo_server server;
+    raw_connection caller(server.address);
+    caller.send("\r\n\r");
+    std::this_thread::sleep_for(50ms);
+    caller.send("\nGET /a HTTP/1.1\r\nHost: comenzi\r\n\r\n");
+    CHECK(contains(caller.read_until("GET/a"), "HTTP/1.1 200 "));
+}
+
 TEST_CASE("a caller that goes away abandons its call", "[caller]") {
     echo_server server;
     {
--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -1,4 +1,5 @@
 #include "daemon/server/server_client.hpp"
+#include "tests/daemon/support/replying_server.hpp"
 #include "tests/daemon/support/running_context.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -290,69 +291,6 @@
 
 namespace {
 
-/// Server that answers the n-th request of a connection with what a function makes of it, and counts the
-/// bytes that the peer let it send.
-class replying_server {
-  public:
-    using reply = std::function<std::string(std::size_t n, const std::string& request)>;
-
-    /// @param endless sent again and again after the first answer.
-    explicit replying_server(reply make, std::string endless = {})
-        : m_make(std::move(make)), m_endless(std::move(endless)),
-          m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0}) {
-        address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-        m_thread = std::thread([this] { run(); });
-    }
-
-    ~replying_server() {
-        stopping = true;
-        tcp::socket wake(m_context);
-        boost::system::error_code ec;
-        wake.connect(m_acceptor.local_endpoint(), ec);
-        m_thread.join();
-    }
-
-    std::string address;
-    std::atomic<std::size_t> bytes = 0;
-    std::atomic<std::size_t> connections = 0;
-    std::atomic<bool> stopping = false;
-
-  private:
-    void run() {
-        while (true) {
-            tcp::socket socket = m_acceptor.accept();
-            if (stopping) {
-                return;
-            }
-            ++connections;
-            serve(socket);
-        }
-    }
-
-    void serve(tcp::socket& socket) {
-        std::string buf;
-        boost::system::error_code ec;
-        for (std::size_t n = 0; !ec; ++n) {
-            const auto end =
-                boost::asio::read_until(socket, boost::asio::dynamic_buffer(buf), "\r\n\r\n", ec);
-            if (ec) {
-                return;
-            }
-            bytes += boost::asio::write(socket, boost::asio::buffer(m_make(n, buf.substr(0, end))), ec);
-            buf.erase(0, end);
-            while (!ec && !m_endless.empty() && !stopping) {
-                bytes += boost::asio::write(socket, boost::asio::buffer(m_endless), ec);
-            }
-        }
-    }
-
-    reply m_make;
-    std::string m_endless;
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-    std::thread m_thread;
-};
-
 void send_numbered(client_under_test& it, std::uint64_t n, const std::string& method = "GET",
                    duration timeout = 1s) {
     start_run action;
@@ -384,7 +322,7 @@
     };
     for (const auto& [name, copy] : copies) {
         INFO(name);
-        replying_server server([copy = copy](std::size_t n, const std::string&) {
+        test::replying_server server([copy = copy](std::size_t n, const std::string&) {
             return n == 0 ? sealed("1", "one") : copy + sealed("2", "two");
         });
         client_under_test it(server.address, adapter_names());
@@ -412,7 +350,7 @@
     names.load = "x-load";
     names.own_instance = "x-me";
     names.parse_load = [](std::string_view) { return std::optional{server_load_figures{1, 2, 3, 4}}; };
-    replying_server server([](std::size_t n, const std::string&) {
+    test::replying_server server([](std::size_t n, const std::string&) {
         return n == 0 ? sealed("1", "one")
                       : sealed("1", "one") + "HTTP/1.1 200 OK\r\nX-Me: i-1\r\nX-Load: 1\r\n"
                                              "Content-Length: 0\r\n\r\n";
@@ -454,7 +392,7 @@
     };
     for (const auto& it : forms) {
         INFO(it.name);
-        replying_server server([&](std::size_t, const std::string&) { return it.start; }, it.endless);
+        test::replying_server server([&](std::size_t, const std::string&) { return it.start; }, it.endless);
         client_under_test client(server.address, adapter_names());
         const auto begin = std::chrono::steady_clock::now();
         send_numbered(client, 1, "GET", 20s);
--- /dev/null
+++ b/tests/daemon/support/replying_server.cpp
@@ -0,0 +1,54 @@
+#include "tests/daemon/support/replying_server.hpp"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace cornelpier::test {
+
+using boost::asio::ip::tcp;
+
+replying_server::replying_server(reply make, std::string endless)
+    : m_make(std::move(make)), m_endless(std::move(endless)),
+      m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0}) {
+    address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    m_thread = std::thread([this] { run(); });
+}
+
+replying_server::~replying_server() {
+    stopping = true;
+    tcp::socket wake(m_context);
+    boost::system::error_code ec;
+    wake.connect(m_acceptor.local_endpoint(), ec);
+    m_thread.join();
+}
+
+void replying_server::run() {
+    while (true) {
+        tcp::socket socket = m_acceptor.accept();
+        if (stopping) {
+            return;
+        }
+        ++connections;
+        serve(socket);
+    }
+}
+
+void replying_server::serve(tcp::socket& socket) {
+    std::string buf;
+    boost::system::error_code ec;
+    for (std::size_t n = 0; !ec; ++n) {
+        const auto end = boost::asio::read_until(socket, boost::asio::dynamic_buffer(buf), "\r\n\r\n", ec);
+        if (ec) {
+            return;
+        }
+        bytes += boost::asio::write(socket, boost::asio::buffer(m_make(n, buf.substr(0, end))), ec);
+        buf.erase(0, end);
+        while (!ec && !m_endless.empty() && !stopping) {
+            bytes += boost::asio::write(socket, boost::asio::buffer(m_endless), ec);
+        }
+    }
+}
+
+} // namespace cornelpier::test
