Compare what nodes believe, and share the reading before the first plan

Each node lists once and watches once before there is a plan; then all 195 watch again at about 3 s, because a word of the reader counted only if it told all changes since the node's own position, which no node that had just listed could match.

Excluded: pages of the listing (one call each, the list is empty then); the wave of watches before the plan, which no word can spare a node that nobody knows yet (195 of the calls that are left).

Change: a word counts if the sender believes the same as this node, whatever it was told before. A record that was replaced at its address is dropped: it was hidden by its successor only, and was a server again when the successor left. That is one of the faults that operators reported; its test failed first.

--- a/src/cornelpier/message/control_messages.hpp
+++ b/src/cornelpier/message/control_messages.hpp
@@ -57,8 +57,7 @@
 /// Word of a node that reads the platform's service for others.
 struct source_update {
     target_id from;
-    std::uint64_t since = 0;    ///< Position in the service's changes that the receiver must have reached.
-    std::uint64_t position = 0; ///< Position up to which it is complete afterwards.
+    std::uint64_t position = 0; ///< In the service's changes, up to which the sender knows everything.
     std::uint64_t digest = 0;   ///< Hash of all that the sender believes at that position.
     std::string changes;        ///< Written and read by the adapter to the platform; empty: nothing changed.
 };
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -183,7 +183,6 @@
 requires std::same_as<std::remove_const_t<Message>, source_update>
 void for_each_field(Message& it, Visitor&& visit) {
     visit(it.from);
-    visit(it.since);
     visit(it.position);
     visit(it.digest);
     visit(it.changes);
--- a/tests/platform/decoder_fuzz_test.cpp
+++ b/tests/platform/decoder_fuzz_test.cpp
@@ -170,7 +170,7 @@
     order.request = {"POST", "/o/1", {{"content-type", "text/plain"}}, make_body("order")};
     order.key = "key-1";
     order.remaining = std::chrono::milliseconds{800};
-    const control_message word = source_update{target_id{"10.0.0.1"}, 5, 9, 77, "changes"};
+    const control_message word = source_update{target_id{"10.0.0.1"}, 9, 77, "changes"};
     for (const auto& text : {encode(traffic_message{order}), encode(word)}) {
         const int decoded = fuzz(5, text, [](const std::string& input) {
             const auto message = decode(input);
--- a/tests/platform/server_directory_test.cpp
+++ b/tests/platform/server_directory_test.cpp
@@ -39,6 +39,19 @@
     CHECK(directory.servers().at(0).instance == "i-2");
 }
 
+TEST_CASE("a server that was replaced at its address is not back when its successor leaves",
+          "[platform][field-reports]") {
+    server_directory directory;
+    directory.on_contact(start);
+    directory.put("servers/i-1", entry("10.0.0.1:80", 9, "ready", 3));
+    directory.put("servers/i-2", entry("10.0.0.1:80", 1, "ready", 7));
+    // The old entry has not lapsed yet, and its last report may still be on its way.
+    directory.put("servers/i-1", entry("10.0.0.1:80", 10, "ready", 3));
+    directory.on_contact(start + seconds{1});
+    directory.remove("servers/i-2", start + seconds{1});
+    CHECK(directory.servers().empty());
+}
+
 TEST_CASE("an entry that cannot be read names no server and leaves the others", "[platform]") {
     server_directory directory;
     directory.put("servers/i-1", entry("10.0.0.1:80", 1));
