--- a/tools/mutation_check.sh
+++ b/tools/mutation_check.sh
@@ -43,7 +43,7 @@
     [[ " ${outer_targets[*]} " != *" $target "* ]] || filter=('[field-reports]')
     timeout 120 prlimit --as=4000000000 "build/tests/$target" "${filter[@]}" > "$target.log" 2>&1 || noticed+=("${target#cornelpier-}")
   done
-  echo "$name (point$point): ${noticed[*]:-NOT NOTICED}"
+  echo "$name ($point): ${noticed[*]:-NOT NOTICED}"
   [ ${#noticed[@]} -gt 0 ] || missed=$((missed + 1))
   cp original "$file"
 done < <(grep -v '^#' tests/mutations/mutations.txt | sed 's/ | /~/g')
