Make one piece of code of what the change wrote twice

Found by reading the change once more; no behaviour is meant to change.

- The length times a factor stood in the slowness meter, the load estimate, the useful wait and the choice of a target: now `scale` beside the units.
The slowness meter and the useful wait rounded by way of seconds; a result may differ by one microsecond.
- Whether a response's status promises too much was written out for the end of a call and again for its timeout.
- Three loops of the run table differ in one condition.
- The bound on bytes that wait to be parsed stood at the server's and at the store's client.
- Two tests had a server for callers of their own that answers 204; they share one.
Their assertions are as before.

Left: the 421 of a server clears its name, so that the same process counts as new when it is named again (event 605, and 10 s in which its lowest slowness counts as lasting); that would be a change of behaviour.

--- a/src/cornelpier/admission/crowding_meter.cpp
+++ b/src/cornelpier/admission/crowding_meter.cpp
@@ -22,6 +22,10 @@
 constexpr std::uint32_t quiet_numerator = 4;
 constexpr std::uint32_t quiet_denominator = 5;
 
+std::uint32_t quiet_part(std::uint32_t slots) {
+    return slots * quiet_numerator / quiet_denominator;
+}
+
 /// Cold starts and the return of callers after a loss take some seconds; servers that are never crowded must
 /// not go without a fifth of their slots for longer.
 constexpr duration cautious_time = std::chrono::seconds{10};
@@ -68,15 +72,14 @@
 }
 
 bool crowding_meter::has_learned(std::uint32_t slots) const {
-    const auto first = bin_of(slots * quiet_numerator / quiet_denominator + 1, slots);
+    const auto first = bin_of(quiet_part(slots) + 1, slots);
     return std::any_of(m_bins.begin() + static_cast<std::ptrdiff_t>(first), m_bins.end(),
                        [](const bin& it) { return it.samples >= least_samples; });
 }
 
 std::uint32_t crowding_meter::best_limit(std::uint32_t slots, duration age) const {
-    const std::uint32_t quiet = slots * quiet_numerator / quiet_denominator;
     const bool is_cautious = age < cautious_time && slots >= quiet_denominator && !has_learned(slots);
-    return is_cautious ? std::min(quiet, best_limit(slots)) : best_limit(slots);
+    return is_cautious ? std::min(quiet_part(slots), best_limit(slots)) : best_limit(slots);
 }
 
 std::uint32_t crowding_meter::best_limit(std::uint32_t slots) const {
--- a/src/cornelpier/admission/slowness_meter.cpp
+++ b/src/cornelpier/admission/slowness_meter.cpp
@@ -19,11 +19,7 @@
 constexpr double most_lasting = 3;
 
 duration rest_of_spell(duration lasted) {
-    return std::max(usual_spell_rest, from_seconds(to_seconds(lasted) * rest_share));
-}
-
-duration scale(duration work, double factor) {
-    return from_seconds(to_seconds(work) * factor);
+    return std::max(usual_spell_rest, scale(lasted, rest_share));
 }
 
 } // namespace
--- a/src/cornelpier/admission/useful_wait.cpp
+++ b/src/cornelpier/admission/useful_wait.cpp
@@ -20,10 +20,9 @@
 
 duration longest_useful_wait(const run_prospect& prospect) {
     const duration in_time = prospect.objective_left - prospect.work;
-    const duration answered =
-        (prospect.short_work ? from_seconds(to_seconds(prospect.deadline_left) * short_deadline_share)
-                             : prospect.deadline_left / deadline_divisor) -
-        prospect.work;
+    const duration answered = (prospect.short_work ? scale(prospect.deadline_left, short_deadline_share)
+                                                   : prospect.deadline_left / deadline_divisor) -
+                              prospect.work;
     return std::max({in_time, answered, duration::zero()});
 }
 
--- a/src/cornelpier/base/units.hpp
+++ b/src/cornelpier/base/units.hpp
@@ -32,6 +32,11 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
+/// @return the length times a factor, truncated to microseconds.
+constexpr duration scale(duration value, double factor) {
+    return duration{static_cast<duration::rep>(static_cast<double>(value.count()) * factor)};
+}
+
 /// @return the length in whole milliseconds, for the log.
 inline std::string milliseconds_text(duration value) {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -113,14 +113,9 @@
     const attempt_result& last = *call.last_result;
     auto result = base(call);
     const bool may_pass_on = !m_context.options.statuses_promise || last.outcome != verdict::not_run;
-    const bool may_promise = !m_context.options.statuses_promise || result.outcome == verdict::not_run;
-    const auto is_false_promise = [&](const http_response& it) {
-        return !may_promise && promises_not_run(it.status);
-    };
-    if (last.response && may_pass_on && !is_false_promise(*last.response)) {
+    if (may_pass_on && is_truthful(last.response, result.outcome)) {
         result.response = *last.response;
-    } else if (result.outcome == verdict::unknown && call.failure_response &&
-               !is_false_promise(*call.failure_response)) {
+    } else if (result.outcome == verdict::unknown && is_truthful(call.failure_response, result.outcome)) {
         result.response = *call.failure_response;
     } else {
         result.response = text_response(status_for(last, result.outcome, m_context.options.statuses_promise),
@@ -131,6 +126,15 @@
     return result;
 }
 
+/// The server's promise is passed on only for what is proved not run.
+bool answer_composer::is_truthful(const std::optional<http_response>& response, verdict outcome) const {
+    if (!response) {
+        return false;
+    }
+    const bool may_promise = !m_context.options.statuses_promise || outcome == verdict::not_run;
+    return may_promise || !promises_not_run(response->status);
+}
+
 /// The owner's advice on keys is exact. Callers are not invited to repeat what may have run and is not
 /// protected by a key.
 duration answer_composer::retry_after(const call_state& call, const attempt_result& last,
@@ -156,11 +160,9 @@
     auto result = base(call);
     const bool promises = m_context.options.statuses_promise && result.outcome == verdict::not_run;
     const int status = promises ? status_unavailable : status_gateway_timeout;
-    const bool has_response =
-        result.outcome == verdict::unknown && call.failure_response &&
-        !(m_context.options.statuses_promise && promises_not_run(call.failure_response->status));
-    result.response =
-        has_response ? *call.failure_response : text_response(status, "the deadline has passed");
+    const bool has_failure =
+        result.outcome == verdict::unknown && is_truthful(call.failure_response, result.outcome);
+    result.response = has_failure ? *call.failure_response : text_response(status, "the deadline has passed");
     if (result.outcome == verdict::not_run) {
         result.retry_after = spread(default_retry_after);
     }
--- a/src/cornelpier/entry/answer_composer.hpp
+++ b/src/cornelpier/entry/answer_composer.hpp
@@ -3,6 +3,7 @@
 #include "cornelpier/entry/call_state.hpp"
 #include "cornelpier/entry/entry_context.hpp"
 
+#include <optional>
 #include <string>
 
 namespace cornelpier {
@@ -33,6 +34,8 @@
 
   private:
     answer_caller base(const call_state& call) const;
+    /// @return whether there is a response whose status promises nothing that the outcome does not say.
+    [[nodiscard]] bool is_truthful(const std::optional<http_response>& response, verdict outcome) const;
     duration retry_after(const call_state& call, const attempt_result& last, verdict outcome) const;
     duration spread(duration retry_after) const;
 
--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -31,10 +31,6 @@
 // Also where the objective leaves nothing.
 constexpr duration least_cost_of_crossing = std::chrono::milliseconds{90};
 
-duration failure_penalty(double rate) {
-    return duration{static_cast<duration::rep>(static_cast<double>(cost_of_failure.count()) * rate)};
-}
-
 } // namespace
 
 target_selector::target_selector(entry_context& context, reading_table& readings, distance_table& distances,
@@ -227,7 +223,7 @@
         const auto* load = loads[i];
         const duration distance = m_distances.distance(target, service.data_centres[i]);
         const load_estimate estimate = estimate_load(load, average, distance, now);
-        const duration penalty = failure_penalty(m_health.at(target, now).failure_rate(now));
+        const duration penalty = scale(cost_of_failure, m_health.at(target, now).failure_rate(now));
 
         scored_candidate it{i, {&target}, estimate.service + penalty, entry.passed_over};
         it.scored.wait = estimate.wait;
--- a/src/cornelpier/membership/reader_roles.cpp
+++ b/src/cornelpier/membership/reader_roles.cpp
@@ -14,10 +14,11 @@
 
 /// @return the first nodes by rank; different keys rank independently.
 std::vector<target_id> first_by_rank(std::string_view key, std::vector<target_id> nodes, std::size_t count) {
-    std::ranges::sort(nodes, std::ranges::greater{}, [&](const target_id& it) {
+    const auto end = nodes.begin() + static_cast<std::ptrdiff_t>(std::min(nodes.size(), count));
+    std::ranges::partial_sort(nodes, end, std::ranges::greater{}, [&](const target_id& it) {
         return std::pair{rendezvous_score(key, it.value()), it};
     });
-    nodes.resize(std::min(nodes.size(), count));
+    nodes.erase(end, nodes.end());
     return nodes;
 }
 
--- a/src/cornelpier/owner/run_table.cpp
+++ b/src/cornelpier/owner/run_table.cpp
@@ -52,29 +52,22 @@
 }
 
 std::vector<run_id> run_table::waiting_on(link_id link) const {
-    std::vector<run_id> result;
-    for (const auto& [id, entry] : m_runs) {
-        if (entry.reply_to == link) {
-            result.push_back(id);
-        }
-    }
-    return result;
+    return ids_of([link](const owned_run& it) { return it.reply_to == link; });
 }
 
 std::vector<run_id> run_table::queued() const {
-    std::vector<run_id> result;
-    for (const auto& [id, entry] : m_runs) {
-        if (!entry.at_server) {
-            result.push_back(id);
-        }
-    }
-    return result;
+    return ids_of([](const owned_run& it) { return !it.at_server; });
 }
 
 std::vector<run_id> run_table::overdue_in_queue(time_point now) const {
+    return ids_of([now](const owned_run& it) { return !it.at_server && it.deadline <= now; });
+}
+
+template <typename Predicate>
+std::vector<run_id> run_table::ids_of(Predicate wanted) const {
     std::vector<run_id> result;
     for (const auto& [id, entry] : m_runs) {
-        if (!entry.at_server && entry.deadline <= now) {
+        if (wanted(entry)) {
             result.push_back(id);
         }
     }
--- a/src/cornelpier/owner/run_table.hpp
+++ b/src/cornelpier/owner/run_table.hpp
@@ -50,6 +50,10 @@
     [[nodiscard]] bool empty() const { return m_runs.empty(); }
 
   private:
+    /// @return the wanted runs, in order of arrival.
+    template <typename Predicate>
+    std::vector<run_id> ids_of(Predicate wanted) const;
+
     std::uint64_t m_last_id = 0;
     std::size_t m_at_server = 0;
     std::size_t m_queued_bytes = 0;
--- a/src/cornelpier/routing/load_estimate.cpp
+++ b/src/cornelpier/routing/load_estimate.cpp
@@ -34,10 +34,6 @@
 constexpr double usual_slow_share = 0.2;
 constexpr double percent = 100;
 
-duration scale(duration value, double factor) {
-    return duration{static_cast<duration::rep>(static_cast<double>(value.count()) * factor)};
-}
-
 duration blend(duration own, duration average, duration age, duration relevance) {
     const double weight = to_seconds(relevance) / to_seconds(relevance + std::max(age, duration::zero()));
     return scale(own, weight) + scale(average, 1 - weight);
--- a/src/daemon/platform/http_get.cpp
+++ b/src/daemon/platform/http_get.cpp
@@ -1,5 +1,7 @@
 #include "daemon/platform/http_get.hpp"
 
+#include "daemon/net/answer_buffer.hpp"
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -18,9 +20,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-/// Largest part of an answer that waits to be parsed: a head, or the size line of a chunk.
-constexpr std::size_t max_buffer_bytes = std::size_t{128} * 1024;
-
 /// One request on one connection. The stream's own time limit covers all of it.
 class get_operation : public std::enable_shared_from_this<get_operation> {
   public:
@@ -89,7 +88,7 @@
     http_get_target m_target;
     std::function<void(http_get_outcome)> m_on_done;
     http::request<http::empty_body> m_request;
-    boost::beast::flat_buffer m_buffer{max_buffer_bytes};
+    boost::beast::flat_buffer m_buffer{max_unparsed_bytes};
     http::response_parser<http::string_body> m_parser;
 };
 
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -1,5 +1,6 @@
 #include "daemon/server/server_exchange.hpp"
 
+#include "daemon/net/answer_buffer.hpp"
 #include "daemon/net/hop_by_hop.hpp"
 #include "daemon/server/server_client.hpp"
 
@@ -27,10 +28,6 @@
 
 constexpr std::uint32_t max_answer_head_bytes = 32 * 1024;
 
-/// Largest part of an answer that waits to be parsed: a head, or the size line of a chunk with its
-/// extensions. A server in trouble may send either without end.
-constexpr std::size_t max_buffer_bytes = std::size_t{128} * 1024;
-
 /// Interim answers and answers to earlier requests before the own one. A server in trouble repeats them for
 /// ever.
 constexpr std::uint32_t max_passed_over = 16;
@@ -95,7 +92,7 @@
 
     http::request<http::span_body<const char>> message;
     http::request_serializer<http::span_body<const char>> serializer;
-    boost::beast::flat_buffer buffer{max_buffer_bytes};
+    boost::beast::flat_buffer buffer{max_unparsed_bytes};
     std::optional<http::response_parser<http::string_body>> parser;
 };
 
--- a/tests/daemon/descriptors_test.cpp
+++ b/tests/daemon/descriptors_test.cpp
@@ -1,6 +1,5 @@
-#include "daemon/caller/caller_server.hpp"
+#include "tests/daemon/support/answering_server.hpp"
 #include "tests/daemon/support/raw_connection.hpp"
-#include "tests/daemon/support/running_context.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -59,42 +58,24 @@
 
 TEST_CASE("a caller that comes while no descriptor is left is served once there is one",
           "[caller][field-reports]") {
-    test::running_context threads;
-    caller_options options;
-    options.address = test::free_address();
-    caller_server* target = nullptr;
-    caller_server server(
-        threads.context, options,
-        [&](traffic_event event) {
-            if (const auto* call = std::get_if<call_arrived>(&event)) {
-                answer_caller answer;
-                answer.call = call->call;
-                answer.response.status = 204;
-                target->answer(std::move(answer));
-            }
-        },
-        [](const event_record&) {});
-    target = &server;
-    REQUIRE(server.bind().reason.empty());
-    server.start();
-    test::raw_connection before(options.address);
+    test::answering_server it;
+    test::raw_connection before(it.address);
     const std::string request = "GET / HTTP/1.1\r\nHost: comenzi\r\n\r\n";
     before.send(request);
     REQUIRE(before.read_until("\r\n\r\n").starts_with("HTTP/1.1 204"));
 
     used_up_descriptors descriptors;
     descriptors.give_back(1);
-    test::raw_connection caller(options.address);
+    test::raw_connection caller(it.address);
     caller.send(request);
     std::this_thread::sleep_for(300ms);
     // Who has a connection already is served meanwhile.
     before.send(request);
     CHECK(before.read_until("\r\n\r\n").starts_with("HTTP/1.1 204"));
-    CHECK(server.connections() == 1);
+    CHECK(it.server.connections() == 1);
 
     descriptors.give_back(10);
     CHECK(caller.read_until("\r\n\r\n").starts_with("HTTP/1.1 204"));
-    threads.stop();
 }
 
 } // namespace cornelpier
--- a/tests/daemon/endless_bytes_test.cpp
+++ b/tests/daemon/endless_bytes_test.cpp
@@ -1,7 +1,7 @@
-#include "daemon/caller/caller_server.hpp"
 #include "daemon/link/link_manager.hpp"
 #include "daemon/net/endpoint.hpp"
 #include "daemon/platform/http_get.hpp"
+#include "tests/daemon/support/answering_server.hpp"
 #include "tests/daemon/support/raw_connection.hpp"
 #include "tests/daemon/support/replying_server.hpp"
 #include "tests/daemon/support/running_context.hpp"
@@ -60,43 +60,6 @@
     return result;
 }
 
-/// A server for callers that reports how many requests reached it.
-class counting_server {
-  public:
-    counting_server()
-        : address(test::free_address()),
-          server(
-              threads.context, options_for(address), [this](traffic_event it) { on_event(std::move(it)); },
-              [](const event_record&) {}) {
-        REQUIRE(server.bind().reason.empty());
-        server.start();
-    }
-
-    ~counting_server() { threads.stop(); }
-
-    std::string address;
-    test::inbox<call_arrived> calls;
-    test::running_context threads;
-    caller_server server;
-
-  private:
-    static caller_options options_for(const std::string& address) {
-        caller_options options;
-        options.address = address;
-        return options;
-    }
-
-    void on_event(traffic_event event) {
-        if (auto* call = std::get_if<call_arrived>(&event)) {
-            answer_caller answer;
-            answer.call = call->call;
-            answer.response.status = 204;
-            calls.push(std::move(*call));
-            server.answer(std::move(answer));
-        }
-    }
-};
-
 } // namespace
 
 TEST_CASE("bytes without end from the store are cut off at a bound and count as no answer",
@@ -152,7 +115,7 @@
     };
     for (const auto& it : forms) {
         INFO(it.name);
-        counting_server server;
+        test::answering_server server;
         const auto begin = clock::now();
         auto sending =
             std::async(std::launch::async, [&] { send_without_end(server.address, it, SIZE_MAX); });
