--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -64,6 +64,8 @@
             m_lifecycle.on_server_draining(false);
         }
         m_lifecycle.on_view();
+        // A server may also leave without a word: its entry is gone then.
+        m_executor.on_leaving(service == nullptr || m_state.drain.has_cause(drain_cause::vm_leaving));
         m_executor.start_queued();
     }
 
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -33,6 +33,10 @@
     void on_cancel(const attempt_id& attempt);
     void on_link_closed(link_id link);
 
+    /// Takes whether the own server leaves. Servers that leave must get nothing more after a few seconds, so
+    /// that runs which do not start soon go back to their entries.
+    void on_leaving(bool leaving);
+
     /// Refuses the queued runs whose deadline has passed.
     void refuse_overdue();
 
@@ -68,8 +72,12 @@
     /// After a run ended: its place may be used, and the drain may be over.
     void after_end();
 
+    void refuse_queued();
+
     owner_state& m_state;
     owner_lifecycle& m_lifecycle;
+    bool m_leaving = false;
+    scoped_timer m_leave_timer;
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/owner/run_table.cpp
+++ b/src/cornelpier/owner/run_table.cpp
@@ -61,6 +61,16 @@
     return result;
 }
 
+std::vector<run_id> run_table::queued() const {
+    std::vector<run_id> result;
+    for (const auto& [id, entry] : m_runs) {
+        if (!entry.at_server) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
 std::vector<run_id> run_table::overdue_in_queue(time_point now) const {
     std::vector<run_id> result;
     for (const auto& [id, entry] : m_runs) {
--- a/src/cornelpier/owner/run_table.hpp
+++ b/src/cornelpier/owner/run_table.hpp
@@ -29,6 +29,9 @@
     /// @return the runs whose answer goes to the link, in order of arrival.
     [[nodiscard]] std::vector<run_id> waiting_on(link_id link) const;
 
+    /// @return the runs that have not been handed over, in order of arrival.
+    [[nodiscard]] std::vector<run_id> queued() const;
+
     /// @return the queued runs whose deadline has passed, in order of arrival.
     [[nodiscard]] std::vector<run_id> overdue_in_queue(time_point now) const;
 
--- a/tests/owner/drain_test.cpp
+++ b/tests/owner/drain_test.cpp
@@ -47,6 +47,53 @@
     CHECK(it.owner.state() == node_state::stopped);
 }
 
+// Seen on a day: a run that had waited for 1.6 s was handed to a server 12 ms after the bound on leaving
+// servers.
+TEST_CASE("queued runs that do not start soon go back when their server leaves", "[owner][drain]") {
+    owner_fixture it;
+    it.service.slots = 1;
+    it.publish();
+    const auto id = it.submit(it.order(1));
+    it.submit(it.order(2));
+    it.submit(it.order(3));
+    it.actions.clear();
+
+    SECTION("as the directory says") {
+        it.publish(vm_state::leaving);
+    }
+    SECTION("without a word but the end of its entry") {
+        it.service.targets.clear();
+        it.publish(vm_state::unlisted);
+    }
+    it.advance(milliseconds{299});
+    it.serve(*id);
+    CHECK(it.take<start_run>().size() == 1);
+    it.sent<answer>();
+
+    it.advance(milliseconds{1});
+    const auto refused = it.sent<answer>();
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].outcome == verdict::not_run);
+    CHECK(refused[0].reason == refusal::draining);
+    CHECK(refused[0].attempt == owner_fixture::attempt(3));
+    it.advance(seconds{2});
+    CHECK(it.take<start_run>().empty());
+}
+
+TEST_CASE("queued runs stay when the leaving is called off at once", "[owner][drain]") {
+    owner_fixture it;
+    it.service.slots = 1;
+    it.publish();
+    const auto id = it.submit(it.order(1));
+    it.submit(it.order(2));
+    it.publish(vm_state::leaving);
+    it.advance(milliseconds{200});
+    it.publish(vm_state::live);
+    it.advance(milliseconds{200});
+    it.serve(*id);
+    CHECK(it.take<start_run>().size() == 1);
+}
+
 TEST_CASE("a termination ends after the drain limit even if a run does not", "[owner][drain]") {
     owner_fixture it;
     it.service.deadline = seconds{40};
--- /dev/null
+++ b/tools/regression.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Plays the standard days of the sites in deploy/regression_sites and compares the worth of each day with the last
+# committed score of the site. Fails if a gate fails or a rule is broken; a worth that fell by more than NOISE is
+# marked. Usage: tools/regression.sh BENCH DIRECTORY_OF_SITES [SITE...]
+set -euo pipefail
+
+if [ $# -lt 2 ]; then
+  sed -n '2,4p' "$0" >&2
+  exit 2
+fi
+bench=$(realpath "$1")
+directory=$(realpath "$2")
+shift 2
+cd "$(dirname "$0")/.."
+
+noise=${NOISE:-0.03} # Worth; repeats of the same code differ by up to this.
+if [ $# -gt 0 ]; then sites=("$@"); else mapfile -t sites < deploy/regression_sites; fi
+
+# Prints "day worth" for each standard day of a journal entry.
+worths() { grep -o '"G": [0-9.-]*, "name": "[a-z]*-[0-9]"' "$1" | sed 's/"G": \(.*\), "name": "\(.*\)"/\2 \1/' | sort; }
+
+# Prints the newest committed entry of a full score of a site.
+last_score() {
+  git ls-files 'journal/*.json' | sort -r | xargs grep -l "\"cmd\": \"score\".*\"site\": \"$1\"" |
+    xargs grep -LE '"argv": \[[^]]*--(no-cpu|quick|small)|"why": "trial' | head -n 1
+}
+
+failed=0
+for site in "${sites[@]}"; do
+  name=$(basename "$site" .toml)
+  before=$(last_score "$name")
+  output=$("$bench" score "$directory/$site" --why "regression run") || true
+  after=$(ls journal/*.json | sort | tail -n 1)
+  echo "== $name, before: ${before:-none}"
+  grep -E '^GATE|^score on|BROKEN' <<< "$output" || true
+  grep -q '^GATE passed' <<< "$output" || failed=1
+  [ -n "$before" ] || continue
+  join <(worths "$before") <(worths "$after") |
+    awk -v noise="$noise" '{ printf "%-10s %.3f -> %.3f%s\n", $1, $2, $3, $3 < $2 - noise ? "  lower" : "" }'
+done
+exit $failed
