--- a/tests/platform/store_fleet_source_test.cpp
+++ b/tests/platform/store_fleet_source_test.cpp
@@ -23,6 +23,9 @@
 /// How long before its first own read after the listing a new node is registered.
 constexpr auto registration_lead = 500ms;
 
+/// Time for a change to be read and relayed after it has been batched.
+constexpr auto relay_time = 300ms;
+
 /// A later position than any that the store of a test reaches.
 constexpr revision later_position = 1000;
 
@@ -97,6 +100,27 @@
     CHECK(becomes_true(500ms, [&] { return received_change_of(peer, source_entry_key(peer_address)); }));
 }
 
+TEST_CASE("a node that becomes the reader does not wait for its silence timeout", "[platform][drain]") {
+    const auto members = test::find_members(2, [](const auto& it) {
+        return it.reader == it.nodes.back() && it.relays == std::vector{it.reader};
+    });
+    const std::string first_reader = members.nodes.front();
+
+    source_fleet fleet;
+    fleet.put(source_entry_key(first_reader), source_entry(first_reader, "ready"));
+    auto& first_node = fleet.start_node(first_reader);
+    auto& new_reader = fleet.start_node(members.reader);
+    REQUIRE(becomes_true(1s, [&] { return new_reader.plan_version() == 1; }));
+
+    fleet.put(source_entry_key(members.reader), source_entry(members.reader, "ready"));
+    REQUIRE(becomes_true(1s, [&] { return first_node.state_of(members.reader) == vm_state::live; }));
+    fleet.put(source_entry_key(first_reader), source_entry(first_reader, "draining"));
+    CHECK(becomes_true(
+        std::chrono::duration_cast<std::chrono::milliseconds>(watch_timing_for(propagation_limit).pause) +
+            relay_time,
+        [&] { return new_reader.state_of(first_reader) == vm_state::leaving; }));
+}
+
 TEST_CASE("relays that missed the same change do not confirm each other", "[platform][drain]") {
     const auto members =
         test::find_members(7, [](const auto& it) { return !contains(it.relays, it.reader); });
