--- a/tests/platform/store_fleet_source_test.cpp
+++ b/tests/platform/store_fleet_source_test.cpp
@@ -29,6 +29,9 @@
 /// A later position than any that the store of a test reaches.
 constexpr revision later_position = 1000;
 
+/// The first position of a store.
+constexpr revision earlier_position = 1;
+
 bool contains(const std::vector<std::string>& nodes, const std::string& node) {
     return std::ranges::find(nodes, node) != nodes.end();
 }
@@ -154,4 +157,26 @@
     CHECK(in_force);
 }
 
+TEST_CASE("an update that is older than the node's state does not bring back a server that has left",
+          "[platform][drain]") {
+    const auto members = test::find_members(2, [](const auto& it) { return it.reader == it.nodes.front(); });
+    const std::string peer_address = members.nodes.back();
+
+    source_fleet fleet;
+    register_all(fleet, members.nodes);
+    auto& peer = fleet.add_peer(peer_address);
+    auto& node = fleet.start_node(members.reader);
+    REQUIRE(becomes_true(1s, [&] { return node.state_of(peer_address) == vm_state::live; }));
+    fleet.remove(source_entry_key(peer_address));
+    REQUIRE(
+        becomes_true(propagation_limit, [&] { return node.state_of(peer_address) == vm_state::unlisted; }));
+
+    const std::string entry = source_entry(peer_address, "ready");
+    const auto changes = encode_relayed_changes(
+        {{source_entry_key(peer_address), entry}, {"op/config", test::source_manifest(2)}});
+    fleet.send(peer, members.reader, {target_id{peer_address}, earlier_position, 1, changes});
+    REQUIRE(becomes_true(1s, [&] { return node.plan_version() == 2; }));
+    CHECK(node.state_of(peer_address) == vm_state::unlisted);
+}
+
 } // namespace cornelpier::platform
