--- a/tests/platform/support/source_fleet.cpp
+++ b/tests/platform/support/source_fleet.cpp
@@ -20,7 +20,7 @@
 
 /// Tests that run at the same time use different networks.
 std::string loopback_address(int host) {
-    return "127.11." + std::to_string(getpid() % 250) + '.' + std::to_string(host);
+    return "127.12." + std::to_string(getpid() % 250) + '.' + std::to_string(host);
 }
 
 std::string endpoint(const std::string& address, std::uint16_t port) {
