--- a/tests/platform/store_fleet_source_test.cpp
+++ b/tests/platform/store_fleet_source_test.cpp
@@ -1,6 +1,8 @@
 #include "platform/relayed_changes.hpp"
 #include "platform/watch_timing.hpp"
+#include "tests/platform/support/source_documents.hpp"
 #include "tests/platform/support/source_fleet.hpp"
+#include "tests/platform/support/source_members.hpp"
 #include "tests/process/support/becomes_true.hpp"
 
 #include <catch2/catch.hpp>
@@ -158,7 +160,7 @@
 }
 
 TEST_CASE("an update that is older than the node's state does not bring back a server that has left",
-          "[platform][drain]") {
+          "[platform][drain][field-reports]") {
     const auto members = test::find_members(2, [](const auto& it) { return it.reader == it.nodes.front(); });
     const std::string peer_address = members.nodes.back();
 
--- /dev/null
+++ b/tests/platform/support/source_documents.cpp
@@ -0,0 +1,45 @@
+#include "tests/platform/support/source_documents.hpp"
+
+#include "tests/process/support/sidecar_documents.hpp"
+
+#include <unistd.h>
+
+namespace cornelpier::test {
+
+namespace {
+
+constexpr std::uint16_t store_port = 28126;
+constexpr std::uint16_t server_port = 28123;
+constexpr int store_host = 254;
+
+} // namespace
+
+std::string source_entry(const std::string& node, const std::string& state) {
+    return server_entry_json({.address = endpoint(node, server_port),
+                              .service = source_service,
+                              .zone = test_data_centre,
+                              .state = state});
+}
+
+std::string source_entry_key(const std::string& node) {
+    return "servers/i-" + node;
+}
+
+std::string source_manifest(int version) {
+    const auto rows = nlohmann::json::array({route_row("r-1", "a.example", "/l/", "safe", source_service)});
+    return manifest_json(version, rows, source_service);
+}
+
+std::string loopback_address(int host) {
+    return "127.12." + std::to_string(getpid() % 250) + '.' + std::to_string(host);
+}
+
+std::string endpoint(const std::string& address, std::uint16_t port) {
+    return address + ':' + std::to_string(port);
+}
+
+std::string store_endpoint() {
+    return endpoint(loopback_address(store_host), store_port);
+}
+
+} // namespace cornelpier::test
--- /dev/null
+++ b/tests/platform/support/source_node.cpp
@@ -0,0 +1,70 @@
+#include "tests/platform/support/source_node.hpp"
+
+#include "tests/platform/support/source_documents.hpp"
+
+#include <stdexcept>
+#include <utility>
+
+namespace cornelpier::test {
+
+namespace {
+
+platform::platform_settings settings_for(const std::string& address, const std::string& store) {
+    platform::platform_settings settings;
+    settings.store_address = store;
+    settings.node_port = source_node_port;
+    settings.node_address = endpoint(address, source_node_port);
+    settings.propagation_limit = propagation_limit;
+    return settings;
+}
+
+void ignore_event(const event_record& /*record*/) {}
+
+} // namespace
+
+source_node::source_node(boost::asio::io_context& context, const std::string& address,
+                         const std::string& store)
+    : m_identity{target_id{address},
+                 incarnation{1},
+                 vm_id{address},
+                 data_centre_id{test_data_centre},
+                 service_id{source_service},
+                 {}},
+      m_node_address(endpoint(address, source_node_port)),
+      m_links(context, {[](link_id) {}, [](link_id) {}, [](link_id, const traffic_message&) {},
+                        [this](control_message it) { m_source.on_message(std::move(it)); }, ignore_event}),
+      m_source({context, m_identity, m_links, ignore_event,
+                [this](shared_fleet_view it) {
+                    const std::lock_guard lock(m_mutex);
+                    m_view = std::move(it);
+                }},
+               settings_for(address, store)) {}
+
+void source_node::start() {
+    if (!m_links.bind(m_node_address).reason.empty() || !m_source.bind().reason.empty()) {
+        throw std::runtime_error("cannot bind " + m_node_address);
+    }
+    m_links.start();
+    m_source.start();
+}
+
+void source_node::stop() {
+    m_source.stop();
+    m_links.stop();
+}
+
+vm_state source_node::state_of(const std::string& vm) const {
+    const std::lock_guard lock(m_mutex);
+    if (!m_view) {
+        return vm_state::unlisted;
+    }
+    const auto it = m_view->vm_states.find(target_id{vm});
+    return it == m_view->vm_states.end() ? vm_state::unlisted : it->second;
+}
+
+std::uint64_t source_node::plan_version() const {
+    const std::lock_guard lock(m_mutex);
+    return m_view ? m_view->current_plan->version : 0;
+}
+
+} // namespace cornelpier::test
