Name the time limits of the fleet source tests

Cause: the tests held bare figures. The time in which a peer must get the changes of a new reader is now that of all relayed changes, 300 ms instead of 500 ms.

--- a/tests/platform/store_fleet_source_test.cpp
+++ b/tests/platform/store_fleet_source_test.cpp
@@ -25,6 +25,12 @@
 /// How long before its first own read after the listing a new node is registered.
 constexpr auto registration_lead = 500ms;
 
+/// Limit for a node to list the store, or for a waiting reader to relay a change.
+constexpr auto start_time = 1s;
+
+/// Between two batches of changes; shorter than the silence timeout.
+constexpr auto batch_interval = 300ms;
+
 /// Time for a change to be read and relayed after it has been batched.
 constexpr auto relay_time = 300ms;
 
@@ -69,18 +75,19 @@
     }
     auto& new_reader = fleet.start_node(members.reader);
     nodes.push_back(&new_reader);
-    REQUIRE(becomes_true(1s, [&] { return new_reader.plan_version() == 1; }));
+    REQUIRE(becomes_true(start_time, [&] { return new_reader.plan_version() == 1; }));
     std::this_thread::sleep_for(watch_timing_for(propagation_limit).silence_timeout - registration_lead);
 
     fleet.put(source_entry_key(members.reader), source_entry(members.reader, "ready"));
-    REQUIRE(becomes_true(1s, [&] { return nodes.front()->state_of(members.reader) == vm_state::live; }));
+    REQUIRE(
+        becomes_true(start_time, [&] { return nodes.front()->state_of(members.reader) == vm_state::live; }));
     fleet.put(source_entry_key(leaving), source_entry(leaving, "draining"));
 
     const auto end = std::chrono::steady_clock::now() + propagation_limit;
     bool in_force = false;
     for (int version = 2; !in_force && std::chrono::steady_clock::now() < end; ++version) {
         fleet.put("op/config", test::source_manifest(version));
-        in_force = becomes_true(300ms, [&] {
+        in_force = becomes_true(batch_interval, [&] {
             return std::ranges::all_of(
                 nodes, [&](const auto* it) { return it->state_of(leaving) == vm_state::leaving; });
         });
@@ -96,13 +103,13 @@
     fleet.put(source_entry_key(peer_address), source_entry(peer_address, "ready"));
     auto& peer = fleet.add_peer(peer_address);
     auto& node = fleet.start_node(members.reader);
-    REQUIRE(becomes_true(1s, [&] { return node.plan_version() == 1; }));
+    REQUIRE(becomes_true(start_time, [&] { return node.plan_version() == 1; }));
 
     fleet.put(source_entry_key(members.reader), source_entry(members.reader, "ready"));
     fleet.put(source_entry_key(peer_address), source_entry(peer_address, "draining"));
     REQUIRE(
         becomes_true(propagation_limit, [&] { return node.state_of(peer_address) == vm_state::leaving; }));
-    CHECK(becomes_true(500ms, [&] { return received_change_of(peer, source_entry_key(peer_address)); }));
+    CHECK(becomes_true(relay_time, [&] { return received_change_of(peer, source_entry_key(peer_address)); }));
 }
 
 TEST_CASE("a node that becomes the reader does not wait for its silence timeout", "[platform][drain]") {
@@ -115,10 +122,10 @@
     fleet.put(source_entry_key(first_reader), source_entry(first_reader, "ready"));
     auto& first_node = fleet.start_node(first_reader);
     auto& new_reader = fleet.start_node(members.reader);
-    REQUIRE(becomes_true(1s, [&] { return new_reader.plan_version() == 1; }));
+    REQUIRE(becomes_true(start_time, [&] { return new_reader.plan_version() == 1; }));
 
     fleet.put(source_entry_key(members.reader), source_entry(members.reader, "ready"));
-    REQUIRE(becomes_true(1s, [&] { return first_node.state_of(members.reader) == vm_state::live; }));
+    REQUIRE(becomes_true(start_time, [&] { return first_node.state_of(members.reader) == vm_state::live; }));
     fleet.put(source_entry_key(first_reader), source_entry(first_reader, "draining"));
     CHECK(becomes_true(
         std::chrono::duration_cast<std::chrono::milliseconds>(watch_timing_for(propagation_limit).pause) +
@@ -139,8 +146,8 @@
         relays.push_back(&fleet.start_node(it));
     }
     const auto each_relay = [&](const auto& condition) { return std::ranges::all_of(relays, condition); };
-    REQUIRE(
-        becomes_true(1s, [&] { return each_relay([](const auto* it) { return it->plan_version() == 1; }); }));
+    REQUIRE(becomes_true(start_time,
+                         [&] { return each_relay([](const auto* it) { return it->plan_version() == 1; }); }));
 
     fleet.put(source_entry_key(leaving), source_entry(leaving, "draining"));
     const auto end = std::chrono::steady_clock::now() + propagation_limit;
@@ -152,7 +159,7 @@
         for (const auto& it : members.relays) {
             fleet.send(reader, it, later_change);
         }
-        in_force = becomes_true(300ms, [&] {
+        in_force = becomes_true(batch_interval, [&] {
             return each_relay([&](const auto* it) { return it->state_of(leaving) == vm_state::leaving; });
         });
     }
@@ -168,7 +175,7 @@
     register_all(fleet, members.nodes);
     auto& peer = fleet.add_peer(peer_address);
     auto& node = fleet.start_node(members.reader);
-    REQUIRE(becomes_true(1s, [&] { return node.state_of(peer_address) == vm_state::live; }));
+    REQUIRE(becomes_true(start_time, [&] { return node.state_of(peer_address) == vm_state::live; }));
     fleet.remove(source_entry_key(peer_address));
     REQUIRE(
         becomes_true(propagation_limit, [&] { return node.state_of(peer_address) == vm_state::unlisted; }));
@@ -177,7 +184,7 @@
     const auto changes = encode_relayed_changes(
         {{source_entry_key(peer_address), entry}, {"op/config", test::source_manifest(2)}});
     fleet.send(peer, members.reader, {target_id{peer_address}, earlier_position, 1, changes});
-    REQUIRE(becomes_true(1s, [&] { return node.plan_version() == 2; }));
+    REQUIRE(becomes_true(start_time, [&] { return node.plan_version() == 2; }));
     CHECK(node.state_of(peer_address) == vm_state::unlisted);
 }
 
