--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -57,7 +57,7 @@
     event_description{directory_confirmed, severity::info, "directory_confirmed",
                       "The state of this node matches the source of the fleet again."},
     event_description{directory_response_ignored, severity::info, "directory_response_ignored",
-                      "A response of the store is older than the state of this node."},
+                      "A response of the configuration service is older than the state of this node."},
     event_description{target_ejected, severity::warning, "target_ejected",
                       "A target was ejected and receives no requests."},
     event_description{target_trial, severity::info, "target_trial",
--- a/src/cornelpier/message/control_messages.hpp
+++ b/src/cornelpier/message/control_messages.hpp
@@ -57,9 +57,10 @@
 /// Update from a node that reads the platform's service on behalf of others.
 struct source_update {
     target_id from;
-    std::uint64_t position = 0; ///< Last of the service's changes that the sender has applied.
-    std::uint64_t digest = 0;   ///< Hash of the sender's complete state at that position.
-    std::string changes;        ///< Opaque to the core, encoded by the platform adapter; empty: no change.
+    /// Last of the service's changes that the node that read the changes has applied.
+    std::uint64_t position = 0;
+    std::uint64_t digest = 0; ///< Hash of that node's complete state at that position.
+    std::string changes;      ///< Opaque to the core, encoded by the platform adapter; empty: no change.
 };
 
 using control_message = std::variant<gossip, plan_pull, plan_push, source_update>;
