Log the rate limit and the leaving that servers state in their answers

Cause: a server in need names the rate that it accepts, and a leaving one says so, in all answers. Nothing read the fields, and the log could not tell whether runs, reports of the server or a forgotten rate exceed it. No decision depends on them yet.

--- a/src/cornelpier/base/units.hpp
+++ b/src/cornelpier/base/units.hpp
@@ -44,6 +44,11 @@
 /// Events per second.
 struct rate {
     double per_second = 0;
+
+    friend bool operator==(const rate&, const rate&) = default;
 };
 
+/// @return events per second as a decimal number, as a log field.
+std::string to_text(rate value);
+
 } // namespace cornelpier
--- a/src/cornelpier/node/traffic_actions.hpp
+++ b/src/cornelpier/node/traffic_actions.hpp
@@ -72,13 +72,14 @@
 
 /// Metrics that the core reports.
 enum class metric : std::uint8_t {
-    call_latency,    ///< Microseconds from the arrival of a call to its response, by service and verdict.
-    retry,           ///< Count.
-    rechoice,        ///< Count of runs sent again after a refusal.
-    hedge,           ///< Count.
-    run_refused,     ///< Count.
-    measurement,     ///< Count of reports read and probes answered.
-    answer_discarded ///< Count.
+    call_latency,     ///< Microseconds from the arrival of a call to its response, by service and verdict.
+    retry,            ///< Count.
+    rechoice,         ///< Count of runs sent again after a refusal.
+    hedge,            ///< Count.
+    run_refused,      ///< Count.
+    measurement,      ///< Count of reports read and probes answered.
+    answer_discarded, ///< Count.
+    run_started       ///< Count of runs sent to the server.
 };
 
 /// Records a value of a metric.
--- a/src/cornelpier/node/traffic_core.hpp
+++ b/src/cornelpier/node/traffic_core.hpp
@@ -19,6 +19,7 @@
     std::size_t runs_at_server = 0;
     std::size_t runs_queued = 0;
     std::uint32_t concurrency_limit = 0;
+    std::optional<rate> server_rate_limit; ///< Named by the server; unset: no limit.
     duration service_time{};
     std::size_t ledger_records = 0;
     std::size_t open_links = 0;
--- a/src/cornelpier/node/traffic_events.hpp
+++ b/src/cornelpier/node/traffic_events.hpp
@@ -59,12 +59,21 @@
     double slowness = 1; ///< Current duration of work, relative to the usual duration.
 };
 
+/// What a server asks of its callers in a response.
+struct server_advice {
+    /// Requests that it accepts from all callers together; unset: no limit.
+    std::optional<rate> rate_limit = std::nullopt;
+    bool leaving = false;   ///< It stops soon and wants no new requests.
+    bool malformed = false; ///< A field could not be decoded and counts as absent.
+};
+
 /// The server sent a complete response to a run.
 struct server_answered {
     run_id run;
     http_response response;
     bool refused = false; ///< The server states that it did not run the request.
     std::optional<server_load_report> load = std::nullopt;
+    server_advice advice = {};
 };
 
 /// How a run failed at the server.
@@ -86,6 +95,7 @@
     std::uint32_t in_flight = 0;
     std::optional<server_load_report> load = std::nullopt;
     std::string instance = {}; ///< Server process that answered; empty if the report does not name it.
+    server_advice advice = {};
 };
 
 /// The server's report could not be read.
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -1,5 +1,6 @@
 #include "cornelpier/owner/owner_manager.hpp"
 
+#include "cornelpier/owner/advice_monitor.hpp"
 #include "cornelpier/owner/drain_controller.hpp"
 #include "cornelpier/owner/fate_responder.hpp"
 #include "cornelpier/owner/fresh_report_gate.hpp"
@@ -28,7 +29,7 @@
   public:
     implementation(const node_identity& identity, timer_service& timers, random_source random,
                    const owner_options& options)
-        : m_state(identity, timers, random), m_drain(m_state, options.drain_timeout),
+        : m_state(identity, timers, random), m_advice(m_state), m_drain(m_state, options.drain_timeout),
           m_executor(m_state, m_drain), m_admission(m_state, m_executor), m_fates(m_state),
           m_measurements(m_state), m_gate(m_state, m_admission, m_measurements),
           m_drain_delay(options.drain_delay) {
@@ -91,12 +92,14 @@
         snapshot.runs_at_server = m_state.runs.at_server();
         snapshot.runs_queued = m_state.queue.size();
         snapshot.concurrency_limit = m_state.load.limit();
+        snapshot.server_rate_limit = m_advice.rate_limit();
         snapshot.service_time = m_state.load.current_service_time(load);
         snapshot.ledger_records = m_state.ledger.size();
         snapshot.measurements_last_second = static_cast<double>(m_measurements.taken_last_second());
     }
 
     owner_state m_state;
+    advice_monitor m_advice;
     drain_controller m_drain;
     run_executor m_executor;
     run_admission m_admission;
@@ -184,6 +187,7 @@
 
 void owner_manager::on_server_answered(const server_answered& event) {
     m_implementation->update_slowness(event.load);
+    m_implementation->m_advice.on_advice(event.advice, advice_source::run);
     m_implementation->m_executor.on_answered(event);
     m_implementation->poll_while_deferring();
 }
@@ -196,6 +200,7 @@
     m_implementation->m_executor.on_server_instance(event.instance);
     m_implementation->m_drain.on_server_draining(event.draining);
     m_implementation->update_slowness(event.load);
+    m_implementation->m_advice.on_advice(event.advice, advice_source::report);
     m_implementation->m_gate.on_report();
     m_implementation->m_executor.start_queued();
     m_implementation->poll_while_deferring();
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -22,6 +22,12 @@
 
 namespace cornelpier {
 
+/// Requests that the owner sent to its server since the start.
+struct server_request_counts {
+    std::uint64_t runs = 0;
+    std::uint64_t reports = 0;
+};
+
 /// State shared by the components of the owner. Only the classes named in its comment change a member.
 struct owner_state {
     owner_state(const node_identity& node, timer_service& timer, random_source generator);
@@ -79,6 +85,7 @@
     std::optional<time_point> serving_since; ///< Unset unless serving with the server up; drain_controller.
     std::string server_instance; ///< Process last reported by the server; empty: unknown. run_executor.
     std::uint64_t last_reading_sequence = 0;
+    server_request_counts server_requests; ///< run_executor, measurement_scheduler.
 
   private:
     const service_plan* m_service = nullptr;
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -133,6 +133,9 @@
     accepted.slowness = m_state.slowness.current();
     accepted.concurrency_at_start = static_cast<std::uint32_t>(m_state.runs.at_server());
 
+    ++m_state.server_requests.runs;
+    m_state.outbox.increment(metric::run_started);
+
     start_run action;
     action.run = accepted.id;
     action.request = std::move(accepted.request);
--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -33,9 +33,9 @@
 };
 
 std::string_view counter_name(metric kind) {
-    constexpr std::array<std::string_view, 7> names{"call_latency",     "retries",      "rechoices",
-                                                    "hedges",           "runs_refused", "measurements",
-                                                    "answers_discarded"};
+    constexpr std::array<std::string_view, 8> names{
+        "call_latency", "retries",      "rechoices",         "hedges",
+        "runs_refused", "measurements", "answers_discarded", "runs_started"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -130,6 +130,9 @@
         write_gauge(out, "runs_queued", "Requests that wait at the owner.",
                     static_cast<double>(traffic.runs_queued));
         write_gauge(out, "concurrency_limit", "Requests allowed at the server.", traffic.concurrency_limit);
+        write_gauge(out, "server_rate_limit", "Requests per second that the server accepts; +Inf: no limit.",
+                    traffic.server_rate_limit ? traffic.server_rate_limit->per_second
+                                              : std::numeric_limits<double>::infinity());
         write_gauge(out, "service_seconds", "Service time of the server now.",
                     to_seconds(traffic.service_time));
         write_gauge(out, "ledger_records", "Requests remembered.",
--- a/src/daemon/server/server_client.cpp
+++ b/src/daemon/server/server_client.cpp
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <unordered_map>
 #include <utility>
 
@@ -38,6 +40,21 @@
                          in_flight->template get<std::uint32_t>()};
 }
 
+/// @return the rate, or nothing if the text is not a finite number that is at least 0.
+std::optional<rate> parse_rate(const std::string& text) {
+    rate result;
+    const char* const end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data(), end, result.per_second);
+    const bool is_valid =
+        ec == std::errc{} && stop == end && std::isfinite(result.per_second) && result.per_second >= 0;
+    return is_valid ? std::optional{result} : std::nullopt;
+}
+
+/// @return the value of a field, or nullptr if the response lacks it or the field has no name here.
+const std::string* find_response_field(const http_response& response, const std::string& name) {
+    return name.empty() ? nullptr : find_field(response.fields, name);
+}
+
 std::string whole_milliseconds(duration length) {
     return std::to_string(
         std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(length).count()));
@@ -161,6 +178,7 @@
         server_answered event{run, std::move(*response)};
         event.refused = is_refusal(event.response);
         event.load = parse_load_field(event.response);
+        event.advice = parse_advice(event.response);
         m_on_event(std::move(event));
     }
 
@@ -174,20 +192,35 @@
 
     [[nodiscard]] std::optional<server_load_report> parse_load_field(const http_response& response) const {
         const auto& names = m_options.names;
-        const auto* text = names.load.empty() ? nullptr : find_field(response.fields, names.load);
+        const auto* text = find_response_field(response, names.load);
         return text == nullptr || names.parse_load == nullptr ? std::nullopt : names.parse_load(*text);
     }
 
+    [[nodiscard]] server_advice parse_advice(const http_response& response) const {
+        server_advice advice;
+        if (const auto* text = find_response_field(response, m_options.names.rate_limit)) {
+            advice.rate_limit = parse_rate(*text);
+            advice.malformed = !advice.rate_limit;
+        }
+        const auto* leaving = find_response_field(response, m_options.names.leaving);
+        advice.leaving = leaving != nullptr && *leaving == "1";
+        return advice;
+    }
+
     [[nodiscard]] traffic_event to_report_event(const http_response& response) const {
         if (m_options.names.load.empty()) {
-            return parse_report(response);
+            auto event = parse_report(response);
+            if (auto* report = std::get_if<server_report>(&event)) {
+                report->advice = parse_advice(response);
+            }
+            return event;
         }
         server_report report;
+        report.advice = parse_advice(response);
         report.healthy = response.status == status_ok;
         report.load = parse_load_field(response);
         report.in_flight = report.load ? report.load->running : 0;
-        const auto& name = m_options.names.response_instance;
-        if (const auto* instance = name.empty() ? nullptr : find_field(response.fields, name)) {
+        if (const auto* instance = find_response_field(response, m_options.names.response_instance)) {
             report.instance = *instance;
         }
         return report;
--- a/src/daemon/wire/wire_names.hpp
+++ b/src/daemon/wire/wire_names.hpp
@@ -27,6 +27,10 @@
     std::string response_seal;     ///< Present on every successful response of a server.
     std::string load;              ///< Load of the server, read by `parse_load`.
 
+    std::string rate_limit =
+        "cornelpier-rate-limit"; ///< On responses: requests per second that the server accepts.
+    std::string leaving = "cornelpier-leaving"; ///< `1` on responses of a server that stops soon.
+
     /// Parses the value of the `load` field; null if the field is not used.
     std::optional<server_load_report> (*parse_load)(std::string_view) = nullptr;
 
--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -430,6 +430,32 @@
     CHECK(std::holds_alternative<server_answered>(events[0]));
 }
 
+TEST_CASE("what a server asks of its callers is read from every response", "[server]") {
+    const auto advice_of = [](const std::string& fields) {
+        scripted_server server("HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 2\r\n\r\n{}");
+        client_fixture it(server.address);
+        it.start(1);
+        return std::get<server_answered>(it.events.wait(1).at(0)).advice;
+    };
+    CHECK_FALSE(advice_of("").rate_limit);
+    CHECK_FALSE(advice_of("").leaving);
+    CHECK(advice_of("Cornelpier-Rate-Limit: 4.7\r\n").rate_limit == rate{4.7});
+    CHECK(advice_of("Cornelpier-Rate-Limit: 0\r\n").rate_limit == rate{0});
+    CHECK(advice_of("Cornelpier-Leaving: 1\r\n").leaving);
+    for (const std::string text : {"", "-1", "nan", "inf", "1e999", "4 per second", "abc"}) {
+        const auto advice = advice_of("Cornelpier-Rate-Limit: " + text + "\r\n");
+        CHECK(advice.malformed);
+        CHECK_FALSE(advice.rate_limit);
+    }
+
+    const std::string report = R"({"healthy": true, "draining": false, "in_flight": 3})";
+    scripted_server server("HTTP/1.1 200 OK\r\nCornelpier-Rate-Limit: 2.5\r\nContent-Length: " +
+                           std::to_string(report.size()) + "\r\n\r\n" + report);
+    client_fixture it(server.address);
+    it.client.read_report();
+    CHECK(std::get<server_report>(it.events.wait(1).at(0)).advice.rate_limit == rate{2.5});
+}
+
 TEST_CASE("an invalid health report counts as failed", "[server]") {
     const std::string good = R"({"healthy": true, "draining": true, "in_flight": 3})";
     const std::string bad = R"({"healthy": "yes", "draining": true, "in_flight": 3})";
