--- /dev/null
+++ b/tests/server_advice/advised_fleet.cpp
@@ -0,0 +1,106 @@
+#include "tests/server_advice/advised_fleet.hpp"
+
+#include "tests/support/plan_sheet.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornelpier::testing {
+
+namespace {
+
+constexpr double allowed_ratio = 1.5;
+constexpr double allowed_extra = 5;
+
+const service_id service_name{"bins"};
+
+fleet_settings make_settings(std::size_t targets) {
+    service_plan service;
+    service.id = service_name;
+    service.deadline = std::chrono::seconds{2};
+    service.slots = 8;
+    service.measuring = rate{20};
+    service.rules = default_rules();
+    for (std::size_t n = 0; n < targets; ++n) {
+        service.targets.push_back(make_target("t" + std::to_string(n), "dc" + std::to_string(n % 3), n));
+    }
+    plan sheet;
+    sheet.version = 1;
+    sheet.services = {service};
+
+    fleet_settings result;
+    result.initial_plan = finalize_plan(std::move(sheet));
+    result.default_server = {8, std::chrono::milliseconds{100}, true};
+    return result;
+}
+
+} // namespace
+
+advised_fleet::advised_fleet(std::size_t targets) : m_fleet(make_settings(targets)) {
+    m_fleet.queue().run_until(now() + std::chrono::seconds{1});
+}
+
+void advised_fleet::limit(std::size_t target, std::optional<rate> value) {
+    auto& server = m_fleet.server(this->target(target));
+    auto advice = server.advice();
+    advice.rate_limit = value;
+    server.set_advice(advice);
+}
+
+void advised_fleet::leave(std::size_t target) {
+    auto& server = m_fleet.server(this->target(target));
+    auto advice = server.advice();
+    advice.leaving = true;
+    server.set_advice(advice);
+}
+
+void advised_fleet::press(rate calls, duration length, const std::vector<std::string>& methods) {
+    const time_point end = now() + length;
+    const duration interval = from_seconds(1 / calls.per_second);
+    for (time_point at = now(); at < end; at += interval) {
+        m_fleet.queue().run_until(at);
+        call_request request;
+        request.entry = target(m_calls % m_fleet.targets().size());
+        request.service = service_name;
+        // Advances the method after each round over the entries, so that every entry gets all methods.
+        request.method = methods[m_calls / m_fleet.targets().size() % methods.size()];
+        request.body = "quiet-" + std::to_string(m_calls++);
+        request.hidden_from_transcript = true;
+        m_fleet.send_call(std::move(request));
+    }
+    m_fleet.queue().run_until(end);
+}
+
+std::size_t advised_fleet::arrivals(std::size_t target, time_point from, time_point until) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_fleet.records().executions, [&](const execution& it) {
+            return it.target == this->target(target) && it.at >= from && it.at < until;
+        }));
+}
+
+std::size_t advised_fleet::most_arrivals(std::size_t target, time_point from, time_point until) const {
+    std::size_t most = 0;
+    for (const auto& it : m_fleet.records().executions) {
+        if (it.target == this->target(target) && it.at >= from && it.at < until) {
+            most = std::max(most, arrivals(target, it.at, std::min(it.at + window, until)));
+        }
+    }
+    return most;
+}
+
+std::size_t advised_fleet::allowed(rate limit) {
+    return static_cast<std::size_t>(
+        std::floor(allowed_ratio * limit.per_second * to_seconds(window) + allowed_extra));
+}
+
+std::vector<call_record> advised_fleet::calls_with(const std::string& method, int status, time_point from,
+                                                   time_point until) const {
+    std::vector<call_record> result;
+    std::ranges::copy_if(m_fleet.records().calls, std::back_inserter(result), [&](const call_record& it) {
+        return it.request.method == method && it.sent >= from && it.sent < until && !it.answers.empty() &&
+               it.answers.front().status == status;
+    });
+    return result;
+}
+
+} // namespace cornelpier::testing
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -85,7 +85,9 @@
         return std::nullopt;
     }
     const auto in_flight = m_reporting_zero_load ? 0 : past_load(m_report_age);
-    return server_report{true, m_draining, static_cast<std::uint32_t>(in_flight)};
+    server_report result{true, m_draining, static_cast<std::uint32_t>(in_flight)};
+    result.advice = m_advice;
+    return result;
 }
 
 std::size_t fake_server::past_load(duration age) const {
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -76,6 +76,10 @@
     /// Takes the server down, which fails current requests and refuses connections, or brings it back up.
     void set_down(bool value);
 
+    /// Sets what the server asks of its callers in all its responses.
+    void set_advice(server_advice value) { m_advice = value; }
+    [[nodiscard]] const server_advice& advice() const { return m_advice; }
+
     /// Sets the draining state in the load report.
     void set_draining(bool value) { m_draining = value; }
     [[nodiscard]] bool draining() const { return m_draining; }
@@ -122,6 +126,7 @@
     bool m_down = false;
     bool m_draining = false;
     bool m_reporting_zero_load = false;
+    server_advice m_advice;
 };
 
 /// @return the body of the response to a request, which contains the request's body.
--- a/tests/support/node_host.cpp
+++ b/tests/support/node_host.cpp
@@ -225,7 +225,9 @@
         return;
     }
     if (const auto* response = std::get_if<http_response>(&outcome)) {
-        deliver(traffic_event{server_answered{run, *response}});
+        server_answered event{run, *response};
+        event.advice = m_server.advice();
+        deliver(traffic_event{std::move(event)});
         return;
     }
     deliver(traffic_event{server_failed{run, std::get<server_failure>(outcome)}});
--- a/tests/virtual_time.cmake
+++ b/tests/virtual_time.cmake
@@ -14,6 +14,13 @@
   add_test(NAME scenario-${name} COMMAND cornelpier-scenario-tests "each scenario*" -c ${name})
 endforeach()
 
+# Fleets whose servers limit the rate of their requests or say that they leave.
+file(GLOB server_advice_tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/server_advice/*.cpp)
+add_executable(cornelpier-server-advice-tests main.cpp ${server_advice_tests})
+target_link_libraries(cornelpier-server-advice-tests PRIVATE cornelpier_test_support cornelpier_options)
+add_test(NAME server-rate-limit COMMAND cornelpier-server-advice-tests "[rate-limit]")
+add_test(NAME server-leaving COMMAND cornelpier-server-advice-tests "[leaving]")
+
 add_executable(cornelpier-schedule-tests schedules/schedule_tests.cpp schedules/random_schedule.cpp)
 target_link_libraries(cornelpier-schedule-tests PRIVATE cornelpier_test_support cornelpier_options Threads::Threads)
 add_test(NAME schedules COMMAND cornelpier-schedule-tests)
