Keep to the rate of requests that a server names

Why this works: every run to a server passes through its owner, so that one pacer enforces the sum over all entries. Admission, routing, refusals and recovery take the wait for the rate into account (docs/design.md); entries remember the limit for an owner that restarts.

--- a/src/cornelpier/admission/admission_queue.cpp
+++ b/src/cornelpier/admission/admission_queue.cpp
@@ -42,6 +42,13 @@
     return true;
 }
 
+std::vector<run_id> admission_queue::in_order() const {
+    std::vector<run_id> result;
+    result.reserve(size());
+    std::ranges::transform(m_order, std::back_inserter(result), [](const auto& it) { return it.second.id; });
+    return result;
+}
+
 std::size_t admission_queue::ahead_of(request_class priority, time_point latest_start) const {
     const position after{priority, latest_start, std::numeric_limits<std::uint64_t>::max()};
     return static_cast<std::size_t>(std::distance(m_order.begin(), m_order.upper_bound(after)));
--- a/src/cornelpier/admission/admission_queue.hpp
+++ b/src/cornelpier/admission/admission_queue.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <tuple>
 #include <unordered_map>
+#include <vector>
 
 namespace cornelpier {
 
@@ -48,6 +49,9 @@
     /// @return false if it was not queued.
     bool remove(run_id id);
 
+    /// @return the queued runs in the order in which they start if all are on time.
+    [[nodiscard]] std::vector<run_id> in_order() const;
+
     /// @return number of queued runs that start before a new run of the class.
     [[nodiscard]] std::size_t ahead_of(request_class priority, time_point latest_start = no_objective) const;
 
--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -145,9 +145,9 @@
         return duration::zero();
     }
     if (!call.route.empty()) {
-        // The owner's estimate of its next free slot: the caller can still retry within the objective.
+        // The earliest free slot that an owner expects: the caller can still retry within the objective.
         return outcome == verdict::not_run || call.idempotent
-                   ? add_jitter(std::max(last.retry_after, min_retry_after))
+                   ? add_jitter(std::max(call.earliest_retry.value_or(last.retry_after), min_retry_after))
                    : duration::zero();
     }
     if (outcome == verdict::not_run) {
--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -246,6 +246,9 @@
     if (const auto* planned = m_context.find_target(attempt.target)) {
         message.instance = planned->instance;
     }
+    if (const auto* load = m_deps.readings.find(attempt.target)) {
+        message.rate_limit = load->rate_limit;
+    }
 
     attempt.sent_at = m_context.now();
     m_deps.links.send(attempt.target, std::move(message));
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -44,6 +44,7 @@
     case refusal::no_permit:
     case refusal::draining:
     case refusal::unknown_service:
+    case refusal::rate_limited:
         return true;
     case refusal::overloaded:
         return attempt.wait_limit.has_value();
@@ -67,6 +68,7 @@
     case refusal::ledger_full:
     case refusal::unknown_service:
     case refusal::server_down:
+    case refusal::rate_limited:
         return true;
     default:
         return false;
@@ -260,6 +262,9 @@
     if (result.outcome == verdict::unknown && result.response) {
         call.failure_response = result.response;
     }
+    if (result.outcome == verdict::not_run && result.retry_after > duration::zero()) {
+        call.earliest_retry = std::min(call.earliest_retry.value_or(duration::max()), result.retry_after);
+    }
     if (excludes_target(result)) {
         call.excluded_targets.push_back(attempt.target);
     }
--- a/src/cornelpier/entry/call_state.hpp
+++ b/src/cornelpier/entry/call_state.hpp
@@ -82,6 +82,7 @@
     std::uint32_t unbudgeted_attempts = 0;         ///< Attempts other than hedges and budgeted retries.
     std::uint32_t retries = 0;                     ///< Retries paid from the retry budget.
     std::optional<attempt_result> last_result;     ///< Of the most recently settled attempt.
+    std::optional<duration> earliest_retry;        ///< Least retry time that an owner gave with a refusal.
     std::optional<http_response> failure_response; ///< Of a failed server; sent if no attempt succeeds.
     timer_service::timer_id deadline_timer = 0;
     timer_service::timer_id hedge_timer = 0;
--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -116,7 +116,10 @@
         if (m_links.is_backing_off(service.subset[i])) {
             m_links.open(service.subset[i], service.addresses[i]);
         }
-        const selection_tier tier = tier_of(call, service.subset[i], max_share);
+        // A hedge would use up a request of the server's limit that another call needs.
+        const bool is_wasteful = hedge && is_rate_limited(service.subset[i]);
+        const selection_tier tier =
+            is_wasteful ? selection_tier::excluded : tier_of(call, service.subset[i], max_share);
         best = std::min(best, tier);
         result.push_back({i, tier});
     }
@@ -177,6 +180,11 @@
     return node != view.node_states.end() && node->second != node_state::serving;
 }
 
+bool target_selector::is_rate_limited(const target_id& target) const {
+    const auto* load = m_readings.find(target);
+    return load != nullptr && load->rate_limit;
+}
+
 /// Draws at random whether a target in slow start is skipped this time. Its share is relative to the largest
 /// one, so that no target is skipped when the whole fleet starts at once.
 bool target_selector::skips_in_slow_start(const target_id& target, double max_share) {
--- a/src/cornelpier/entry/target_selector.hpp
+++ b/src/cornelpier/entry/target_selector.hpp
@@ -67,6 +67,7 @@
                                               bool hedge);
     selection_tier tier_of(const call_state& call, const target_id& target, double max_share);
     [[nodiscard]] bool is_leaving(const target_id& target) const;
+    [[nodiscard]] bool is_rate_limited(const target_id& target) const;
     bool skips_in_slow_start(const target_id& target, double max_share);
     double max_slow_start_share(const service_state& service);
     double slow_start_share_of(const target_id& target);
--- a/src/cornelpier/message/codec.cpp
+++ b/src/cornelpier/message/codec.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <cstdint>
 #include <limits>
 #include <stdexcept>
@@ -43,6 +44,10 @@
     return value.count();
 }
 
+json write(rate value) {
+    return value.per_second;
+}
+
 json write(time_point value) {
     return value.time_since_epoch().count();
 }
@@ -139,6 +144,13 @@
     value = duration{item.get<std::int64_t>()};
 }
 
+void read(const json& item, rate& value) {
+    if (!item.is_number_float() || !std::isfinite(item.get<double>()) || item.get<double>() < 0) {
+        throw decode_error("expected a finite rate that is not negative");
+    }
+    value.per_second = item.get<double>();
+}
+
 void read(const json& item, time_point& value) {
     duration since_epoch{};
     read(item, since_epoch);
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -56,6 +56,8 @@
     visit(it.permit);
     visit(it.sequence);
     visit(it.slowness_percent);
+    visit(it.rate_limit);
+    visit(it.advice_known);
 }
 
 template <typename Message, typename Visitor>
@@ -101,6 +103,7 @@
     visit(it.instance);
     visit(it.route);
     visit(it.objective);
+    visit(it.rate_limit);
 }
 
 template <typename Message, typename Visitor>
@@ -200,7 +203,7 @@
 }
 
 constexpr refusal max_enumerator(refusal /*tag*/) {
-    return refusal::not_home;
+    return refusal::rate_limited;
 }
 
 constexpr node_state max_enumerator(node_state /*tag*/) {
--- a/src/cornelpier/message/traffic_messages.hpp
+++ b/src/cornelpier/message/traffic_messages.hpp
@@ -54,6 +54,8 @@
     /// Increases with each reading of an incarnation, so that late ones are detected.
     std::uint64_t sequence = 0;
     std::uint32_t slowness_percent = 100; ///< Current service time relative to the usual one; 100 is normal.
+    std::optional<rate> rate_limit; ///< Requests that the server accepts from all entries; unset: no limit.
+    bool advice_known = false;      ///< Otherwise the owner does not know whether the server names a limit.
 };
 
 /// First message that each side sends on a link.
@@ -94,6 +96,9 @@
     std::string instance; ///< Server process that the run is meant for; empty: any at the address.
     std::string route;    ///< Name of the request's route; empty if the plan has no routes.
     duration objective{}; ///< Time left of the route's latency objective; may be negative.
+    /// Rate limit of the server in the last reading that the entry got. An owner that has restarted keeps to
+    /// it until the server's first response.
+    std::optional<rate> rate_limit;
 };
 
 /// Reason for which an owner refused a run.
@@ -114,6 +119,7 @@
     key_unproved, ///< The owner cannot prove that the key was not used before.
     key_running,  ///< The first request with this key is still in progress.
     not_home,     ///< The owner's plan assigns the key to another target.
+    rate_limited, ///< The server's rate limit does not allow the run to start in time.
 };
 
 /// Final result of an attempt, sent by the owner.
--- a/src/cornelpier/node/traffic_actions.hpp
+++ b/src/cornelpier/node/traffic_actions.hpp
@@ -79,7 +79,8 @@
     run_refused,      ///< Count.
     measurement,      ///< Count of reports read and probes answered.
     answer_discarded, ///< Count.
-    run_started       ///< Count of runs sent to the server.
+    run_started,      ///< Count of runs sent to the server.
+    run_rate_limited  ///< Count of runs refused because of the server's rate limit.
 };
 
 /// Records a value of a metric.
--- a/src/cornelpier/owner/advice_monitor.cpp
+++ b/src/cornelpier/owner/advice_monitor.cpp
@@ -1,7 +1,6 @@
 #include "cornelpier/owner/advice_monitor.hpp"
 
-#include <cstddef>
-#include <string>
+#include <algorithm>
 #include <utility>
 
 namespace cornelpier {
@@ -12,32 +11,73 @@
     return limit ? to_text(*limit) : std::string{"none"};
 }
 
+std::string source_name(advice_source source) {
+    return source == advice_source::run ? "run" : "report";
+}
+
 } // namespace
 
-void advice_monitor::on_advice(const server_advice& advice, advice_source source) {
-    const std::string_view source_name = source == advice_source::run ? "run" : "report";
+bool advice_monitor::on_advice(const server_advice& advice, advice_source source) {
     if (advice.malformed) {
         m_state.outbox.log_throttled(event_number::server_advice_malformed,
-                                     {{"source", std::string{source_name}}});
+                                     {{"source", source_name(source)}});
     }
-    const server_advice before = std::exchange(m_last.at(static_cast<std::size_t>(source)), advice);
-    m_rate_limit = advice.rate_limit;
-    if (advice.rate_limit != before.rate_limit) {
-        log_rate_limit(before.rate_limit, advice.rate_limit, source_name);
+    const bool has_advice = advice.rate_limit || advice.leaving;
+    if (source == advice_source::report) {
+        m_reports_advise = m_reports_advise || has_advice;
+        if (!m_reports_advise) {
+            return false;
+        }
     }
-    if (advice.leaving != before.leaving) {
+    m_state.advice_known = true;
+
+    const server_advice before = std::exchange(m_current, advice);
+    if (before.leaving != advice.leaving) {
         m_state.outbox.log(event_number::server_leaving,
-                           {{"leaving", advice.leaving ? "1" : "0"}, {"source", std::string{source_name}}});
+                           {{"leaving", advice.leaving ? "1" : "0"}, {"source", source_name(source)}});
+    }
+    const std::optional<rate> limit_before = m_state.pacer.limit();
+    if (limit_before == advice.rate_limit) {
+        return false;
+    }
+    m_state.pacer.set_limit(advice.rate_limit, m_state.now());
+    log_rate_limit(limit_before, source);
+    return true;
+}
+
+void advice_monitor::on_instance(const std::string& instance) {
+    if (instance.empty()) {
+        return;
     }
+    if (!m_instance.empty() && instance != m_instance) {
+        forget();
+    }
+    m_instance = instance;
+}
+
+void advice_monitor::on_remembered_limit(const std::optional<rate>& limit) {
+    if (m_state.advice_known || !limit) {
+        return;
+    }
+    const auto in_force = m_state.pacer.limit();
+    if (!in_force || limit->per_second < in_force->per_second) {
+        m_state.pacer.set_limit(limit, m_state.now());
+    }
+}
+
+void advice_monitor::forget() {
+    m_current = {};
+    m_reports_advise = false;
+    m_state.advice_known = false;
+    m_state.pacer.reset();
 }
 
-void advice_monitor::log_rate_limit(const std::optional<rate>& before, const std::optional<rate>& after,
-                                    std::string_view source) {
+void advice_monitor::log_rate_limit(const std::optional<rate>& before, advice_source source) {
     const server_request_counts counts = m_state.server_requests;
     m_state.outbox.log(event_number::server_rate_limit_changed,
-                       {{"rate", rate_text(after)},
+                       {{"rate", rate_text(m_current.rate_limit)},
                         {"before", rate_text(before)},
-                        {"source", std::string{source}},
+                        {"source", source_name(source)},
                         {"after_ms", milliseconds_text(m_state.now() - m_logged_at)},
                         {"runs", std::to_string(counts.runs - m_logged_counts.runs)},
                         {"reports", std::to_string(counts.reports - m_logged_counts.reports)}});
--- a/src/cornelpier/owner/advice_monitor.hpp
+++ b/src/cornelpier/owner/advice_monitor.hpp
@@ -3,35 +3,42 @@
 #include "cornelpier/node/traffic_events.hpp"
 #include "cornelpier/owner/owner_state.hpp"
 
-#include <array>
 #include <cstdint>
 #include <optional>
-#include <string_view>
+#include <string>
 
 namespace cornelpier {
 
 /// Kinds of responses in which a server gives advice.
 enum class advice_source : std::uint8_t { run, report };
 
-/// Logs what the server asks of its callers, and how much it got meanwhile.
+/// Tracks what the server asks of its callers, and applies its rate limit.
+///
+/// A response without advice withdraws earlier advice. A report does so only if the reports of this server
+/// have carried advice before: some servers give it only in responses to requests.
 class advice_monitor {
   public:
     /// @param state must outlive the object.
     explicit advice_monitor(owner_state& state) : m_state(state), m_logged_at(state.started_at) {}
 
-    /// Records the advice of a response.
-    void on_advice(const server_advice& advice, advice_source source);
+    /// Processes the advice of a response.
+    /// @return whether the rate limit changed.
+    bool on_advice(const server_advice& advice, advice_source source);
 
-    /// @return rate limit of the last response; nothing if it named none.
-    [[nodiscard]] std::optional<rate> rate_limit() const { return m_rate_limit; }
+    /// Processes the name of the server process that answered. A new process has given no advice yet.
+    void on_instance(const std::string& instance);
+
+    /// Applies the rate limit that an entry remembers, until the server's first response to this process.
+    void on_remembered_limit(const std::optional<rate>& limit);
 
   private:
-    void log_rate_limit(const std::optional<rate>& before, const std::optional<rate>& after,
-                        std::string_view source);
+    void forget();
+    void log_rate_limit(const std::optional<rate>& before, advice_source source);
 
     owner_state& m_state;
-    std::array<server_advice, 2> m_last; ///< By source.
-    std::optional<rate> m_rate_limit;
+    server_advice m_current;
+    bool m_reports_advise = false; ///< A report of this server process carried advice.
+    std::string m_instance;        ///< Server process named last; empty: none.
     time_point m_logged_at;
     server_request_counts m_logged_counts;
 };
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -19,6 +19,9 @@
 /// Bounds the queue. The deadline check usually refuses runs long before it is full.
 constexpr std::size_t max_queued_per_slot = 10;
 
+/// Interval of the runs to a server that accepts none.
+constexpr duration trial_run_interval = std::chrono::seconds{10};
+
 /// Poll interval while runs wait for a slowdown to end. Slowdowns last some hundred milliseconds.
 constexpr duration deferred_poll_period = std::chrono::milliseconds{25};
 
@@ -61,6 +64,9 @@
         m_state.placement.update(service, m_state.now());
         const rate measuring_rate = service != nullptr ? service->measuring : rate{};
         m_measurements.set_rate(measuring_rate);
+        // Without reports, only a run can tell that the server accepts more requests again.
+        m_state.pacer.set_trial_interval(measuring_rate.per_second > 0 ? std::nullopt
+                                                                       : std::optional{trial_run_interval});
         if (measuring_rate.per_second <= 0) {
             // Without reports nothing could remove this cause again.
             m_drain.on_server_draining(false);
@@ -92,7 +98,7 @@
         snapshot.runs_at_server = m_state.runs.at_server();
         snapshot.runs_queued = m_state.queue.size();
         snapshot.concurrency_limit = m_state.load.limit();
-        snapshot.server_rate_limit = m_advice.rate_limit();
+        snapshot.server_rate_limit = m_state.pacer.limit();
         snapshot.service_time = m_state.load.current_service_time(load);
         snapshot.ledger_records = m_state.ledger.size();
         snapshot.measurements_last_second = static_cast<double>(m_measurements.taken_last_second());
@@ -117,6 +123,12 @@
         }
     }
 
+    void apply_advice(const server_advice& advice, advice_source source) {
+        if (m_advice.on_advice(advice, source)) {
+            m_executor.refuse_unservable();
+        }
+    }
+
     /// Polls the server's report while runs wait for a slowdown to end, because nothing else reports its end.
     void poll_while_deferring() {
         if (!m_executor.is_deferring()) {
@@ -149,6 +161,7 @@
     }
 
     void on(link_id link, const run_request& message) {
+        m_advice.on_remembered_limit(message.rate_limit);
         m_gate.on_run(link, message);
         poll_while_deferring();
     }
@@ -187,7 +200,7 @@
 
 void owner_manager::on_server_answered(const server_answered& event) {
     m_implementation->update_slowness(event.load);
-    m_implementation->m_advice.on_advice(event.advice, advice_source::run);
+    m_implementation->apply_advice(event.advice, advice_source::run);
     m_implementation->m_executor.on_answered(event);
     m_implementation->poll_while_deferring();
 }
@@ -200,7 +213,8 @@
     m_implementation->m_executor.on_server_instance(event.instance);
     m_implementation->m_drain.on_server_draining(event.draining);
     m_implementation->update_slowness(event.load);
-    m_implementation->m_advice.on_advice(event.advice, advice_source::report);
+    m_implementation->m_advice.on_instance(event.instance);
+    m_implementation->apply_advice(event.advice, advice_source::report);
     m_implementation->m_gate.on_report();
     m_implementation->m_executor.start_queued();
     m_implementation->poll_while_deferring();
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -15,6 +15,9 @@
 
 constexpr double percent = 100;
 
+/// Least part of a rate limit that is expected to remain for a class whose more urgent classes use all of it.
+constexpr double min_free_share = 0.05;
+
 /// Part of the mean below which a service time is short. Nested calls take a small part of the time of the
 /// run that makes them.
 constexpr duration::rep short_run_divisor = 4;
@@ -51,8 +54,11 @@
     result.slowness_percent = static_cast<std::uint32_t>(slowness.current() * percent);
     if (route_work.mean() > duration::zero()) {
         result.service_time = route_work.mean();
-        result.expected_wait = std::max(expected_slot_wait(queue.size()), load.failure_penalty(now()));
+        result.expected_wait = std::max(expected_start_wait(queue.size()), load.failure_penalty(now()));
     }
+    result.expected_wait = std::max(result.expected_wait, pacer.wait(queue.size(), now()));
+    result.rate_limit = pacer.limit();
+    result.advice_known = advice_known;
     return result;
 }
 
@@ -62,9 +68,20 @@
                                              : contention.best_limit(load.limit()));
 }
 
-duration owner_state::expected_slot_wait(std::size_t ahead) const {
-    return cornelpier::expected_slot_wait(runs.remaining_service_times(now()), effective_limit(), ahead,
-                                          route_work.mean());
+duration owner_state::expected_start_wait(std::size_t ahead) const {
+    const duration slot_wait =
+        expected_slot_wait(runs.remaining_service_times(now()), effective_limit(), ahead, route_work.mean());
+    return std::max(slot_wait, pacer.wait(ahead, now()));
+}
+
+duration owner_state::expected_pace_wait(request_class priority, std::size_t ahead) const {
+    const duration wait = pacer.wait(ahead, now());
+    const auto limit = pacer.limit();
+    if (wait == duration::zero() || !limit || limit->per_second <= 0) {
+        return wait;
+    }
+    const double urgent_share = class_rates.more_urgent(priority, now()).per_second / limit->per_second;
+    return std::min(scale(wait, 1 / std::max(1 - urgent_share, min_free_share)), run_pacer::max_wait);
 }
 
 bool owner_state::is_short_service_time(duration expected) const {
@@ -81,6 +98,9 @@
     if (message.outcome == verdict::not_run) {
         outbox.log(event_number::run_refused, {{"reason", std::string{refusal_name(message.reason)}}});
         outbox.increment(metric::run_refused);
+        if (message.reason == refusal::rate_limited) {
+            outbox.increment(metric::run_rate_limited);
+        }
     }
     message.load = make_reading();
     outbox.send(link, std::move(message));
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "cornelpier/admission/admission_queue.hpp"
+#include "cornelpier/admission/class_rate_meter.hpp"
 #include "cornelpier/admission/contention_meter.hpp"
 #include "cornelpier/admission/load_meter.hpp"
 #include "cornelpier/admission/on_time_reserve.hpp"
 #include "cornelpier/admission/route_work_table.hpp"
+#include "cornelpier/admission/run_pacer.hpp"
 #include "cornelpier/admission/slowness_meter.hpp"
 #include "cornelpier/base/random_source.hpp"
 #include "cornelpier/drain/node_state_machine.hpp"
@@ -52,8 +54,12 @@
     [[nodiscard]] std::uint32_t effective_limit() const;
 
     /// @param ahead number of queued runs that start first.
-    /// @return expected time until a new run with a route gets a slot.
-    [[nodiscard]] duration expected_slot_wait(std::size_t ahead) const;
+    /// @return expected time until a new run with a route gets a slot and the server's rate limit allows it.
+    [[nodiscard]] duration expected_start_wait(std::size_t ahead) const;
+
+    /// @return expected time until the server's rate limit allows a new run, given that more urgent runs that
+    /// arrive meanwhile start first.
+    [[nodiscard]] duration expected_pace_wait(request_class priority, std::size_t ahead) const;
 
     /// @return whether a service time is much shorter than the server's mean. Such runs are mostly nested
     /// calls of longer runs at other servers, whose work is lost if the nested call fails.
@@ -80,10 +86,14 @@
     contention_meter contention;             ///< run_executor.
     on_time_reserve reserve;                 ///< run_executor.
     slowness_meter slowness;                 ///< owner_manager, run_executor.
+    class_rate_meter class_rates;            ///< run_executor.
+    run_pacer pacer;                         ///< owner_manager, advice_monitor, run_executor.
     node_state_machine lifecycle;            ///< drain_controller.
     time_point started_at;                   ///< Start of the process.
     std::optional<time_point> serving_since; ///< Unset unless serving with the server up; drain_controller.
     std::string server_instance; ///< Process last reported by the server; empty: unknown. run_executor.
+    /// The server's advice is known: it gave some, or none in a response to a run. advice_monitor.
+    bool advice_known = false;
     std::uint64_t last_reading_sequence = 0;
     server_request_counts server_requests; ///< run_executor, measurement_scheduler.
 
--- a/src/cornelpier/owner/run_admission.cpp
+++ b/src/cornelpier/owner/run_admission.cpp
@@ -20,7 +20,7 @@
 
 bool has_retry_after(refusal reason) {
     return reason == refusal::wait_limit || reason == refusal::overloaded || reason == refusal::deadline ||
-           reason == refusal::draining || reason == refusal::ledger_full;
+           reason == refusal::draining || reason == refusal::ledger_full || reason == refusal::rate_limited;
 }
 
 } // namespace
@@ -156,16 +156,21 @@
     }
     const server_load load = m_state.runs.load(m_state.now());
     const std::size_t ahead = m_state.queue.ahead_of(message.priority);
-    if (message.wait_limit && m_state.load.reported_wait(load, ahead, m_state.now()) > *message.wait_limit) {
+    const duration pace_wait = m_state.expected_pace_wait(message.priority, ahead);
+    const duration wait = std::max(m_state.load.reported_wait(load, ahead, m_state.now()), pace_wait);
+    if (message.wait_limit && wait > *message.wait_limit) {
         return refusal::wait_limit;
     }
+    if (pace_wait > left) {
+        return refusal::rate_limited;
+    }
     // An idle server always gets a run. Without new samples, a service time estimate above the deadline could
     // never fall again.
-    const bool idle = load.in_flight == 0 && m_state.queue.empty();
-    const duration expected =
-        m_state.load.expected_wait(load, ahead) + m_state.load.current_service_time(load);
+    const bool idle = load.in_flight == 0 && m_state.queue.empty() && pace_wait == duration::zero();
+    const duration slot_wait = m_state.load.expected_wait(load, ahead);
+    const duration expected = std::max(slot_wait, pace_wait) + m_state.load.current_service_time(load);
     if (!idle && expected > left) {
-        return refusal::deadline;
+        return pace_wait > slot_wait ? refusal::rate_limited : refusal::deadline;
     }
     return m_executor.has_capacity(message.priority) ? refusal::none : refusal::overloaded;
 }
@@ -177,7 +182,9 @@
     const std::size_t ahead =
         m_state.queue.ahead_of(message.priority, now + message.objective - service_time);
     const duration loss = m_state.slowness.expected_delay(service_time, now);
-    const duration wait = m_state.expected_slot_wait(ahead) + loss;
+    const duration pace_wait = m_state.expected_pace_wait(message.priority, ahead);
+    const duration slot_wait = m_state.expected_start_wait(ahead);
+    const duration wait = std::max(pace_wait, slot_wait) + loss;
     const run_estimate estimate{service_time, message.objective, left,
                                 m_state.is_short_service_time(service_time)};
     if (cannot_meet_deadline(estimate)) {
@@ -186,8 +193,8 @@
     if (message.wait_limit && std::max(wait, m_state.load.failure_penalty(now)) > *message.wait_limit) {
         return refusal::wait_limit;
     }
-    if (wait > max_queueing_time(estimate)) {
-        return refusal::deadline;
+    if (const duration limit = max_queueing_time(estimate); wait > limit) {
+        return pace_wait > limit ? refusal::rate_limited : refusal::deadline;
     }
     return m_executor.has_capacity(message.priority) ? refusal::none : refusal::overloaded;
 }
@@ -221,7 +228,7 @@
     duration retry_after{};
     if (has_retry_after(reason)) {
         retry_after = message.route.empty() ? m_state.jittered_retry_after()
-                                            : m_state.expected_slot_wait(m_state.queue.size());
+                                            : m_state.expected_start_wait(m_state.queue.size());
     }
     m_state.send_answer(link, make_answer(message, verdict::not_run, reason, retry_after));
 }
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -37,8 +37,16 @@
     return m_state.runs.at_server() < m_state.effective_limit();
 }
 
+bool run_executor::may_start() const {
+    return has_free_slot() && m_state.pacer.wait(0, m_state.now()) == duration::zero();
+}
+
+time_point run_executor::last_start(const accepted_run& accepted) {
+    return accepted.deadline - accepted.baseline_service_time;
+}
+
 bool run_executor::has_capacity(request_class priority) const {
-    if (has_free_slot() && m_state.queue.empty()) {
+    if (may_start() && m_state.queue.empty()) {
         return true;
     }
     return m_state.runs.queued_bytes() < max_queued_bytes && m_state.queue.accepts(priority);
@@ -83,25 +91,26 @@
         accepted.latest_start = m_state.now() + message.objective - accepted.baseline_service_time;
     }
 
+    m_state.class_rates.on_accepted(message.priority, m_state.now());
     accepted_run& added = m_state.runs.add(std::move(accepted));
     const run_id id = added.id;
 
-    if (has_free_slot() && m_state.queue.empty() && !must_defer(added)) {
+    if (may_start() && m_state.queue.empty() && !must_defer(added)) {
         dispatch(added);
         return;
     }
     // The timer fires at the last start that can still meet the deadline, so that the caller is not kept
     // waiting for a run that would be cancelled.
-    const time_point last_start = deadline - added.baseline_service_time;
-    added.timer.call_at(m_state.timers, last_start, [this, id] { on_deadline(id); });
+    added.timer.call_at(m_state.timers, last_start(added), [this, id] { on_deadline(id); });
     const bool is_short = !added.route.empty() && m_state.is_short_service_time(added.baseline_service_time);
-    const time_point late_after = is_short ? last_start : added.latest_start;
+    const time_point late_after = is_short ? last_start(added) : added.latest_start;
     if (const auto offered = m_state.queue.offer(id, message.priority, added.latest_start, late_after);
         offered.shed) {
         refuse(*offered.shed, refusal::overloaded);
     }
     // This run may get a slot that is reserved for on-time runs although late runs are queued.
     start_queued();
+    refuse_unservable();
 }
 
 bool run_executor::must_defer(const accepted_run& accepted) const {
@@ -117,7 +126,7 @@
 }
 
 bool run_executor::is_deferring() const {
-    if (!has_free_slot()) {
+    if (!may_start()) {
         return false;
     }
     const auto id = m_state.queue.next(m_state.now());
@@ -133,6 +142,7 @@
     accepted.slowness = m_state.slowness.current();
     accepted.concurrency_at_start = static_cast<std::uint32_t>(m_state.runs.at_server());
 
+    m_state.pacer.on_start(m_state.now());
     ++m_state.server_requests.runs;
     m_state.outbox.increment(metric::run_started);
 
@@ -174,6 +184,10 @@
         if (!id) {
             return;
         }
+        if (const duration wait = m_state.pacer.wait(0, m_state.now()); wait > duration::zero()) {
+            m_pace_timer.call_at(m_state.timers, m_state.now() + wait, [this] { start_queued(); });
+            return;
+        }
         accepted_run& accepted = *m_state.runs.find(*id);
         if (would_miss_deadline(accepted)) {
             refuse(*id, refusal::deadline);
@@ -194,6 +208,18 @@
     on_run_ended();
 }
 
+void run_executor::refuse_unservable() {
+    std::size_t ahead = 0;
+    for (const run_id id : m_state.queue.in_order()) {
+        const duration wait = m_state.pacer.wait(ahead, m_state.now());
+        if (wait > duration::zero() && m_state.now() + wait > last_start(*m_state.runs.find(id))) {
+            refuse(id, refusal::rate_limited);
+        } else {
+            ++ahead;
+        }
+    }
+}
+
 void run_executor::refuse_overdue() {
     for (const run_id id : m_state.runs.queued_past_deadline(m_state.now())) {
         refuse(id, refusal::deadline);
@@ -344,7 +370,9 @@
     run_response refused;
     refused.outcome = verdict::not_run;
     refused.reason = reason;
-    if (has_retry_after(reason)) {
+    if (reason == refusal::rate_limited) {
+        refused.retry_after = m_state.pacer.wait(m_state.queue.size(), m_state.now());
+    } else if (has_retry_after(reason)) {
         refused.retry_after = m_state.jittered_retry_after();
     }
     complete(id, std::move(refused));
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -45,11 +45,19 @@
     /// @return whether a slot is free but the next queued run waits for the end of a transient slowdown.
     [[nodiscard]] bool is_deferring() const;
 
-    /// Starts queued runs while the concurrency limit allows.
+    /// Starts queued runs while the concurrency limit and the server's rate limit allow.
     void start_queued();
 
+    /// Refuses the queued runs that the server's rate limit keeps from starting before their deadline,
+    /// without waiting for their timers.
+    void refuse_unservable();
+
   private:
     [[nodiscard]] bool has_free_slot() const;
+    /// @return whether a slot is free and the server's rate limit allows a run now.
+    [[nodiscard]] bool may_start() const;
+    /// @return latest start at which the run can still end before its deadline.
+    [[nodiscard]] static time_point last_start(const accepted_run& accepted);
     /// @return whether the run should start only after the current slowdown, to complete sooner.
     [[nodiscard]] bool must_defer(const accepted_run& accepted) const;
     /// @return whether the run is late and the remaining slots are reserved for on-time runs.
@@ -77,6 +85,7 @@
 
     owner_state& m_state;
     drain_controller& m_drain;
+    scoped_timer m_pace_timer; ///< Fires when the server's rate limit allows the next run.
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/routing/load_estimate.cpp
+++ b/src/cornelpier/routing/load_estimate.cpp
@@ -1,5 +1,6 @@
 #include "cornelpier/routing/load_estimate.hpp"
 
+#include "cornelpier/admission/run_pacer.hpp"
 #include "cornelpier/admission/slowness_meter.hpp"
 
 #include <algorithm>
@@ -65,24 +66,39 @@
     return load.service_time * (own_runs - free) / load.limit;
 }
 
+/// @return wait at a server that limits its rate. It passes as fast as time, unlike a wait for a slot, and
+/// each own run that is not included in the reading adds the time between two runs.
+duration paced_wait(const load_reading& load, std::uint32_t own_runs, duration age) {
+    const duration wait = std::max(load.expected_wait - age, duration::zero());
+    const double per_second = load.rate_limit->per_second;
+    const double added = per_second > 0 ? own_runs / per_second : to_seconds(run_pacer::max_wait);
+    return std::min(wait + from_seconds(std::min(added, to_seconds(run_pacer::max_wait))),
+                    run_pacer::max_wait);
+}
+
 } // namespace
 
 load_estimate average_load(std::span<const target_load* const> loads) {
     duration wait{};
+    duration::rep waits = 0;
     std::vector<duration> service_times;
     for (const auto* it : loads) {
         if (it == nullptr || !it->last) {
             continue;
         }
-        wait += it->last->expected_wait;
         service_times.push_back(it->last->service_time);
+        // The wait for a rate limit says nothing about the other servers.
+        if (!it->last->rate_limit) {
+            wait += it->last->expected_wait;
+            ++waits;
+        }
     }
     if (service_times.empty()) {
         return {};
     }
     const auto median = service_times.begin() + static_cast<std::ptrdiff_t>((service_times.size() - 1) / 2);
     std::ranges::nth_element(service_times, median);
-    return {wait / static_cast<duration::rep>(service_times.size()), *median};
+    return {wait / std::max<duration::rep>(waits, 1), *median};
 }
 
 load_estimate estimate_load(const target_load* load, const load_estimate& average, duration round_trip,
@@ -102,9 +118,11 @@
     load_estimate result;
     result.service = damped_service_time(
         blend(last.service_time, average.service, age, service_half_weight_age), average.service);
-    result.wait = blend(last.expected_wait, average.wait, age, wait_half_weight_age) +
-                  added_wait(last, own_runs) +
-                  scale(result.service, utilisation_weight * utilised * utilised);
+    const duration wait =
+        last.rate_limit
+            ? paced_wait(last, own_runs, age)
+            : blend(last.expected_wait, average.wait, age, wait_half_weight_age) + added_wait(last, own_runs);
+    result.wait = wait + scale(result.service, utilisation_weight * utilised * utilised);
     return result;
 }
 
--- a/src/cornelpier/routing/reading_table.cpp
+++ b/src/cornelpier/routing/reading_table.cpp
@@ -28,6 +28,9 @@
     stored.received_at = now;
     stored.permit = load.permit;
     stored.permit_received_at = now;
+    if (load.advice_known) {
+        stored.rate_limit = load.rate_limit;
+    }
     return true;
 }
 
--- a/src/cornelpier/routing/reading_table.hpp
+++ b/src/cornelpier/routing/reading_table.hpp
@@ -17,6 +17,7 @@
     time_point received_at; ///< Arrival of the last reading.
     std::optional<run_permit> permit;
     time_point permit_received_at;
+    std::optional<rate> rate_limit;   ///< Of the server, as its owner knew it last.
     std::vector<time_point> own_runs; ///< Send times of the runs that have no answer yet.
 
     /// @return number of own runs without an answer that were sent after `since`.
--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -33,9 +33,9 @@
 };
 
 std::string_view counter_name(metric kind) {
-    constexpr std::array<std::string_view, 8> names{
-        "call_latency", "retries",      "rechoices",         "hedges",
-        "runs_refused", "measurements", "answers_discarded", "runs_started"};
+    constexpr std::array<std::string_view, 9> names{
+        "call_latency", "retries",           "rechoices",    "hedges",           "runs_refused",
+        "measurements", "answers_discarded", "runs_started", "runs_rate_limited"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/daemon/report/fleet_report.hpp
+++ b/src/daemon/report/fleet_report.hpp
@@ -74,7 +74,8 @@
 /// @param taken_at time of the report, UTC, ISO 8601.
 fleet_report make_fleet_report(const std::vector<node_query_result>& query_results, std::string taken_at);
 
-/// @return true if the node needs an operator's attention: no answer, stale, not serving, or a leaving VM.
+/// @return true if the node needs an operator's attention: no answer, stale, not serving, a leaving VM, or a
+/// server that limits its rate.
 bool needs_attention(const node_status& status);
 
 } // namespace cornelpier
--- a/src/daemon/report/node_report.cpp
+++ b/src/daemon/report/node_report.cpp
@@ -51,6 +51,9 @@
     report.running = item.at("running").get<std::uint64_t>();
     report.queued = item.at("queued").get<std::uint64_t>();
     report.limit = item.at("limit").get<std::uint64_t>();
+    if (const auto it = item.find("rate_limit"); it != item.end()) {
+        report.rate_limit = rate{it->get<double>()};
+    }
     report.service_time = microseconds(item, "service_time_us");
     report.measurements_per_second = item.at("measurements_per_second").get<double>();
     report.measuring_budget = item.at("measuring_budget").get<double>();
@@ -87,26 +90,29 @@
         members.push_back(to_item(it));
     }
 
-    const json item{{"node", report.node.value()},
-                    {"vm", report.vm.value()},
-                    {"data_centre", report.data_centre.value()},
-                    {"service", report.service.value()},
-                    {"state", report.state},
-                    {"uptime_us", report.uptime.count()},
-                    {"plan",
-                     {{"version", report.plan_version},
-                      {"hash", report.plan_hash},
-                      {"confirmed_age_us", report.plan_confirmed_age.count()},
-                      {"conflict", report.plan_conflict}}},
-                    {"load",
-                     {{"running", report.running},
-                      {"queued", report.queued},
-                      {"limit", report.limit},
-                      {"service_time_us", report.service_time.count()},
-                      {"measurements_per_second", report.measurements_per_second},
-                      {"measuring_budget", report.measuring_budget}}},
-                    {"calls_last_minute", calls},
-                    {"members", members}};
+    json item{{"node", report.node.value()},
+              {"vm", report.vm.value()},
+              {"data_centre", report.data_centre.value()},
+              {"service", report.service.value()},
+              {"state", report.state},
+              {"uptime_us", report.uptime.count()},
+              {"plan",
+               {{"version", report.plan_version},
+                {"hash", report.plan_hash},
+                {"confirmed_age_us", report.plan_confirmed_age.count()},
+                {"conflict", report.plan_conflict}}},
+              {"load",
+               {{"running", report.running},
+                {"queued", report.queued},
+                {"limit", report.limit},
+                {"service_time_us", report.service_time.count()},
+                {"measurements_per_second", report.measurements_per_second},
+                {"measuring_budget", report.measuring_budget}}},
+              {"calls_last_minute", calls},
+              {"members", members}};
+    if (report.rate_limit) {
+        item["load"]["rate_limit"] = report.rate_limit->per_second;
+    }
     return item.dump();
 }
 
--- a/src/daemon/report/node_report.hpp
+++ b/src/daemon/report/node_report.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +46,7 @@
     std::uint64_t running = 0; ///< Requests at the server.
     std::uint64_t queued = 0;
     std::uint64_t limit = 0;
+    std::optional<rate> rate_limit; ///< Requests that the server accepts; unset: no limit.
     duration service_time{};
     double measurements_per_second = 0;
     double measuring_budget = 0;             ///< Per second.
--- a/src/daemon/report/report_html.cpp
+++ b/src/daemon/report/report_html.cpp
@@ -79,8 +79,9 @@
         const bool current = status.source == fact_source::direct && !status.stale;
         out << "<div class=\"bad\"><b>" << escape_html(status.node.value()) << "</b> ("
             << escape_html(status.data_centre.value()) << "): " << (current ? "" : "last known ")
-            << escape_html(status.state) << (status.vm_state == "leaving" ? ", VM leaving" : "")
-            << "<br><span class=\"old\">" << escape_html(format_source(status)) << "</span></div>\n";
+            << escape_html(status.state) << (status.vm_state == "leaving" ? ", VM leaving" : "") << "<br>"
+            << escape_html(format_rate_limit(status)) << (format_rate_limit(status).empty() ? "" : "<br>")
+            << "<span class=\"old\">" << escape_html(format_source(status)) << "</span></div>\n";
     }
     if (count > max_listed_nodes) {
         out << "<p>and " << count - max_listed_nodes << " more; see the text form.</p>\n";
--- a/src/daemon/report/report_text.cpp
+++ b/src/daemon/report/report_text.cpp
@@ -33,6 +33,9 @@
     if (status.vm_state == "leaving") {
         out << ", VM leaving";
     }
+    if (const std::string limit = format_rate_limit(status); !limit.empty()) {
+        out << "\n    " << limit;
+    }
     out << "\n    " << format_source(status) << '\n';
 }
 
@@ -71,6 +74,13 @@
     return status.stale ? text + ", STALE" : text;
 }
 
+std::string format_rate_limit(const node_status& status) {
+    if (!status.details || !status.details->rate_limit) {
+        return {};
+    }
+    return "server accepts " + to_text(*status.details->rate_limit) + " requests a second";
+}
+
 std::string format_answered(const group_totals& totals) {
     if (totals.answered == totals.nodes) {
         return "all " + std::to_string(totals.nodes) + " nodes answered";
--- a/src/daemon/report/report_text.hpp
+++ b/src/daemon/report/report_text.hpp
@@ -18,6 +18,10 @@
 /// @return source and age of a node's status, such as `no answer; reported by a-2, 40 s old, STALE`.
 std::string format_source(const node_status& status);
 
+/// @return the rate limit that the node's server names, such as `server accepts 4.7 requests a second`; empty
+/// if it names none.
+std::string format_rate_limit(const node_status& status);
+
 /// @return `all N nodes answered` or `N of M nodes answered`.
 std::string format_answered(const group_totals& totals);
 
--- a/tests/daemon/fleet_report_test.cpp
+++ b/tests/daemon/fleet_report_test.cpp
@@ -65,6 +65,20 @@
     CHECK(format_source(*it) == "no answer; reported by comenzi-1, 45 s old, STALE");
 }
 
+TEST_CASE("a server that limits its rate needs attention", "[report]") {
+    auto fleet = partitioned_fleet();
+    fleet[0].answer->rate_limit = rate{4.7};
+    const auto parsed = parse_node_report(to_json(*fleet[0].answer));
+    REQUIRE(has_value(parsed));
+    CHECK(std::get<node_report>(parsed).rate_limit == rate{4.7});
+
+    const auto report = make_fleet_report(fleet, "2026-01-01T06:00:00Z");
+    const auto it = std::ranges::find(report.nodes, target_id{"comenzi-1"}, &node_status::node);
+    CHECK(needs_attention(*it));
+    CHECK(to_text(report).find("\n    server accepts 4.7 requests a second\n") != std::string::npos);
+    CHECK(to_html(report).find("server accepts 4.7 requests a second") != std::string::npos);
+}
+
 TEST_CASE("calls are attributed to the called service, not to the service of the entry", "[report]") {
     const auto report = make_fleet_report(partitioned_fleet(), "2026-01-01T06:00:00Z");
     CHECK(report.services.at(service_id{"atelier"}).calls.ran == 200);
--- a/tests/message/codec_test.cpp
+++ b/tests/message/codec_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 namespace cornelpier {
 
 namespace {
@@ -18,6 +20,7 @@
     message.wait_limit = duration{2500};
     message.remaining = std::chrono::milliseconds{800};
     message.depth = 3;
+    message.rate_limit = rate{4.7};
     return message;
 }
 
@@ -42,6 +45,7 @@
     CHECK(received.key == sent.key);
     CHECK(received.wait_limit == sent.wait_limit);
     CHECK(received.remaining == sent.remaining);
+    CHECK(received.rate_limit == sent.rate_limit);
 }
 
 TEST_CASE("a run response without an HTTP response is decoded without one", "[codec]") {
@@ -58,6 +62,15 @@
     CHECK(received.load->state == node_state::draining);
 }
 
+TEST_CASE("a rate that is negative or not finite is rejected", "[codec]") {
+    for (const double value :
+         {-1.0, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN()}) {
+        load_reading reading;
+        reading.rate_limit = rate{value};
+        CHECK_FALSE(has_value(decode(encode(traffic_message{reading}))));
+    }
+}
+
 TEST_CASE("truncated messages are rejected, and changed bytes do not cause exceptions", "[codec]") {
     const std::string bytes = encode(traffic_message{example_run()});
 
--- a/tests/process/sidecar_test.cpp
+++ b/tests/process/sidecar_test.cpp
@@ -153,6 +153,20 @@
         return with_store([this](auto&) { return m_executions; });
     }
 
+    /// Makes all servers add fields to their responses.
+    void set_server_fields(const std::vector<std::pair<std::string, std::string>>& fields) {
+        with_store([&](auto&) { m_server_fields = fields; });
+    }
+
+    /// Kills a sidecar and starts it again. The new process is the last element of `nodes`.
+    void restart(int vm) {
+        auto& node = nodes[static_cast<std::size_t>(vm)];
+        node.send_signal(SIGKILL);
+        node.wait(2s);
+        nodes.emplace_back(std::vector<std::string>{CORNELPIER_SIDECAR, "--settings", file(vm)},
+                           file(vm) + ".restarted.log");
+    }
+
     std::vector<test::child_process> nodes;
     static inline int last_id = 0;
 
@@ -163,6 +177,9 @@
         const std::string instance = "i-" + std::to_string(vm);
         const auto& request = it->request();
         it->response_fields = {{"X-Instance-Id", instance}, {"X-Server-Load", "0,0,4,100"}};
+        for (const auto& field : m_server_fields) {
+            it->response_fields.push_back(field);
+        }
         if (request.target() == "/health") {
             it->respond(200, "");
             return;
@@ -196,6 +213,7 @@
     boost::asio::io_context m_context{1};
     standins::store_standin m_store;
     std::vector<std::unique_ptr<standins::http_service>> m_servers;
+    std::vector<std::pair<std::string, std::string>> m_server_fields;
     std::map<int, int> m_executions;
     std::filesystem::path m_directory;
     std::thread m_thread;
@@ -282,6 +300,40 @@
     }
 }
 
+TEST_CASE("servers get no more requests than they accept while the node beside one restarts",
+          "[process][sidecar]") {
+    sidecar_fleet fleet;
+    REQUIRE(fleet.wait_until_serving());
+    fleet.set_server_fields({{"Server-Limit", "2.5"}});
+    std::this_thread::sleep_for(1s);
+    auto before = fleet.executions();
+
+    const auto start = std::chrono::steady_clock::now();
+    int served = 0;
+    for (int n = 0; std::chrono::steady_clock::now() - start < 4s; ++n) {
+        served += sidecar_fleet::request_status(1, "/l/1") == 200 ? 1 : 0;
+        if (n == 15) {
+            fleet.restart(0);
+        }
+        std::this_thread::sleep_for(30ms);
+    }
+    auto after = fleet.executions();
+    for (int vm = 0; vm < 2; ++vm) {
+        // One and a half times the rate plus 5 requests in 4 s.
+        CHECK(after[vm] - before[vm] <= 20);
+    }
+    CHECK(served >= 8);
+
+    fleet.set_server_fields({});
+    CHECK(becomes_true(5s, [] {
+        int in_a_row = 0;
+        while (in_a_row < 20 && sidecar_fleet::request_status(1, "/l/1") == 200) {
+            ++in_a_row;
+        }
+        return in_a_row == 20;
+    }));
+}
+
 TEST_CASE("a sidecar reports not ready on SIGTERM, serves callers for a while and exits",
           "[process][sidecar]") {
     sidecar_fleet fleet;
--- a/tests/routing/load_estimate_test.cpp
+++ b/tests/routing/load_estimate_test.cpp
@@ -46,4 +46,23 @@
     CHECK(estimated_service(milliseconds{4}, milliseconds{20}) == milliseconds{12});
 }
 
+// The wait for a rate limit passes with time; blended with the average, it would seem to end within 100 ms.
+TEST_CASE("the wait at a server that limits its rate is not blended with that of the others", "[routing]") {
+    auto limited = idle_target(milliseconds{20});
+    limited.last->rate_limit = rate{2};
+    limited.last->expected_wait = milliseconds{900};
+    const auto wait_after = [&](duration age) {
+        return estimate_load(&limited, {}, duration::zero(), time_point{} + age).wait;
+    };
+    CHECK(wait_after(milliseconds{100}) == milliseconds{800});
+    CHECK(wait_after(milliseconds{2000}) == duration::zero());
+
+    const auto idle = idle_target(milliseconds{20});
+    const std::array<const target_load*, 2> loads{&limited, &idle};
+    CHECK(average_load(loads).wait == duration::zero());
+
+    limited.own_runs = {time_point{milliseconds{1}}, time_point{milliseconds{2}}};
+    CHECK(wait_after(milliseconds{100}) >= milliseconds{1800});
+}
+
 } // namespace cornelpier
--- a/tests/standins/server_standin.cpp
+++ b/tests/standins/server_standin.cpp
@@ -49,6 +49,12 @@
 
     void on_request(const exchange& it) {
         const std::string target{it->request().target()};
+        if (!m_rate_limit.empty()) {
+            it->response_fields.emplace_back("Cornelpier-Rate-Limit", m_rate_limit);
+        }
+        if (m_leaving) {
+            it->response_fields.emplace_back("Cornelpier-Leaving", "1");
+        }
         if (target.starts_with("/control")) {
             on_control(it, target);
             return;
@@ -154,9 +160,14 @@
         return std::chrono::duration_cast<steady::duration>(sampled_time);
     }
 
-    /// `/control?slow=FACTOR&for_ms=N`, and `drain`, `shed`, `fail`, `lose`, `truncate`, `sick`, each `=0|1`.
+    /// `/control?slow=FACTOR&for_ms=N`, `rate_limit=NUMBER` (empty: none), and `drain`, `leave`, `shed`,
+    /// `fail`, `lose`, `truncate`, `sick`, each `=0|1`.
     void on_control(const exchange& it, const std::string& target) {
         set_flag(target, "drain", m_draining);
+        set_flag(target, "leave", m_leaving);
+        if (target.find("rate_limit=") != std::string::npos) {
+            m_rate_limit = query_value(target, "rate_limit");
+        }
         set_flag(target, "shed", m_shedding);
         set_flag(target, "fail", m_failing);
         set_flag(target, "lose", m_dropping_responses);
@@ -213,6 +224,8 @@
     steady::time_point m_slow_until{};
     double m_slow_factor = 1;
     std::uint64_t m_report_count = 0;
+    std::string m_rate_limit; ///< Named in all responses; empty: none.
+    bool m_leaving = false;
     bool m_draining = false;
     bool m_shedding = false;
     bool m_failing = false;
