Log that the store returned from an older copy

Change: the store client decodes the era of each answer; event 207 tells when it changes, with the positions of the store and of the node. No decision depends on it yet. An answer whose era is not a number counts as not understood.

--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -37,6 +37,8 @@
                       "The configuration service did not respond."},
     event_description{configuration_regained, severity::info, "configuration_regained",
                       "The configuration service responds again."},
+    event_description{configuration_restored, severity::warning, "configuration_restored",
+                      "The configuration service returned from an older copy and may have lost changes."},
     event_description{member_joined, severity::info, "member_joined", "A node was seen for the first time."},
     event_description{member_restarted, severity::info, "member_restarted",
                       "A node restarted with a new incarnation."},
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -26,6 +26,7 @@
     plan_refused_too_large = 204,
     configuration_unreachable = 205,
     configuration_regained = 206,
+    configuration_restored = 207,
     member_joined = 300,
     member_restarted = 301,
     vm_leaving = 302,
--- a/src/daemon/platform/http_get.cpp
+++ b/src/daemon/platform/http_get.cpp
@@ -81,7 +81,13 @@
             m_on_done({});
             return;
         }
-        m_on_done({static_cast<int>(m_parser.get().result_int()), std::move(m_parser.get().body())});
+        auto& response = m_parser.get();
+        http_get_outcome outcome{static_cast<int>(response.result_int()), std::move(response.body()), {}};
+        const auto it = m_request.field.empty() ? response.end() : response.find(m_request.field);
+        if (it != response.end()) {
+            outcome.field = std::string{it->value()};
+        }
+        m_on_done(std::move(outcome));
     }
 
     boost::beast::tcp_stream m_stream;
--- a/src/daemon/platform/http_get.hpp
+++ b/src/daemon/platform/http_get.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace cornelpier {
@@ -13,6 +14,7 @@
 struct http_get_outcome {
     int status = 0; ///< 0: no complete response.
     std::string body;
+    std::optional<std::string> field; ///< Value of the requested header field; unset: absent.
 };
 
 /// Parameters of a GET request.
@@ -22,6 +24,7 @@
     std::string path; ///< Request target in origin form, with the query.
     std::chrono::milliseconds timeout{5000};
     std::size_t max_body_bytes = 0; ///< A larger response counts as none.
+    std::string field = {};         ///< Header field of the response to pass on; empty: none.
 };
 
 /// Sends a GET request on a new connection.
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -187,6 +187,10 @@
     CHECK_FALSE(std::get<store_changes>(changes).items.at(0).value);
     CHECK(std::get<store_changes>(changes).items.at(1).value == "");
 
+    const std::string no_changes = R"({"events":[],"current_rev":7})";
+    CHECK(std::get<store_changes>(decode_changes(200, no_changes)).era == 0);
+    CHECK(std::get<store_changes>(decode_changes(200, no_changes, "3")).era == 3);
+    CHECK(std::get<store_failure>(decode_changes(200, no_changes, "x")) == store_failure::not_understood);
     CHECK(std::get<store_failure>(decode_changes(410, "")) == store_failure::history_lost);
     CHECK(std::get<store_failure>(decode_changes(0, "")) == store_failure::unreachable);
     CHECK(std::get<store_failure>(decode_changes(429, "")) == store_failure::refused);
