--- a/tests/platform/support/source_fleet.cpp
+++ b/tests/platform/support/source_fleet.cpp
@@ -38,6 +38,19 @@
     run([&] { m_store.remove(key); });
 }
 
+void source_fleet::save_copy() {
+    run([&] { m_store.save_copy(); });
+}
+
+void source_fleet::restore_copy(const std::vector<std::pair<std::string, std::string>>& written) {
+    run([&] {
+        m_store.restore_copy();
+        for (const auto& [key, value] : written) {
+            m_store.put(key, value);
+        }
+    });
+}
+
 source_node& source_fleet::start_node(const std::string& address) {
     run([&] {
         m_nodes.push_back(std::make_unique<source_node>(m_context, address, store_endpoint()));
--- a/tests/platform/support/source_fleet.hpp
+++ b/tests/platform/support/source_fleet.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace cornelpier::test {
@@ -31,6 +32,12 @@
     /// Deletes a key of the store.
     void remove(const std::string& key);
 
+    /// Keeps a copy of the store.
+    void save_copy();
+
+    /// Returns the store to its copy and then writes keys, before any node reaches it again.
+    void restore_copy(const std::vector<std::pair<std::string, std::string>>& written = {});
+
     /// Adds and starts a node.
     source_node& start_node(const std::string& address);
 
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -14,28 +14,43 @@
     : m_context(context), m_service(context, address, [this](const auto& it) { on_request(it); }) {}
 
 void store_standin::put(const std::string& key, const std::string& value) {
-    m_items[key] = {value, ++m_revision, false};
+    m_contents.items[key] = {value, ++m_contents.revision, false};
     notify_watches();
 }
 
 void store_standin::remove(const std::string& key) {
-    m_items[key] = {{}, ++m_revision, true};
+    m_contents.items[key] = {{}, ++m_contents.revision, true};
     notify_watches();
 }
 
 void store_standin::set_down(bool down) {
     m_down = down;
     if (down) {
-        for (const auto& it : m_watches) {
-            it.request->abort();
-        }
-        m_watches.clear();
+        disconnect_watches();
+    }
+}
+
+void store_standin::save_copy() {
+    m_copy = m_contents;
+}
+
+void store_standin::restore_copy() {
+    m_contents = m_copy;
+    ++m_era;
+    disconnect_watches();
+}
+
+void store_standin::disconnect_watches() {
+    for (const auto& it : m_watches) {
+        it.request->abort();
     }
+    m_watches.clear();
 }
 
 void store_standin::on_request(const exchange& it) {
     ++m_request_count;
     const std::string target{it->request().target()};
+    it->response_fields = {{"Store-Era", std::to_string(m_era)}};
     if (m_down) {
         it->respond(503, "{}");
     } else if (target.starts_with("/kv-range")) {
@@ -49,7 +64,7 @@
 
 void store_standin::list_items(const exchange& it) {
     json items = json::array();
-    for (const auto& [key, item_state] : m_items) {
+    for (const auto& [key, item_state] : m_contents.items) {
         if (!item_state.deleted) {
             items.push_back({{"key", key},
                              {"value", websocketpp::base64_encode(item_state.value)},
@@ -58,12 +73,13 @@
                              {"lease", 0}});
         }
     }
-    it->respond(200, json{{"items", items}, {"has_more", false}, {"current_rev", m_revision}}.dump());
+    it->respond(200,
+                json{{"items", items}, {"has_more", false}, {"current_rev", m_contents.revision}}.dump());
 }
 
 bool store_standin::respond_with_changes(const exchange& it, std::uint64_t after) const {
     json events = json::array();
-    for (const auto& [key, item_state] : m_items) {
+    for (const auto& [key, item_state] : m_contents.items) {
         if (item_state.revision <= after) {
             continue;
         }
@@ -78,12 +94,16 @@
     if (events.empty()) {
         return false;
     }
-    it->respond(200, json{{"events", events}, {"current_rev", m_revision}}.dump());
+    it->respond(200, json{{"events", events}, {"current_rev", m_contents.revision}}.dump());
     return true;
 }
 
 void store_standin::start_watch(const exchange& it, const std::string& target) {
     const auto after = std::stoull(query_value(target, "after", "0"));
+    if (after > m_contents.revision) {
+        it->respond(410, "{}");
+        return;
+    }
     if (respond_with_changes(it, after)) {
         return;
     }
@@ -93,8 +113,8 @@
     it->on_peer_closed = [this, position] { m_watches.erase(position); };
     position->timeout->async_wait([this, position](boost::system::error_code ec) {
         if (!ec) {
-            position->request->respond(200,
-                                       json{{"events", json::array()}, {"current_rev", m_revision}}.dump());
+            position->request->respond(
+                200, json{{"events", json::array()}, {"current_rev", m_contents.revision}}.dump());
             m_watches.erase(position);
         }
     });
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -25,6 +25,13 @@
     /// @param down whether requests are rejected with 503; pending watches are disconnected.
     void set_down(bool down);
 
+    /// Keeps a copy of all keys and of the revision.
+    void save_copy();
+
+    /// Returns to the copy that was kept last: later changes are lost, their revisions are given out again,
+    /// and pending watches are disconnected. Responses carry the next era.
+    void restore_copy();
+
     /// @return the number of requests received, including rejected ones.
     [[nodiscard]] std::uint64_t request_count() const { return m_request_count; }
 
@@ -37,6 +44,11 @@
         bool deleted = false;
     };
 
+    struct contents {
+        std::map<std::string, item> items;
+        std::uint64_t revision = 1;
+    };
+
     struct watch {
         exchange request;
         std::uint64_t after = 0;
@@ -48,11 +60,13 @@
     void start_watch(const exchange& it, const std::string& target);
     bool respond_with_changes(const exchange& it, std::uint64_t after) const;
     void notify_watches();
+    void disconnect_watches();
 
     boost::asio::io_context& m_context;
-    std::map<std::string, item> m_items;
+    contents m_contents;
+    contents m_copy;
+    std::uint64_t m_era = 1;
     std::list<watch> m_watches;
-    std::uint64_t m_revision = 1;
     std::uint64_t m_request_count = 0;
     bool m_down = false;
     http_service m_service;
