Compare revisions of the store only within one era

What callers saw: when the store had returned from an older copy, requests were handled as an old plan allowed until the next change, although the store had confirmed a newer one; new routes got 404. Cause: a revision of before the restore is compared with one given out again after it. A node at 14 asks for the changes after 14 and gets none, although 14 is another change now; a restarted node drops an answer at 13 since a peer of the era before stands at 14. Class: comparing numbers of two sequences. Why this works: a position is the pair of era and revision, in the tracker and in the updates between nodes, so that one of an older era is older.

--- a/src/cornelpier/message/control_messages.hpp
+++ b/src/cornelpier/message/control_messages.hpp
@@ -61,6 +61,7 @@
     std::uint64_t position = 0;
     std::uint64_t digest = 0; ///< Hash of that node's complete state at that position.
     std::string changes;      ///< Opaque to the core, encoded by the platform adapter; empty: no change.
+    std::uint64_t epoch = 0;  ///< Of the position. Rises when the service restarts its positions.
 };
 
 using control_message = std::variant<gossip, plan_pull, plan_push, source_update>;
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -190,6 +190,7 @@
     visit(it.position);
     visit(it.digest);
     visit(it.changes);
+    visit(it.epoch);
 }
 
 /// Message types for which `for_each_field` is defined.
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -178,7 +178,7 @@
     REQUIRE(std::holds_alternative<store_page>(page));
     CHECK(std::get<store_page>(page).items.at(0).value == "hi");
     CHECK(std::get<store_page>(page).has_more);
-    CHECK(std::get<store_page>(page).store_revision == 9);
+    CHECK(std::get<store_page>(page).position.number == 9);
 
     const auto changes = decode_changes(
         200, R"({"events":[{"key":"a","revision":3,"deleted":true},{"key":"b","value":"***","revision":4}],
@@ -188,8 +188,8 @@
     CHECK(std::get<store_changes>(changes).items.at(1).value == "");
 
     const std::string no_changes = R"({"events":[],"current_rev":7})";
-    CHECK(std::get<store_changes>(decode_changes(200, no_changes)).era == 0);
-    CHECK(std::get<store_changes>(decode_changes(200, no_changes, "3")).era == 3);
+    CHECK(std::get<store_changes>(decode_changes(200, no_changes)).position.era == 0);
+    CHECK(std::get<store_changes>(decode_changes(200, no_changes, "3")).position.era == 3);
     CHECK(std::get<store_failure>(decode_changes(200, no_changes, "x")) == store_failure::not_understood);
     CHECK(std::get<store_failure>(decode_changes(410, "")) == store_failure::history_lost);
     CHECK(std::get<store_failure>(decode_changes(0, "")) == store_failure::unreachable);
