Keep the servers that a restored store lacks until they have registered again

Servers that had registered after the copy was made were dropped at once when the store returned within 1.5 s, and got no requests until then. Cause: entries are kept as missing only around outages that are long enough for them to expire. A copy lacks them however short the outage is. Class: the conclusion that what is missing is gone, drawn from a source that went back.

--- a/tests/platform/server_directory_test.cpp
+++ b/tests/platform/server_directory_test.cpp
@@ -70,6 +70,23 @@
     CHECK(directory.servers().empty());
 }
 
+TEST_CASE("an entry that a restored store lacks is kept until its server has had time to register again",
+          "[platform][restored]") {
+    server_directory directory;
+    directory.on_contact(start);
+    directory.put("servers/i-1", entry("10.0.0.1:80", 1));
+    // The store was away for less time than entries take to expire.
+    const time_point restored_at = start + milliseconds{200};
+    directory.on_contact(restored_at);
+    directory.on_restored(restored_at);
+    directory.keep_only({}, restored_at);
+    CHECK(directory.servers().size() == 1);
+    CHECK(directory.has_missing());
+    CHECK(directory.expire(restored_at) == restored_at + server_directory::re_registration_time);
+    directory.expire(restored_at + server_directory::re_registration_time);
+    CHECK(directory.servers().empty());
+}
+
 TEST_CASE("one failed call right after a relayed contact is not an outage", "[platform]") {
     server_directory directory;
     directory.on_contact(start);
