Refuse listed entries of servers that have left after the store was restored

A server whose removal the copy lacks was listed and used again, past the drain bound of the machines that had acknowledged that it left. Cause: an entry under an unknown key counts as new. Class: as before, a source that went back is taken for the present. Changes are taken as before, so that a server that registers again is used.

--- a/tests/platform/server_directory_test.cpp
+++ b/tests/platform/server_directory_test.cpp
@@ -87,6 +87,37 @@
     CHECK(directory.servers().empty());
 }
 
+TEST_CASE("an older copy of the store does not bring back a server that has left", "[platform][restored]") {
+    server_directory directory;
+    directory.on_contact(start);
+    directory.put("servers/i-1", entry("10.0.0.1:80", 5));
+    directory.put("servers/i-2", entry("10.0.0.2:80", 5));
+    directory.on_deleted("servers/i-1", start);
+    directory.erase("servers/i-2", start);
+    const time_point restored_at = start + seconds{3};
+    directory.on_restored(restored_at);
+    CHECK(directory.put_listed("servers/i-1", entry("10.0.0.1:80", 5), restored_at));
+    CHECK(directory.put_listed("servers/i-2", entry("10.0.0.2:80", 4), restored_at));
+    CHECK(directory.servers().empty());
+    // A later report, or one of another process under the same name, is not from the copy.
+    CHECK_FALSE(directory.put_listed("servers/i-1", entry("10.0.0.1:80", 6), restored_at));
+    CHECK_FALSE(directory.put_listed("servers/i-2", entry("10.0.0.2:80", 1, "ready", 2), restored_at));
+    CHECK(directory.servers().size() == 2);
+}
+
+TEST_CASE("a server that left is listed again if it registers again", "[platform][restored]") {
+    server_directory directory;
+    directory.on_contact(start);
+    directory.put("servers/i-1", entry("10.0.0.1:80", 5));
+    directory.on_deleted("servers/i-1", start);
+    directory.on_restored(start + seconds{1});
+    CHECK_FALSE(directory.put("servers/i-1", entry("10.0.0.1:80", 5)));
+    directory.on_deleted("servers/i-1", start + seconds{4});
+    const time_point settled_at = start + seconds{1} + server_directory::copy_settling_time;
+    CHECK_FALSE(directory.put_listed("servers/i-1", entry("10.0.0.1:80", 5), settled_at));
+    CHECK(directory.servers().size() == 1);
+}
+
 TEST_CASE("one failed call right after a relayed contact is not an outage", "[platform]") {
     server_directory directory;
     directory.on_contact(start);
