Let a new server process start without the rate limit of its predecessor

Cause: an owner that learned of another server process knew nothing of its advice, so that it took over the limit that entries remember of the process before. The remembered limit was not logged. Change: the new process counts as having named nothing; event 606 tells with source entry when a remembered limit is in force.

--- a/src/cornelpier/owner/advice_monitor.cpp
+++ b/src/cornelpier/owner/advice_monitor.cpp
@@ -40,7 +40,7 @@
         return false;
     }
     m_state.pacer.set_limit(advice.rate_limit, m_state.now());
-    log_rate_limit(limit_before, source);
+    log_rate_limit(limit_before, source_name(source));
     return true;
 }
 
@@ -61,22 +61,24 @@
     const auto in_force = m_state.pacer.limit();
     if (!in_force || limit->per_second < in_force->per_second) {
         m_state.pacer.set_limit(limit, m_state.now());
+        log_rate_limit(in_force, "entry");
     }
 }
 
 void advice_monitor::forget() {
-    m_state.server_leaving = false;
     m_reports_advise = false;
-    m_state.advice_known = false;
+    m_state.server_leaving = false;
+    // What entries remember concerns the process that was replaced.
+    m_state.advice_known = true;
     m_state.pacer.reset();
 }
 
-void advice_monitor::log_rate_limit(const std::optional<rate>& before, advice_source source) {
+void advice_monitor::log_rate_limit(const std::optional<rate>& before, const std::string& source) {
     const server_request_counts counts = m_state.server_requests;
     m_state.outbox.log(event_number::server_rate_limit_changed,
                        {{"rate", rate_text(m_state.pacer.limit())},
                         {"before", rate_text(before)},
-                        {"source", source_name(source)},
+                        {"source", source},
                         {"after_ms", milliseconds_text(m_state.now() - m_logged_at)},
                         {"runs", std::to_string(counts.runs - m_logged_counts.runs)},
                         {"reports", std::to_string(counts.reports - m_logged_counts.reports)}});
--- a/src/cornelpier/owner/advice_monitor.hpp
+++ b/src/cornelpier/owner/advice_monitor.hpp
@@ -33,7 +33,7 @@
 
   private:
     void forget();
-    void log_rate_limit(const std::optional<rate>& before, advice_source source);
+    void log_rate_limit(const std::optional<rate>& before, const std::string& source);
 
     owner_state& m_state;
     bool m_reports_advise = false; ///< A report of this server process carried advice.
--- a/tests/owner/routed_runs_test.cpp
+++ b/tests/owner/routed_runs_test.cpp
@@ -257,4 +257,39 @@
     CHECK(started[0].instance == "i-8");
 }
 
+TEST_CASE("a restarted owner keeps to the rate that entries remember until its server answers",
+          "[owner][pace]") {
+    routed_fixture it;
+    run_request message = it.routed_run(1);
+    message.rate_limit = rate{4};
+    CHECK_FALSE(it.submit(message));
+    it.advance(milliseconds{250});
+    const auto started = it.take_actions<start_run>();
+    REQUIRE(started.size() == 1);
+    it.complete(started.front().run);
+    it.advance(seconds{4});
+    // The server's answer named no limit, so that what entries remember no longer counts.
+    it.report_slowness(1);
+    message = it.routed_run(2);
+    message.rate_limit = rate{4};
+    CHECK(it.submit(message));
+}
+
+TEST_CASE("a rate limit does not bind the process that replaces the server", "[owner][pace]") {
+    routed_fixture it;
+    server_report report;
+    report.load = server_load_report{0, 0, 4, 1};
+    report.instance = "i-1";
+    report.advice.rate_limit = rate{0.1};
+    it.owner.on_server_report(report);
+    CHECK_FALSE(it.submit(it.routed_run(1)));
+
+    report.instance = "i-2";
+    report.advice = {};
+    it.owner.on_server_report(report);
+    run_request message = it.routed_run(2);
+    message.rate_limit = rate{0.1};
+    CHECK(it.submit(message));
+}
+
 } // namespace cornelpier::owner_test
