--- a/tests/platform/restored_store_test.cpp
+++ b/tests/platform/restored_store_test.cpp
@@ -1,3 +1,5 @@
+#include "platform/relayed_changes.hpp"
+#include "platform/watch_timing.hpp"
 #include "tests/platform/support/source_documents.hpp"
 #include "tests/platform/support/source_fleet.hpp"
 #include "tests/platform/support/source_members.hpp"
@@ -146,4 +148,25 @@
     }));
 }
 
+TEST_CASE("an update of an era that the store has not reached does not make a node list it without a pause",
+          "[platform][restored]") {
+    const auto members = test::find_members(2, [](const auto& it) { return it.reader == it.nodes.front(); });
+    const std::string peer_address = members.nodes.back();
+    source_fleet fleet;
+    auto& peer = fleet.add_peer(peer_address);
+    fleet.put(source_entry_key(peer_address), source_entry(peer_address, "ready"));
+    const auto nodes = start_registered(fleet, {members.reader});
+    REQUIRE(becomes_true(start_time, [&] { return all_have_version(nodes, 1); }));
+
+    source_update update{target_id{peer_address}, 1000, 1, {}, 99};
+    update.changes = encode_relayed_changes({{"op/other", "x"}});
+    fleet.send(peer, members.reader, update);
+    const auto before = fleet.store_calls();
+    std::this_thread::sleep_for(2s);
+    const auto calls = static_cast<std::int64_t>(fleet.store_calls() - before);
+    CHECK(calls <= 2 * 2s / watch_timing_for(propagation_limit).pause);
+    fleet.put(manifest_key, source_manifest(2));
+    CHECK(becomes_true(propagation_limit, [&] { return all_have_version(nodes, 2); }));
+}
+
 } // namespace cornelpier::platform
--- a/tests/platform/support/source_fleet.cpp
+++ b/tests/platform/support/source_fleet.cpp
@@ -51,6 +51,12 @@
     });
 }
 
+std::uint64_t source_fleet::store_calls() {
+    std::uint64_t calls = 0;
+    run([&] { calls = m_store.request_count(); });
+    return calls;
+}
+
 source_node& source_fleet::start_node(const std::string& address) {
     run([&] {
         m_nodes.push_back(std::make_unique<source_node>(m_context, address, store_endpoint()));
--- a/tests/platform/support/source_fleet.hpp
+++ b/tests/platform/support/source_fleet.hpp
@@ -38,6 +38,9 @@
     /// Returns the store to its copy and then writes keys, before any node reaches it again.
     void restore_copy(const std::vector<std::pair<std::string, std::string>>& written = {});
 
+    /// @return the number of calls to the store so far.
+    std::uint64_t store_calls();
+
     /// Adds and starts a node.
     source_node& start_node(const std::string& address);
 
