--- a/src/cornelpier/entry/entry_manager.cpp
+++ b/src/cornelpier/entry/entry_manager.cpp
@@ -158,13 +158,12 @@
     void on(const target_id& /*target*/, const Message& /*message*/) {}
 
     void accept_reading(const target_id& target, const load_reading& load) {
-        if (load.target == target) {
-            const auto* planned = context.find_target(target);
-            const bool is_latest = readings.accept(load, context.now());
-            if (is_latest && planned != nullptr) {
-                leaving_servers.on_reading(load, planned->instance, context.now());
-            }
+        if (load.target != target || !readings.accept(load, context.now())) {
+            return;
         }
+        const auto* planned = load.server_leaving ? context.find_target(target) : nullptr;
+        leaving_servers.on_reading(load, planned == nullptr ? std::string{} : planned->instance,
+                                   context.now());
     }
 
     void discard_answer(const target_id& target, const run_response& message) {
--- a/src/cornelpier/entry/leaving_server_table.hpp
+++ b/src/cornelpier/entry/leaving_server_table.hpp
@@ -15,7 +15,7 @@
 class leaving_server_table {
   public:
     /// Processes a reading of an owner.
-    /// @param instance server process at the target according to the plan in force.
+    /// @param instance server process at the target according to the plan in force; used if it leaves.
     void on_reading(const load_reading& load, const std::string& instance, time_point now);
 
     /// Drops the servers that the view shows as leaving, replaced or gone.
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -112,6 +112,7 @@
     fate_responder m_fates;
     measurement_scheduler m_measurements;
     fresh_report_gate m_gate;
+    bool m_report_draining = false; ///< The server's last report says that it drains.
     scoped_timer m_report_poll_timer;
     scoped_timer m_drain_timer;
     duration m_drain_delay;
@@ -158,8 +159,6 @@
         }
     }
 
-    bool m_report_draining = false; ///< The server's last report says that it drains.
-
     void on(link_id link, const hello& message) {
         m_state.outbox.set_peer(link, message.process);
         const std::uint64_t version = m_state.view == nullptr ? 0 : m_state.view->current_plan->version;
--- a/tests/server_advice/advised_fleet.hpp
+++ b/tests/server_advice/advised_fleet.hpp
@@ -12,6 +12,9 @@
 /// Nodes and servers of one service in virtual time. Callers send calls to all entries in turn.
 class advised_fleet {
   public:
+    /// Rate of calls that four servers without limits serve easily.
+    static constexpr rate normal_load{60};
+
     /// Period over which the requests that a server gets are counted.
     static constexpr duration window = std::chrono::seconds{4};
 
--- a/tests/server_advice/rate_limit_test.cpp
+++ b/tests/server_advice/rate_limit_test.cpp
@@ -9,18 +9,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr rate normal_load{60};
-
 } // namespace
 
 TEST_CASE("servers get no more requests than the rate that they name allows", "[rate-limit]") {
     advised_fleet it{4};
-    it.press(normal_load, seconds{5});
+    it.press(advised_fleet::normal_load, seconds{5});
     const time_point named_at = it.now();
     for (std::size_t n = 0; n < 3; ++n) {
         it.limit(n, rate{5});
     }
-    it.press(normal_load, seconds{15});
+    it.press(advised_fleet::normal_load, seconds{15});
     for (std::size_t n = 0; n < 3; ++n) {
         CHECK(it.most_arrivals(n, named_at + advised_fleet::reaction_time, it.now()) <=
               advised_fleet::allowed(rate{5}));
@@ -31,13 +29,13 @@
 
 TEST_CASE("the rate that a server names holds while the node beside it restarts", "[rate-limit]") {
     advised_fleet it{4};
-    it.press(normal_load, seconds{3});
+    it.press(advised_fleet::normal_load, seconds{3});
     const time_point named_at = it.now();
     it.limit(0, rate{2});
-    it.press(normal_load, seconds{4});
+    it.press(advised_fleet::normal_load, seconds{4});
     for (int n = 0; n < 6; ++n) {
         it.nodes().restart(it.target(0));
-        it.press(normal_load, milliseconds{700});
+        it.press(advised_fleet::normal_load, milliseconds{700});
     }
     CHECK(it.most_arrivals(0, named_at + advised_fleet::reaction_time, it.now()) <=
           advised_fleet::allowed(rate{2}));
@@ -46,7 +44,7 @@
 TEST_CASE("a service whose servers all name a rate serves orders first and rejects the rest at once",
           "[rate-limit]") {
     advised_fleet it{4};
-    it.press(normal_load, seconds{3});
+    it.press(advised_fleet::normal_load, seconds{3});
     for (std::size_t n = 0; n < 4; ++n) {
         it.limit(n, rate{5});
     }
@@ -75,25 +73,25 @@
 
 TEST_CASE("a server that names no rate any more gets its share of the requests again", "[rate-limit]") {
     advised_fleet it{4};
-    it.press(normal_load, seconds{3});
+    it.press(advised_fleet::normal_load, seconds{3});
     it.limit(0, rate{0.2});
-    it.press(normal_load, seconds{10});
+    it.press(advised_fleet::normal_load, seconds{10});
     it.limit(0, std::nullopt);
     const time_point withdrawn_at = it.now();
-    it.press(normal_load, seconds{10});
+    it.press(advised_fleet::normal_load, seconds{10});
     CHECK(it.arrivals(0, withdrawn_at + seconds{5}, it.now()) >= 30);
 }
 
 TEST_CASE("a server that accepts no requests gets none and is noticed when it recovers", "[rate-limit]") {
     advised_fleet it{4};
-    it.press(normal_load, seconds{3});
+    it.press(advised_fleet::normal_load, seconds{3});
     it.limit(0, rate{0});
     const time_point named_at = it.now();
-    it.press(normal_load, seconds{12});
+    it.press(advised_fleet::normal_load, seconds{12});
     CHECK(it.arrivals(0, named_at + advised_fleet::reaction_time, it.now()) == 0);
     it.limit(0, std::nullopt);
     const time_point withdrawn_at = it.now();
-    it.press(normal_load, seconds{10});
+    it.press(advised_fleet::normal_load, seconds{10});
     CHECK(it.arrivals(0, withdrawn_at + seconds{5}, it.now()) >= 30);
 }
 
