--- a/tools/mutation_check.sh
+++ b/tools/mutation_check.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Mutation test of the safety mechanisms: disables one mechanism at a time in a scratch copy and expects a
-# test suite to fail. Mutations of the core run the scenarios, the random schedules and the unit tests;
-# mutations of the daemon and the adapter run their tests tagged [field-reports] or [drain]. Arguments: names of
-# mutations (default: all of tests/mutations/mutations.txt).
+# test suite to fail. Mutations of the core run the scenarios, the random schedules, the fleets whose servers give
+# advice and the unit tests; mutations of the daemon and the adapter run their tests tagged [field-reports],
+# [drain] or [restored]. Arguments: names of mutations (default: all of tests/mutations/mutations.txt).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -12,7 +12,7 @@
 cd "$scratch"
 # Warnings are off because a mutation can leave a variable unused, which -Werror would reject.
 cmake -S . -B build -G Ninja -DCMAKE_CXX_FLAGS=-w > /dev/null
-core_targets=(cornelpier-scenario-tests cornelpier-schedule-tests cornelpier-tests)
+core_targets=(cornelpier-scenario-tests cornelpier-schedule-tests cornelpier-server-advice-tests cornelpier-tests)
 daemon_targets=(cornelpier-daemon-tests cornelpier-platform-tests cornelpier-fleet-source-tests)
 
 trim() { sed -E 's/^ +//; s/ +$//' <<< "$1"; }
@@ -40,7 +40,7 @@
   for target in "${targets[@]}"; do
     filter=()
     [ "$target" = cornelpier-tests ] && filter=('~[fleet]')
-    [[ " ${daemon_targets[*]} " != *" $target "* ]] || filter=('[field-reports],[drain]')
+    [[ " ${daemon_targets[*]} " != *" $target "* ]] || filter=('[field-reports],[drain],[restored]')
     timeout 120 prlimit --as=4000000000 "build/tests/$target" "${filter[@]}" > "$target.log" 2>&1 || failed_suites+=("${target#cornelpier-}")
   done
   echo "$name ($point): ${failed_suites[*]:-NOT NOTICED}"
