Play rate limits and restores in the soak, and test redundant mechanisms alone

Cause: tools/mutation_check.sh did not notice three switched-off mechanisms, since another one covers each in the fleets: the owner's drain when an answer says that its server leaves, the entries' memory of it, and the refusal of queued runs that the rate keeps from starting in time. The soak played neither a server that names a rate nor a store that returns from a copy. Change: a unit test for each of the three; two kinds of faults in the soak, drawn by a generator of their own, so that the other faults stay the same for each seed. The soak's servers judge the rate. Whether the soak alone notices the missing eras was not tried.

--- a/tests/entry/entry_manager_test.cpp
+++ b/tests/entry/entry_manager_test.cpp
@@ -61,4 +61,28 @@
     CHECK(it.entry.calls_in_progress() == 0);
 }
 
+TEST_CASE("an entry does not use a leaving server again because its owner has restarted",
+          "[entry][leaving]") {
+    test::entry_fixture it;
+    it.call("GET");
+    it.open_links();
+    const auto [link, run] = it.sent<run_request>().at(0);
+    const target_id leaving = it.peers[link];
+    load_reading reading = it.load_of(leaving);
+    reading.advice_known = true;
+    reading.server_leaving = true;
+    it.entry.on_message(link, reading);
+
+    // The new process of the owner serves and knows nothing of its server yet.
+    constexpr std::uint64_t restarted_process = 0x99;
+    it.entry.on_message(link, it.load_of(leaving, restarted_process));
+    for (int n = 0; n < 10; ++n) {
+        it.call("GET");
+        it.open_links();
+        for (const auto& [used, message] : it.sent<run_request>()) {
+            CHECK(it.peers[used] != leaving);
+        }
+    }
+}
+
 } // namespace cornelpier::test
--- a/tests/owner/drain_test.cpp
+++ b/tests/owner/drain_test.cpp
@@ -69,6 +69,12 @@
         it.service.targets.clear();
         it.publish(vm_state::unlisted);
     }
+    SECTION("its report says so in a header field") {
+        server_report report;
+        report.advice.leaving = true;
+        it.owner.on_server_report(report);
+        CHECK(it.owner.state() == node_state::draining);
+    }
     SECTION("a slot becomes free with the same view") {
         it.service.slots = 2;
         it.publish(vm_state::leaving);
@@ -87,6 +93,19 @@
     CHECK(it.take_actions<start_run>().empty());
 }
 
+TEST_CASE("a server whose answers say that it leaves gets no more runs from its owner", "[owner][leaving]") {
+    owner_fixture it;
+    it.publish();
+    const auto id = it.submit(it.lookup(1));
+    server_answered answer{*id, {200, {}, make_body("ok")}};
+    answer.advice.leaving = true;
+    it.owner.on_server_answered(answer);
+    CHECK_FALSE(it.submit(it.lookup(2)));
+    // A report without the field says nothing if the reports of this server do not carry it.
+    it.owner.on_server_report({});
+    CHECK_FALSE(it.submit(it.lookup(3)));
+}
+
 TEST_CASE("a termination completes after the drain timeout even if a run does not", "[owner][drain]") {
     owner_fixture it;
     it.service.deadline = seconds{40};
--- a/tests/owner/routed_runs_test.cpp
+++ b/tests/owner/routed_runs_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace cornelpier::owner_test {
 
 namespace {
@@ -292,4 +294,28 @@
     CHECK(it.submit(message));
 }
 
+TEST_CASE("a queued run is refused as soon as more urgent runs leave it no start in time", "[owner][pace]") {
+    routed_fixture it;
+    server_report report;
+    report.load = server_load_report{0, 0, 4, 1};
+    report.advice.rate_limit = rate{2};
+    it.owner.on_server_report(report);
+    run_request lookup = it.routed_run(1);
+    lookup.priority = request_class::patient_lookup;
+    CHECK_FALSE(it.submit(lookup));
+    it.take_sent<run_response>();
+
+    for (std::uint64_t n = 2; n <= 5; ++n) {
+        run_request order = it.routed_run(n, seconds{5}, seconds{10});
+        order.priority = request_class::order;
+        it.submit(order);
+    }
+    std::vector<run_response> refused;
+    std::ranges::copy_if(it.take_sent<run_response>(), std::back_inserter(refused),
+                         [](const run_response& reply) { return reply.reason == refusal::rate_limited; });
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].attempt == owner_fixture::attempt(1));
+    CHECK(refused[0].retry_after > duration::zero());
+}
+
 } // namespace cornelpier::owner_test
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -10,15 +10,20 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::array<const char*, 21> kind_names{
-    "terminate",    "hang_up",     "replace_server", "change_plan", "kill",        "kill_all",
-    "pause",        "delay_links", "cut_to",         "cut_from",    "reset_links", "mute_links",
-    "cut_store",    "reset_store", "mute_store",     "store_down",  "lapse",       "reset_server",
-    "lose_answers", "cut_answers", "slow_server"};
+constexpr std::array<const char*, 23> kind_names{
+    "terminate",    "hang_up",     "replace_server", "change_plan",  "kill",         "kill_all",
+    "pause",        "delay_links", "cut_to",         "cut_from",     "reset_links",  "mute_links",
+    "cut_store",    "reset_store", "mute_store",     "store_down",   "lapse",        "reset_server",
+    "lose_answers", "cut_answers", "slow_server",    "limit_server", "restore_store"};
 
 constexpr auto first_fault = static_cast<int>(fault_kind::kill);
 constexpr auto last_kind = static_cast<int>(fault_kind::slow_server);
 
+/// Faults with a random generator of their own, so that the others stay the same for each seed.
+constexpr auto first_separate_kind = static_cast<int>(fault_kind::limit_server);
+constexpr auto last_separate_kind = static_cast<int>(fault_kind::restore_store);
+constexpr std::uint32_t separate_seed_offset = 1'000'003;
+
 /// Lengths of the phases of a round: faults with planned operations, then planned operations alone.
 constexpr milliseconds fault_phase{5000};
 constexpr milliseconds planned_phase{5000};
@@ -32,6 +37,13 @@
   public:
     generator(std::uint32_t seed, int vms) : m_random(seed), m_vms(vms) {}
 
+    /// Adds one event of each kind from a range to the faults of a round.
+    void add_each(milliseconds from, int first, int last) {
+        for (int kind = first; kind <= last; ++kind) {
+            add(from + milliseconds{random_between(0, static_cast<int>(fault_phase.count()))}, kind);
+        }
+    }
+
     void add_round(milliseconds from) {
         for (auto at = from; at < from + fault_phase; at += milliseconds{random_between(50, max_gap_ms)}) {
             const bool planned = random_between(0, 3) == 0;
@@ -71,11 +83,16 @@
 
 std::vector<fault_event> make_schedule(std::uint32_t seed, int vms, milliseconds length) {
     generator result{seed, vms};
+    generator separate{seed + separate_seed_offset, vms};
     for (milliseconds at{0}; at < length; at += generator::round_length) {
         result.add_round(at);
+        separate.add_each(at, first_separate_kind, last_separate_kind);
     }
-    std::erase_if(result.events, [&](const fault_event& it) { return it.at >= length; });
-    return std::move(result.events);
+    auto& events = result.events;
+    events.insert(events.end(), separate.events.begin(), separate.events.end());
+    std::erase_if(events, [&](const fault_event& it) { return it.at >= length; });
+    std::ranges::stable_sort(events, {}, &fault_event::at);
+    return std::move(events);
 }
 
 } // namespace cornelpier::soak
--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -32,6 +32,8 @@
     lose_answers, ///< The server closes connections after it has executed the request.
     cut_answers,  ///< The server truncates responses.
     slow_server,
+    limit_server,  ///< The server names the rate of requests that it accepts.
+    restore_store, ///< The store returns from the copy it was at when the event began.
 };
 
 /// @return the name for log output.
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -79,6 +79,10 @@
     store.put("op/config", plan_text(++m_plan_version));
 }
 
+void soak_fleet::write_plan_again() {
+    store.put("op/config", plan_text(m_plan_version));
+}
+
 void soak_fleet::replace_server(int vm) {
     auto& it = vms[static_cast<std::size_t>(vm)];
     store.remove("servers/" + it.server->instance);
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -37,6 +37,9 @@
     /// Publishes the next version of the plan.
     void change_plan();
 
+    /// Publishes the plan in force again, as after a restore of the store.
+    void write_plan_again();
+
     /// Removes the store entry of the current server instance and registers a new instance in its place.
     void replace_server(int vm);
 
--- a/tests/soak/soak_runner.cpp
+++ b/tests/soak/soak_runner.cpp
@@ -40,6 +40,13 @@
 constexpr double faulty_response_share = 0.3;
 constexpr double slow_factor = 6;
 
+/// Rate that a server names, and how long. Without it a server gets several times as many requests.
+constexpr double limited_rate = 2;
+constexpr milliseconds limit_duration{6000};
+
+/// Time for which the store is away before it returns from its copy.
+constexpr milliseconds restore_outage{500};
+
 } // namespace
 
 soak_runner::soak_runner(soak_options options)
@@ -225,6 +232,15 @@
     case fault_kind::store_down:
         take_store_down(event);
         break;
+    case fault_kind::restore_store:
+        restore_store(event);
+        break;
+    case fault_kind::limit_server:
+        on_context([&] { vm.server->set_rate_limit(limited_rate); });
+        run_after(limit_duration, [this, index] {
+            on_context([this, index] { m_fleet.vms[index].server->set_rate_limit(std::nullopt); });
+        });
+        break;
     default:
         inject_link_fault(event);
     }
@@ -244,16 +260,39 @@
     });
     run_after(event.duration, [this] { on_context([this] { m_fleet.store.set_down(false); }); });
     run_after(event.duration + entries_restored_after, [this] {
+        write_entries_again();
+        m_store_busy = false;
+    });
+}
+
+void soak_runner::restore_store(const fault_event& event) {
+    if (std::exchange(m_store_busy, true)) {
+        return;
+    }
+    on_context([this] { m_fleet.store.save_copy(); });
+    run_after(event.duration, [this] { on_context([this] { m_fleet.store.set_down(true); }); });
+    run_after(event.duration + restore_outage, [this] {
         on_context([this] {
-            for (int vm = 0; vm < m_options.vms; ++vm) {
-                m_fleet.write_server_entry(vm, m_server_draining[static_cast<std::size_t>(vm)] ? "draining"
-                                                                                               : "ready");
-            }
+            m_fleet.store.restore_copy();
+            m_fleet.store.set_down(false);
+            m_fleet.write_plan_again();
         });
+    });
+    run_after(event.duration + restore_outage + entries_restored_after, [this] {
+        write_entries_again();
         m_store_busy = false;
     });
 }
 
+void soak_runner::write_entries_again() {
+    on_context([this] {
+        for (int vm = 0; vm < m_options.vms; ++vm) {
+            const bool draining = m_server_draining[static_cast<std::size_t>(vm)];
+            m_fleet.write_server_entry(vm, draining ? "draining" : "ready");
+        }
+    });
+}
+
 void soak_runner::inject_link_fault(const fault_event& event) {
     auto* vm = &m_fleet.vms[static_cast<std::size_t>(event.vm)];
     const auto change = [&](const std::function<void(bool)>& apply) {
--- a/tests/soak/soak_runner.hpp
+++ b/tests/soak/soak_runner.hpp
@@ -52,6 +52,8 @@
     void replace_server(int vm);
     void change_plan();
     void take_store_down(const fault_event& event);
+    void restore_store(const fault_event& event);
+    void write_entries_again();
     void restart_node(int vm);
     void run_due_actions(time_point until);
     void run_after(std::chrono::milliseconds after, std::function<void()> action);
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -13,6 +13,12 @@
 constexpr double min_work_ms = 10;
 constexpr double max_work_ms = 60;
 
+/// Time after the first naming of a rate from which it has to hold, and the period over which arrivals count.
+constexpr std::chrono::seconds limit_reaction_time{3};
+constexpr std::chrono::seconds limit_window{4};
+constexpr double limit_tolerance = 1.5;
+constexpr double limit_extra = 5;
+
 std::chrono::milliseconds deadline_of(const standins::http_request_message& request) {
     const auto text = request["X-Deadline-Ms"];
     long value = 0;
@@ -35,11 +41,15 @@
 void soak_server::on_request(const exchange_ptr& it) {
     it->response_fields = {{"X-Instance-Id", instance}, {"X-Server-Load", load()}};
     const auto& request = it->request();
+    if (m_rate_limit) {
+        it->response_fields.emplace_back("Server-Limit", std::to_string(*m_rate_limit));
+    }
     if (request.target() == "/health") {
         it->respond(m_drain_started_at ? 503 : 200, "");
         return;
     }
     it->response_fields.emplace_back("X-Attempt-Id", std::string{request["X-Attempt-Id"]});
+    check_rate_limit(std::string{request["X-Attempt-Id"]});
     if (request["X-Expected-Instance"] != instance) {
         refuse(it, 421);
     } else if (m_running >= slots) {
@@ -56,9 +66,33 @@
 
 void soak_server::restart_as(const std::string& name) {
     instance = name;
+    set_rate_limit(std::nullopt);
     m_drain_started_at.reset();
 }
 
+void soak_server::set_rate_limit(std::optional<double> requests_per_second) {
+    m_rate_limit = requests_per_second;
+    m_limit_named_at = std::chrono::steady_clock::now();
+    m_arrivals.clear();
+}
+
+void soak_server::check_rate_limit(const std::string& id) {
+    const auto now = std::chrono::steady_clock::now();
+    if (!m_rate_limit || now < m_limit_named_at + limit_reaction_time) {
+        return;
+    }
+    m_arrivals.push_back(now);
+    while (m_arrivals.front() < now - limit_window) {
+        m_arrivals.pop_front();
+    }
+    const double allowed =
+        limit_tolerance * *m_rate_limit * static_cast<double>(limit_window.count()) + limit_extra;
+    if (static_cast<double>(m_arrivals.size()) > allowed) {
+        m_checker.add_violation("limit", id,
+                                std::to_string(m_arrivals.size()) + " requests in 4 s at " + instance);
+    }
+}
+
 void soak_server::check_drain(const std::string& id) {
     if (!m_drain_started_at) {
         return;
--- a/tests/soak/soak_server.hpp
+++ b/tests/soak/soak_server.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -32,6 +33,9 @@
     /// Factor on the service time.
     double slowness = 1;
 
+    /// Names a rate limit in all responses from now on, or none.
+    void set_rate_limit(std::optional<double> requests_per_second);
+
     /// Marks the server as draining.
     /// @param limit time after which no request may reach it.
     void start_drain(std::chrono::steady_clock::time_point now, std::chrono::milliseconds limit);
@@ -49,6 +53,7 @@
     void run(const exchange_ptr& it);
     void finish(const exchange_ptr& it);
     void check_drain(const std::string& id);
+    void check_rate_limit(const std::string& id);
     void refuse(const exchange_ptr& it, int status);
     [[nodiscard]] std::string load() const;
 
@@ -56,6 +61,9 @@
     invariant_checker& m_checker;
     std::mt19937 m_random;
     int m_running = 0;
+    std::optional<double> m_rate_limit;
+    std::chrono::steady_clock::time_point m_limit_named_at;
+    std::deque<std::chrono::steady_clock::time_point> m_arrivals; ///< While the limit has to hold.
     std::optional<std::chrono::steady_clock::time_point> m_drain_started_at;
     std::chrono::milliseconds m_drain_limit{0};
     standins::http_service m_service;
