Ignore the expired timer of a store stand-in's watch that was closed

The hazard is older; the store now goes away more often. Change: the handler holds a weak reference, as that of the server stand-in.

--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -108,11 +108,14 @@
         return;
     }
     const std::chrono::milliseconds wait{std::stoi(query_value(target, "wait_ms", "0"))};
-    m_watches.push_back({it, after, std::make_unique<boost::asio::steady_timer>(m_context, wait)});
+    m_watches.push_back({it, after, std::make_unique<boost::asio::steady_timer>(m_context, wait),
+                         std::make_shared<bool>(true)});
     const auto position = std::prev(m_watches.end());
     it->on_peer_closed = [this, position] { m_watches.erase(position); };
-    position->timeout->async_wait([this, position](boost::system::error_code ec) {
-        if (!ec) {
+    // The handler of a timer that has already expired runs even if the watch is erased meanwhile.
+    const std::weak_ptr<bool> alive = position->alive;
+    position->timeout->async_wait([this, position, alive](boost::system::error_code ec) {
+        if (!ec && !alive.expired()) {
             position->request->respond(
                 200, json{{"events", json::array()}, {"current_rev", m_contents.revision}}.dump());
             m_watches.erase(position);
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -53,6 +53,7 @@
         exchange request;
         std::uint64_t after = 0;
         std::unique_ptr<boost::asio::steady_timer> timeout;
+        std::shared_ptr<bool> alive; ///< Expires with this object.
     };
 
     void on_request(const exchange& it);
