Skip the search for unservable runs without a rate limit, and correct comments

Cause: read-through. Each run that was queued made a list of the whole queue, although nothing can be refused while the last queued run need not wait for a rate; the wait grows with the position, so that the result is the same. Three comments said less or more than the code does.

--- a/src/cornelpier/owner/advice_monitor.cpp
+++ b/src/cornelpier/owner/advice_monitor.cpp
@@ -1,6 +1,5 @@
 #include "cornelpier/owner/advice_monitor.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace cornelpier {
--- a/src/cornelpier/owner/advice_monitor.hpp
+++ b/src/cornelpier/owner/advice_monitor.hpp
@@ -37,7 +37,9 @@
 
     owner_state& m_state;
     bool m_reports_advise = false; ///< A report of this server process carried advice.
-    std::string m_instance;        ///< Server process named last; empty: none.
+    /// Server process named last; empty: none. Kept when a misdirected run clears
+    /// `owner_state::server_instance`.
+    std::string m_instance;
     time_point m_logged_at;
     server_request_counts m_logged_counts;
 };
--- a/src/cornelpier/owner/fresh_report_gate.cpp
+++ b/src/cornelpier/owner/fresh_report_gate.cpp
@@ -8,8 +8,8 @@
     // Before the first report nothing is known about the server, not even which process is running.
     const bool depends_on_slowness =
         !message.route.empty() && (m_state.slowness.is_known() || !m_first_report_settled);
-    // While the server's rate limit delays all runs, its slowness changes little, and a report is one more
-    // request to a server that asks for fewer.
+    // While the server's rate limit delays all runs, its slowness does not decide when they start, and a
+    // report is one more request to a server that asks for fewer.
     const bool is_paced = m_state.pacer.wait(0, m_state.now()) > duration::zero();
     if (!depends_on_slowness || is_paced || m_state.slowness.is_fresh(m_state.now())) {
         m_admission.on_run(link, message);
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -92,7 +92,8 @@
     time_point started_at;                   ///< Start of the process.
     std::optional<time_point> serving_since; ///< Unset unless serving with the server up; drain_controller.
     std::string server_instance; ///< Process last reported by the server; empty: unknown. run_executor.
-    /// The server's advice is known: it gave some, or none in a response to a run. advice_monitor.
+    /// The server's advice is known: it gave some, gave none in a response to a run, or has just replaced
+    /// another process. advice_monitor.
     bool advice_known = false;
     bool server_leaving = false; ///< The server said in its last response that it leaves. advice_monitor.
     std::uint64_t last_reading_sequence = 0;
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -209,6 +209,9 @@
 }
 
 void run_executor::refuse_unservable() {
+    if (m_state.pacer.wait(m_state.queue.size(), m_state.now()) == duration::zero()) {
+        return;
+    }
     std::size_t ahead = 0;
     for (const run_id id : m_state.queue.in_order()) {
         const duration wait = m_state.pacer.wait(ahead, m_state.now());
