Log which runs were in progress when a server ends

Change: a lost connection of a run is told from bytes that are no response; the owner then opens a connection to learn whether the process listens, and event 609 lists the runs that were in progress with fingerprint and age. Runs are handled as before. Test: the client's tests expect the new kind of failure where the server closes (the outcome of the run stays unknown), and check both answers of the check.

--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -103,6 +103,8 @@
                       "A field in which the server limits its load could not be decoded."},
     event_description{server_leaving, severity::info, "server_leaving",
                       "The server's responses say that it leaves, or no longer say so."},
+    event_description{server_crashed, severity::warning, "server_crashed",
+                      "The server process ended while runs were in progress."},
     event_description{link_message_malformed, severity::warning, "link_message_malformed",
                       "A node link was closed because a message on it could not be decoded."},
     event_description{link_queue_full, severity::warning, "link_queue_full",
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -60,6 +60,7 @@
     server_rate_limit_changed = 606,
     server_advice_malformed = 607,
     server_leaving = 608,
+    server_crashed = 609,
     link_message_malformed = 610,
     link_queue_full = 611,
     gossip_malformed = 612,
--- a/src/cornelpier/node/traffic_actions.hpp
+++ b/src/cornelpier/node/traffic_actions.hpp
@@ -65,6 +65,9 @@
     std::string path = {}; ///< Empty: the path from the settings.
 };
 
+/// Opens a connection to the server to learn whether its process has ended. Ends in `server_checked`.
+struct check_server {};
+
 /// Writes a numbered event to the log.
 struct record_event {
     event_record record;
@@ -95,7 +98,7 @@
 struct drained {};
 
 using traffic_action = std::variant<open_link, close_link, send_message, answer_caller, start_run, cancel_run,
-                                    read_server_report, record_event, record_metric, drained>;
+                                    read_server_report, check_server, record_event, record_metric, drained>;
 
 using traffic_actions = std::vector<traffic_action>;
 
--- a/src/cornelpier/node/traffic_core.cpp
+++ b/src/cornelpier/node/traffic_core.cpp
@@ -135,6 +135,8 @@
     void on(const server_report& event) { m_owner.on_server_report(event); }
     void on(const server_report_failed& /*event*/) { m_owner.on_server_report_failed(); }
 
+    void on(const server_checked& event) { m_owner.on_server_checked(event); }
+
     void on(const fleet_changed& event) {
         m_owner.on_fleet(event.view);
         m_entry.on_fleet(event.view);
--- a/src/cornelpier/node/traffic_events.hpp
+++ b/src/cornelpier/node/traffic_events.hpp
@@ -80,6 +80,7 @@
 enum class server_failure : std::uint8_t {
     connect_failed,      ///< No byte was written.
     response_incomplete, ///< At least one byte was written; no complete response was received.
+    connection_lost,     ///< As above, because the server closed or reset the connection.
 };
 
 /// A run ended without a complete response.
@@ -101,6 +102,18 @@
 /// The server's report could not be read.
 struct server_report_failed {};
 
+/// Whether anything listens at the server's address.
+enum class server_presence : std::uint8_t {
+    listening,
+    absent,  ///< The connection was refused: the process has ended.
+    unknown, ///< The check did not end in time.
+};
+
+/// Result of `check_server`.
+struct server_checked {
+    server_presence presence = server_presence::unknown;
+};
+
 /// The control side published a new fleet view.
 struct fleet_changed {
     shared_fleet_view view;
@@ -123,6 +136,6 @@
 using traffic_event =
     std::variant<call_arrived, call_fate_requested, call_abandoned, link_opened, link_closed,
                  message_received, server_answered, server_failed, server_report, server_report_failed,
-                 fleet_changed, terminate_requested, stop_deadline_reached, clock_gap>;
+                 server_checked, fleet_changed, terminate_requested, stop_deadline_reached, clock_gap>;
 
 } // namespace cornelpier
--- a/src/cornelpier/owner/accepted_run.hpp
+++ b/src/cornelpier/owner/accepted_run.hpp
@@ -2,6 +2,7 @@
 
 #include "cornelpier/message/traffic_messages.hpp"
 #include "cornelpier/owner/scoped_timer.hpp"
+#include "cornelpier/quarantine/run_trace.hpp"
 
 #include <optional>
 #include <string>
@@ -29,6 +30,7 @@
     bool at_server = false;
     time_point accepted_at;
     time_point dispatched_at;
+    run_trace trace;
     bool deadline_passed = false; ///< Still at the server, so that the ledger can record its outcome.
     scoped_timer timer;
 };
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -1,6 +1,7 @@
 #include "cornelpier/owner/owner_manager.hpp"
 
 #include "cornelpier/owner/advice_monitor.hpp"
+#include "cornelpier/owner/crash_monitor.hpp"
 #include "cornelpier/owner/drain_controller.hpp"
 #include "cornelpier/owner/fate_responder.hpp"
 #include "cornelpier/owner/fresh_report_gate.hpp"
@@ -33,8 +34,8 @@
     implementation(const node_identity& identity, timer_service& timers, random_source random,
                    const owner_options& options)
         : m_state(identity, timers, random), m_advice(m_state), m_drain(m_state, options.drain_timeout),
-          m_executor(m_state, m_drain), m_admission(m_state, m_executor), m_fates(m_state),
-          m_measurements(m_state), m_gate(m_state, m_admission, m_measurements),
+          m_executor(m_state, m_drain), m_crashes(m_state), m_admission(m_state, m_executor),
+          m_fates(m_state), m_measurements(m_state), m_gate(m_state, m_admission, m_measurements),
           m_drain_delay(options.drain_delay) {
         m_state.load.set_adaptive(options.adaptive_limit);
     }
@@ -108,6 +109,7 @@
     advice_monitor m_advice;
     drain_controller m_drain;
     run_executor m_executor;
+    crash_monitor m_crashes;
     run_admission m_admission;
     fate_responder m_fates;
     measurement_scheduler m_measurements;
@@ -223,6 +225,9 @@
 }
 
 void owner_manager::on_server_failed(const server_failed& event) {
+    if (event.kind == server_failure::connection_lost) {
+        m_implementation->m_crashes.on_connection_lost();
+    }
     m_implementation->m_executor.on_failed(event);
 }
 
@@ -242,6 +247,10 @@
     m_implementation->m_gate.on_report();
 }
 
+void owner_manager::on_server_checked(const server_checked& event) {
+    m_implementation->m_crashes.on_server_checked(event.presence);
+}
+
 void owner_manager::on_fleet(const shared_fleet_view& view) {
     m_implementation->apply_view(view);
 }
--- a/src/cornelpier/owner/owner_manager.hpp
+++ b/src/cornelpier/owner/owner_manager.hpp
@@ -37,6 +37,7 @@
     void on_server_failed(const server_failed& event);
     void on_server_report(const server_report& event);
     void on_server_report_failed();
+    void on_server_checked(const server_checked& event);
     void on_fleet(const shared_fleet_view& view);
     void on_terminate();
 
--- a/src/cornelpier/owner/run_table.cpp
+++ b/src/cornelpier/owner/run_table.cpp
@@ -59,6 +59,17 @@
     return select_ids([](const accepted_run& it) { return !it.at_server; });
 }
 
+std::vector<const accepted_run*> run_table::at_server_youngest_first() const {
+    std::vector<const accepted_run*> result;
+    for (const auto& [id, it] : m_runs) {
+        if (it.at_server) {
+            result.push_back(&it);
+        }
+    }
+    std::ranges::stable_sort(result, std::ranges::greater{}, &accepted_run::dispatched_at);
+    return result;
+}
+
 std::vector<run_id> run_table::queued_past_deadline(time_point now) const {
     return select_ids([now](const accepted_run& it) { return !it.at_server && it.deadline <= now; });
 }
--- a/src/cornelpier/owner/run_table.hpp
+++ b/src/cornelpier/owner/run_table.hpp
@@ -31,6 +31,9 @@
     /// @return the runs that have not been dispatched, in order of arrival.
     [[nodiscard]] std::vector<run_id> queued() const;
 
+    /// @return the runs at the server, the one that was dispatched last first.
+    [[nodiscard]] std::vector<const accepted_run*> at_server_youngest_first() const;
+
     /// @return the queued runs whose deadline has passed, in order of arrival.
     [[nodiscard]] std::vector<run_id> queued_past_deadline(time_point now) const;
 
--- a/src/daemon/node/traffic_runner.hpp
+++ b/src/daemon/node/traffic_runner.hpp
@@ -61,6 +61,7 @@
     void execute(start_run& action) { m_outputs.server.start(std::move(action)); }
     void execute(const cancel_run& action) { m_outputs.server.cancel(action.run); }
     void execute(const read_server_report& action) { m_outputs.server.read_report(action.path); }
+    void execute(const check_server& /*action*/) { m_outputs.server.check(); }
     void execute(const record_event& action) { m_outputs.record(action.record); }
     void execute(const record_metric& action) { m_outputs.measure(action); }
     void execute(const drained& /*action*/) { m_outputs.drained(); }
--- /dev/null
+++ b/src/daemon/server/server_check.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cornelpier/node/traffic_events.hpp"
+
+#include "daemon/net/lazy_deadline.hpp"
+#include "daemon/server/connection_pool.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace cornelpier {
+
+/// Opens one connection to learn whether the server's process listens. All handlers run on one strand.
+class server_check : public std::enable_shared_from_this<server_check> {
+  public:
+    using executor = boost::asio::strand<boost::asio::io_context::executor_type>;
+
+    /// Receives the result and, if the server listens, the open connection.
+    using callback = std::function<void(server_presence, connection_pool::socket_ptr)>;
+
+    /// @param strand runs the check.
+    /// @param on_done called once.
+    server_check(const executor& strand, callback on_done);
+
+    void start(const boost::asio::ip::tcp::endpoint& server);
+
+  private:
+    void on_connected(boost::system::error_code ec);
+    void on_timeout();
+    void finish(server_presence presence);
+
+    connection_pool::socket_ptr m_socket;
+    callback m_on_done;
+    lazy_deadline m_deadline;
+};
+
+} // namespace cornelpier
--- a/src/daemon/server/server_client.cpp
+++ b/src/daemon/server/server_client.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/net/endpoint.hpp"
 #include "daemon/net/hop_by_hop.hpp"
+#include "daemon/server/server_check.hpp"
 #include "daemon/server/server_exchange.hpp"
 
 #include <boost/asio/post.hpp>
@@ -117,6 +118,16 @@
         start_exchange(*exchange, false, report_timeout);
     }
 
+    void check() {
+        auto connecting = std::make_shared<server_check>(
+            m_strand,
+            [self = shared_from_this()](server_presence presence, connection_pool::socket_ptr socket) {
+                self->return_to_pool({std::move(socket)});
+                self->m_on_event(server_checked{presence});
+            });
+        connecting->start(m_server);
+    }
+
     void stop() {
         for (const auto& [run, exchange] : m_runs) {
             exchange->cancel();
@@ -260,6 +271,10 @@
     m_implementation->post([path](auto& it) { it.read_report(path); });
 }
 
+void server_client::check() {
+    m_implementation->post([](auto& it) { it.check(); });
+}
+
 void server_client::stop() {
     m_implementation->post([](auto& it) { it.stop(); });
 }
--- a/src/daemon/server/server_client.hpp
+++ b/src/daemon/server/server_client.hpp
@@ -29,7 +29,8 @@
 /// and run on the client's strand.
 class server_client {
   public:
-    /// Receives `server_answered`, `server_failed`, `server_report` and `server_report_failed`.
+    /// Receives `server_answered`, `server_failed`, `server_report`, `server_report_failed` and
+    /// `server_checked`.
     using handler = std::function<void(traffic_event)>;
 
     /// @param io_context runs the connections.
@@ -54,6 +55,9 @@
     /// @param path of the report; empty: `server_client_options::report_path`.
     void read_report(const std::string& path = {});
 
+    /// Opens a connection to learn whether the server listens. Exactly one `server_checked` follows.
+    void check();
+
     /// Cancels all runs and closes idle connections. No event of a run follows; a report that was requested
     /// may still follow.
     void stop();
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -85,6 +85,13 @@
     return result;
 }
 
+/// @return why reading a response failed: bytes that are no response say nothing about the connection.
+server_failure failure_of(error_code ec) {
+    const bool has_ended = ec == http::error::end_of_stream || ec == http::error::partial_message ||
+                           ec.category() == boost::system::system_category() || ec == boost::asio::error::eof;
+    return has_ended ? server_failure::connection_lost : server_failure::response_incomplete;
+}
+
 } // namespace
 
 struct server_exchange::http_state {
@@ -162,7 +169,7 @@
         return;
     }
     if (ec) {
-        fail(server_failure::response_incomplete);
+        fail(failure_of(ec));
         return;
     }
     http::async_read(
@@ -176,7 +183,11 @@
     }
     auto& parser = *m_http->parser;
     // The end of a response without a length cannot be distinguished from a lost connection.
-    if (ec || (parser.need_eof() && !m_rules.allow_unframed)) {
+    if (ec) {
+        fail(failure_of(ec));
+        return;
+    }
+    if (parser.need_eof() && !m_rules.allow_unframed) {
         fail(server_failure::response_incomplete);
         return;
     }
--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -165,24 +165,38 @@
     scripted_server closing("", true);
     client_fixture lost(closing.address);
     lost.start(1);
-    CHECK(lost.failure(1) == server_failure::response_incomplete);
+    CHECK(lost.failure(1) == server_failure::connection_lost);
+}
+
+TEST_CASE("a check tells a server that listens from one that has ended", "[server]") {
+    const auto check = [](const std::string& address) {
+        client_fixture it(address);
+        it.client.check();
+        const auto events = it.events.wait(1);
+        return events.empty() ? server_presence::unknown : std::get<server_checked>(events.at(0)).presence;
+    };
+    scripted_server listening("");
+    CHECK(check(listening.address) == server_presence::listening);
+    CHECK(check(test::free_address()) == server_presence::absent);
 }
 
 TEST_CASE("incomplete responses are failures", "[server]") {
-    const std::vector<std::string> answers{
-        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
-        "HTTP/1.1 200 OK\r\n\r\nok",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n" + std::string(1048577, 'a'),
-        "HTTP/1.1 200",
-        "nonsense\r\n\r\n",
+    using enum server_failure;
+    const std::vector<std::pair<std::string, server_failure>> answers{
+        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", connection_lost},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", connection_lost},
+        {"HTTP/1.1 200 OK\r\n\r\nok", response_incomplete},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n" + std::string(1048577, 'a'),
+         response_incomplete},
+        {"HTTP/1.1 200", connection_lost},
+        {"nonsense\r\n\r\n", response_incomplete},
     };
-    for (const auto& answer : answers) {
+    for (const auto& [answer, expected] : answers) {
         INFO(answer.substr(0, 80));
         scripted_server server(answer, true);
         client_fixture it(server.address);
         it.start(1);
-        CHECK(it.failure(1) == server_failure::response_incomplete);
+        CHECK(it.failure(1) == expected);
     }
 }
 
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -127,7 +127,7 @@
         return;
     }
     for (auto& [run, it] : m_runs) {
-        respond_immediately(std::move(it.done), server_failure::response_incomplete);
+        respond_immediately(std::move(it.done), server_failure::connection_lost);
     }
     cancel_all();
 }
@@ -163,7 +163,7 @@
     fill_slots();
     record_load();
 
-    outcome result = server_failure::response_incomplete;
+    outcome result = server_failure::connection_lost;
     if (!ended.drop_response) {
         result = http_response{200, {}, make_body(echo_response_body(*ended.request.body))};
     }
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -53,6 +53,9 @@
     /// @return whether the server is up and neither failing nor shedding.
     [[nodiscard]] bool is_healthy() const { return !m_down && !m_failing && !m_shedding; }
 
+    /// @return whether the process has ended.
+    [[nodiscard]] bool is_down() const { return m_down; }
+
     /// @return the current service time factor.
     [[nodiscard]] double slowdown() const { return m_slowdown; }
 
--- a/tests/support/node_host.cpp
+++ b/tests/support/node_host.cpp
@@ -238,6 +238,11 @@
     m_server.cancel(action.run);
 }
 
+void node_host::on(const check_server& /*action*/) {
+    deliver_after(server_report_delay,
+                  server_checked{m_server.is_down() ? server_presence::absent : server_presence::listening});
+}
+
 void node_host::on(const read_server_report& /*action*/) {
     m_hooks.on_measurement(m_index);
     if (const auto report = m_server.report()) {
--- a/tests/support/node_host.hpp
+++ b/tests/support/node_host.hpp
@@ -90,6 +90,7 @@
     void on(const start_run& action);
     void on(const cancel_run& action);
     void on(const read_server_report& action);
+    void on(const check_server& action);
     void on(const record_event& action) { m_hooks.on_event(m_index, action.record); }
     void on(const record_metric& action) { m_hooks.on_metric(m_index, action); }
     void on(const drained& /*action*/) { m_hooks.on_drained(m_index); }
