--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -140,7 +140,26 @@
         it.in_service = true;
         ++m_busy_slots;
         schedule_completion(run, it);
+        if (m_deadly_bodies.contains(*it.request.body)) {
+            m_queue.call_after(m_deadly_delay, [this, run] { crash_if_running(run); });
+        }
+    }
+}
+
+void fake_server::set_deadly(std::set<std::string> bodies, duration delay, duration outage) {
+    m_deadly_bodies = std::move(bodies);
+    m_deadly_delay = delay;
+    m_outage = outage;
+}
+
+void fake_server::crash_if_running(run_id run) {
+    const auto it = m_runs.find(run);
+    if (it == m_runs.end() || !m_deadly_bodies.contains(*it->second.request.body)) {
+        return;
     }
+    ++m_crashes;
+    set_down(true);
+    m_queue.call_after(m_outage, [this] { set_down(false); });
 }
 
 void fake_server::schedule_completion(run_id run, pending_request& it) {
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -10,6 +10,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -76,6 +78,13 @@
     /// Executes the next `count` requests but closes their connections before the response is complete.
     void drop_responses(std::uint32_t count) { m_responses_to_drop = count; }
 
+    /// Makes requests with these bodies end the process, as if taken down, `delay` after their service began.
+    /// It is up again after `outage`.
+    void set_deadly(std::set<std::string> bodies, duration delay, duration outage);
+
+    /// @return the number of times that a deadly request ended the process.
+    [[nodiscard]] std::size_t crashes() const { return m_crashes; }
+
     /// Takes the server down, which fails current requests and refuses connections, or brings it back up.
     void set_down(bool value);
 
@@ -108,6 +117,7 @@
     [[nodiscard]] std::size_t past_load(duration age) const;
     void respond_immediately(completion_handler done, const outcome& result);
     void fill_slots();
+    void crash_if_running(run_id run);
     void schedule_completion(run_id run, pending_request& it);
     void complete(run_id run, std::uint64_t timer_version);
     void record_load();
@@ -129,6 +139,10 @@
     bool m_down = false;
     bool m_draining = false;
     bool m_reporting_zero_load = false;
+    std::set<std::string> m_deadly_bodies;
+    duration m_deadly_delay{};
+    duration m_outage{};
+    std::size_t m_crashes = 0;
     server_advice m_advice;
 };
 
--- a/tests/virtual_time.cmake
+++ b/tests/virtual_time.cmake
@@ -21,6 +21,12 @@
 add_test(NAME server-rate-limit COMMAND cornelpier-server-advice-tests "[rate-limit]")
 add_test(NAME server-leaving COMMAND cornelpier-server-advice-tests "[leaving]")
 
+# Fleets whose servers end while they run requests.
+file(GLOB server_crash_tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/server_crashes/*.cpp)
+add_executable(cornelpier-server-crash-tests main.cpp ${server_crash_tests})
+target_link_libraries(cornelpier-server-crash-tests PRIVATE cornelpier_test_support cornelpier_options)
+add_test(NAME server-crashes COMMAND cornelpier-server-crash-tests)
+
 add_executable(cornelpier-schedule-tests schedules/schedule_tests.cpp schedules/random_schedule.cpp)
 target_link_libraries(cornelpier-schedule-tests PRIVATE cornelpier_test_support cornelpier_options Threads::Threads)
 add_test(NAME schedules COMMAND cornelpier-schedule-tests)
