Keep requests that end servers from the servers

What callers saw: one request that comes again and again ended 10 to 18 servers in 20 s, at times all of a service; a fifth of all requests was refused. Cause: a request had no identity beyond one attempt. Class: a retry that spreads the fault that it answers. Change: owners notice that their server has ended, name the requests in progress by fingerprint and tell the other owners and the entries before the lost runs are answered. Why this works: every run passes through an owner, and owners learn of an end before the lost runs can be tried again. One suspect at a time makes the second end conclusive. Excluded: the age of the runs (the cause is the youngest in 8 of 41 ends) and a count of ends alone (others are present at up to four).

--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -77,6 +77,12 @@
     event_description{
         call_late, severity::debug, "call_late",
         "A call succeeded later than its objective; the fields list its attempts and their results."},
+    event_description{request_quarantined, severity::error, "request_quarantined",
+                      "Requests with this content ended servers and are not run for a while."},
+    event_description{quarantined_request_rejected, severity::info, "quarantined_request_rejected",
+                      "A request was rejected because its content is in quarantine."},
+    event_description{quarantine_lifted, severity::info, "quarantine_lifted",
+                      "A quarantine ended early because a run of the request ended well."},
     event_description{run_refused, severity::debug, "run_refused", "The owner refused a run."},
     event_description{duplicate_run_refused, severity::info, "duplicate_run_refused",
                       "A duplicate of a request was not run."},
--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -21,6 +21,8 @@
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 
+constexpr std::string_view quarantine_text = "servers ended while they ran such a request";
+
 http_response text_response(int status, std::string_view text) {
     return {status, {{"content-type", "text/plain"}}, make_body(std::string{text} + '\n')};
 }
@@ -40,6 +42,8 @@
         return "it cannot be proved that the idempotency key is new";
     case refusal::key_running:
         return "the first request with this idempotency key is still running";
+    case refusal::quarantined:
+        return quarantine_text;
     case refusal::server_refused:
     case refusal::server_down:
         return "the server does not accept requests";
@@ -102,6 +106,18 @@
     return result;
 }
 
+answer_caller answer_composer::reject_quarantined(const call_state& call, duration left) const {
+    auto result = base_answer(call);
+    // Without a reply of the key's home, an earlier request with the same key may have run.
+    result.outcome = call.is_keyed() ? verdict::unknown : verdict::not_run;
+    attempt_result rejection;
+    rejection.reason = refusal::quarantined;
+    result.response = text_response(
+        status_for(rejection, result.outcome, m_context.options.status_implies_not_run), quarantine_text);
+    result.retry_after = add_jitter(left);
+    return result;
+}
+
 answer_caller answer_composer::finish(const call_state& call) const {
     if (!call.last_result) {
         auto result = base_answer(call);
--- a/src/cornelpier/entry/answer_composer.hpp
+++ b/src/cornelpier/entry/answer_composer.hpp
@@ -20,6 +20,10 @@
     answer_caller reject(call_id call, verdict outcome, int status, const std::string& reason,
                          duration retry_after) const;
 
+    /// Answers a call that is not sent to any target because its request is in quarantine.
+    /// @param left rest of the quarantine.
+    answer_caller reject_quarantined(const call_state& call, duration left) const;
+
     /// Answers a call whose last attempt is settled or that could not be sent.
     answer_caller finish(const call_state& call) const;
 
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -28,15 +28,39 @@
 constexpr duration unavailable_retry_after = std::chrono::seconds{1};
 
 constexpr int first_error_status = 400;
+constexpr int first_server_error_status = 500;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 constexpr int status_loop_detected = 508;
 
+/// The owner refused on its own; the server never got the request, so sending it again is not a repeat.
+bool is_decided_by_owner(refusal reason) {
+    switch (reason) {
+    case refusal::wait_limit:
+    case refusal::overloaded:
+    case refusal::deadline:
+    case refusal::draining:
+    case refusal::no_permit:
+    case refusal::ledger_full:
+    case refusal::unknown_service:
+    case refusal::server_down:
+    case refusal::rate_limited:
+    case refusal::quarantined:
+    case refusal::suspected:
+        return true;
+    default:
+        return false;
+    }
+}
+
 /// The attempt cost the server nothing, so another target may be chosen without spending retry budget. An
 /// overloaded owner may refuse a run with a wait limit as overloaded before it compares the wait.
 bool is_exempt_from_retry_budget(const call_state& call, const attempt_state& attempt,
                                  const attempt_result& result) {
+    if (attempt.confined && is_decided_by_owner(result.reason)) {
+        return true;
+    }
     switch (result.reason) {
     case refusal::none:
         return result.end == attempt_end::not_sent || result.end == attempt_end::fate_refused;
@@ -45,6 +69,7 @@
     case refusal::draining:
     case refusal::unknown_service:
     case refusal::rate_limited:
+    case refusal::suspected:
         return true;
     case refusal::overloaded:
         return attempt.wait_limit.has_value();
@@ -57,36 +82,18 @@
     }
 }
 
-/// The owner refused on its own; the server never got the request, so sending it again is not a repeat.
-bool is_decided_by_owner(refusal reason) {
-    switch (reason) {
-    case refusal::wait_limit:
-    case refusal::overloaded:
-    case refusal::deadline:
-    case refusal::draining:
-    case refusal::no_permit:
-    case refusal::ledger_full:
-    case refusal::unknown_service:
-    case refusal::server_down:
-    case refusal::rate_limited:
-        return true;
-    default:
-        return false;
-    }
-}
-
 /// The refusal concerns the request itself; every other target would refuse it too.
 bool applies_to_all_targets(refusal reason) {
     return reason == refusal::key_conflict || reason == refusal::key_unproved ||
-           reason == refusal::key_running || reason == refusal::not_home;
+           reason == refusal::key_running || reason == refusal::not_home || reason == refusal::quarantined;
 }
 
 /// The target would refuse the same call again, so the call does not use it any more.
 bool excludes_target(const attempt_result& result) {
     return result.end == attempt_end::not_sent ||
            (result.outcome == verdict::not_run && result.reason != refusal::none &&
-            result.reason != refusal::wait_limit && result.reason != refusal::no_permit &&
-            result.reason != refusal::duplicate);
+            result.reason != refusal::wait_limit && result.reason != refusal::suspected &&
+            result.reason != refusal::no_permit && result.reason != refusal::duplicate);
 }
 
 std::string caller_request_id(const http_request& request, const std::string& field) {
@@ -189,6 +196,11 @@
     state.retries.on_call();
     m_deps.probes.on_call(service, state);
 
+    if (m_deps.quarantine.level(call) == suspicion::quarantined) {
+        m_deps.quarantine.on_rejected(call);
+        finish(call, m_deps.composer.reject_quarantined(call, m_deps.quarantine.quarantine_left(call)));
+        return;
+    }
     if (!begin_attempt(call, attempt_kind::first)) {
         finish(call, m_deps.composer.finish(call));
         return;
@@ -207,7 +219,8 @@
     attempt_state flags;
     flags.hedge = kind == attempt_kind::hedge;
     flags.outer_retry = call.event.outer_retry || kind == attempt_kind::hedge || kind == attempt_kind::retry;
-    if (call.unbudgeted_attempts < max_conditional_attempts(call)) {
+    flags.confined = selected->confined;
+    if (!flags.confined && call.unbudgeted_attempts < max_conditional_attempts(call)) {
         flags.wait_limit = selected->wait_limit;
     }
     if (kind == attempt_kind::first || kind == attempt_kind::rechoice) {
@@ -234,6 +247,9 @@
     if (call.is_keyed()) {
         return target_selector::select_home(*service, *call.event.key);
     }
+    if (call.is_suspected || m_deps.quarantine.level(call) == suspicion::suspected) {
+        return kind == attempt_kind::hedge ? std::nullopt : m_deps.selector.select_confined(call, *service);
+    }
     return m_deps.selector.select(call, m_deps.services.at(*service), kind == attempt_kind::hedge);
 }
 
@@ -259,6 +275,15 @@
 void call_driver::record_result(call_state& call, const attempt_state& attempt,
                                 const attempt_result& result) {
     call.last_result = result;
+    call.is_suspected = call.is_suspected || result.reason == refusal::suspected;
+    if (result.reason == refusal::quarantined) {
+        m_deps.quarantine.on_refused(call, result.retry_after);
+        m_deps.quarantine.on_rejected(call);
+    }
+    if (result.outcome == verdict::ran && result.response &&
+        result.response->status < first_server_error_status) {
+        m_deps.quarantine.on_success(call);
+    }
     if (result.outcome == verdict::unknown && result.response) {
         call.failure_response = result.response;
     }
@@ -283,6 +308,10 @@
     if (!call.idempotent && call.outcome() != verdict::not_run) {
         return std::nullopt;
     }
+    if (m_deps.quarantine.level(call) == suspicion::quarantined) {
+        call.earliest_retry = m_deps.quarantine.quarantine_left(call);
+        return std::nullopt;
+    }
     // Only the home target may run a keyed request, so a repeat is useless if that target would refuse again.
     if (call.is_keyed() && excludes_target(result)) {
         return std::nullopt;
--- a/src/cornelpier/entry/call_driver.hpp
+++ b/src/cornelpier/entry/call_driver.hpp
@@ -5,6 +5,7 @@
 #include "cornelpier/entry/call_table.hpp"
 #include "cornelpier/entry/entry_context.hpp"
 #include "cornelpier/entry/probe_scheduler.hpp"
+#include "cornelpier/entry/quarantine_gate.hpp"
 #include "cornelpier/entry/service_table.hpp"
 #include "cornelpier/entry/target_selector.hpp"
 #include "cornelpier/entry/traffic_splitter.hpp"
@@ -22,6 +23,7 @@
     answer_composer& composer;
     probe_scheduler& probes;
     health_reporter& health;
+    quarantine_gate& quarantine;
 };
 
 /// Drives each call from its arrival to exactly one final answer: decides which attempts are made and when
--- a/src/cornelpier/entry/call_state.hpp
+++ b/src/cornelpier/entry/call_state.hpp
@@ -43,7 +43,8 @@
     time_point sent_at;
     bool hedge = false;
     bool outer_retry = false;
-    bool trial = false; ///< Trial request to an ejected target.
+    bool trial = false;    ///< Trial request to an ejected target.
+    bool confined = false; ///< The request is suspected; its owner runs it beside no other suspect.
     verdict outcome = verdict::unknown;
     std::uint32_t failed_link_opens = 0;
     attempt_end end = attempt_end::given_up; ///< For the log.
@@ -78,6 +79,7 @@
     duration objective{};                                               ///< Of the route.
     std::uint32_t max_runs = std::numeric_limits<std::uint32_t>::max(); ///< Limit of `possible_runs()`.
     std::vector<attempt_state> attempts;
+    bool is_suspected = false;                     ///< An owner stated that the request is suspected.
     std::vector<target_id> excluded_targets;       ///< Would refuse this call again.
     std::uint32_t unbudgeted_attempts = 0;         ///< Attempts other than hedges and budgeted retries.
     std::uint32_t retries = 0;                     ///< Retries paid from the retry budget.
--- a/src/cornelpier/entry/entry_manager.cpp
+++ b/src/cornelpier/entry/entry_manager.cpp
@@ -9,6 +9,7 @@
 #include "cornelpier/entry/leaving_server_table.hpp"
 #include "cornelpier/entry/link_set.hpp"
 #include "cornelpier/entry/probe_scheduler.hpp"
+#include "cornelpier/entry/quarantine_gate.hpp"
 #include "cornelpier/entry/service_table.hpp"
 #include "cornelpier/entry/target_selector.hpp"
 
@@ -31,11 +32,12 @@
                    entry_options options)
         : context{identity, timers, random, std::move(options), nullptr, nullptr, false, {}},
           services(context), round_trips(identity.data_centre), calls(identity.process),
-          links(context, make_link_callbacks()), reporter(context, health, services),
+          links(context, make_link_callbacks()), quarantine(context, links),
+          reporter(context, health, services),
           selector(context, {readings, leaving_servers, round_trips, health, links}), composer(context),
           probes(context, services, readings, links),
           dispatcher(context, {calls, readings, round_trips, reporter, links}, make_settled_callback()),
-          driver(context, {calls, services, selector, dispatcher, composer, probes, reporter}),
+          driver(context, {calls, services, selector, dispatcher, composer, probes, reporter, quarantine}),
           fate_requests(context, composer, links) {}
 
     void on_message(link_id link, const traffic_message& message) {
@@ -52,13 +54,17 @@
     }
 
     void on_fleet(const shared_fleet_view& view) {
-        const bool plan_changed = context.view == nullptr || context.view->current_plan != view->current_plan;
+        const shared_fleet_view before = context.view;
+        const bool plan_changed = before == nullptr || before->current_plan != view->current_plan;
         context.view = view;
         leaving_servers.on_view(*view);
         if (plan_changed) {
             services.on_plan_changed();
             links.on_plan_changed();
         }
+        if (plan_changed && before != nullptr) {
+            quarantine.on_plan_changed(*before);
+        }
     }
 
     void on_pause() {
@@ -75,6 +81,7 @@
     round_trip_table round_trips;
     call_table calls;
     link_set links;
+    quarantine_gate quarantine;
     health_reporter reporter;
     target_selector selector;
     answer_composer composer;
@@ -86,10 +93,12 @@
   private:
     link_callbacks make_link_callbacks() {
         return {[this](const target_id& target) {
+                    quarantine.on_link_ready(target);
                     dispatcher.on_link_ready(target);
                     fate_requests.on_link_ready(target);
                 },
                 [this](const target_id& target, link_loss cause) {
+                    quarantine.on_link_lost(target);
                     dispatcher.on_link_lost(target, cause);
                     fate_requests.on_link_lost(target, cause);
                 },
@@ -152,6 +161,8 @@
         fate_requests.on_fate(target, message);
     }
 
+    void on(const target_id& target, const suspect_update& message) { quarantine.on_update(target, message); }
+
     /// Other messages need no handling: requests and `ping` arrive on accepted links only, and `pong` was
     /// already recorded as progress.
     template <typename Message>
@@ -220,6 +231,10 @@
     m_implementation->on_pause();
 }
 
+void entry_manager::publish_suspects(const suspect_update& update) {
+    m_implementation->quarantine.publish(update);
+}
+
 void entry_manager::finish_all_calls() {
     m_implementation->driver.finish_all();
 }
--- a/src/cornelpier/entry/entry_manager.hpp
+++ b/src/cornelpier/entry/entry_manager.hpp
@@ -41,6 +41,9 @@
     /// outstanding attempts.
     void on_pause();
 
+    /// Informs the owners of a service about requests that may have ended a server.
+    void publish_suspects(const suspect_update& update);
+
     /// Answers all calls with their current outcome, because the process exits before they end.
     void finish_all_calls();
 
--- a/src/cornelpier/entry/target_selector.hpp
+++ b/src/cornelpier/entry/target_selector.hpp
@@ -23,6 +23,7 @@
     std::string address;                ///< Of its node.
     std::optional<duration> wait_limit; ///< Above this wait the second-best target is better.
     bool trial = false;                 ///< The attempt is a trial request to an ejected target.
+    bool confined = false;              ///< The attempt is at the target of a suspected request.
 };
 
 /// Components that the selector uses; not owned.
@@ -44,6 +45,11 @@
     /// @return nothing if no target is usable.
     std::optional<selection> select(const call_state& call, service_state& service, bool hedge);
 
+    /// Chooses for a suspected request. All entries choose the same target as far as they know the same
+    /// state, so that the request ends one more server at most.
+    /// @return nothing if no target is usable.
+    std::optional<selection> select_confined(const call_state& call, const service_plan& service);
+
     /// @return the home target of an idempotency key, the only one that may run its requests, found by
     /// rendezvous hashing. Nothing if the service has no targets.
     [[nodiscard]] static std::optional<selection> select_home(const service_plan& service,
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -105,6 +105,7 @@
     visit(it.route);
     visit(it.objective);
     visit(it.rate_limit);
+    visit(it.confined);
 }
 
 template <typename Message, typename Visitor>
@@ -140,6 +141,37 @@
     visit(it.load);
 }
 
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, request_fingerprint>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.head);
+    visit(it.body);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, crash_id>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.owner);
+    visit(it.number);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, suspect_notice>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.fingerprint);
+    visit(it.crashes);
+    visit(it.quarantine_left);
+    visit(it.quarantine_length);
+    visit(it.cleared);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, suspect_update>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.service);
+    visit(it.suspects);
+}
+
 template <typename Message, typename Visitor>
 requires std::same_as<std::remove_const_t<Message>, member_record>
 void for_each_field(Message& it, Visitor&& visit) {
@@ -205,7 +237,7 @@
 }
 
 constexpr refusal max_enumerator(refusal /*tag*/) {
-    return refusal::rate_limited;
+    return refusal::suspected;
 }
 
 constexpr node_state max_enumerator(node_state /*tag*/) {
--- a/src/cornelpier/message/traffic_messages.hpp
+++ b/src/cornelpier/message/traffic_messages.hpp
@@ -5,12 +5,14 @@
 #include "cornelpier/base/verdict.hpp"
 #include "cornelpier/message/http_fields.hpp"
 #include "cornelpier/plan/plan.hpp"
+#include "cornelpier/quarantine/request_fingerprint.hpp"
 
 #include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace cornelpier {
 
@@ -100,6 +102,8 @@
     /// Rate limit of the server in the last reading that the entry got. An owner that has restarted keeps to
     /// it until the server's first response.
     std::optional<rate> rate_limit;
+    bool confined =
+        false; ///< The entry knows that the request is suspected and chose the target accordingly.
 };
 
 /// Reason for which an owner refused a run.
@@ -121,6 +125,8 @@
     key_running,  ///< The first request with this key is still in progress.
     not_home,     ///< The owner's plan assigns the key to another target.
     rate_limited, ///< The server's rate limit does not allow the run to start in time.
+    quarantined,  ///< Requests like this one ended servers.
+    suspected,    ///< Requests like this one may have ended a server; the entry did not know that.
 };
 
 /// Final result of an attempt, sent by the owner.
@@ -162,8 +168,32 @@
 /// Reply to `ping`.
 struct pong {};
 
-using traffic_message = std::variant<hello, load_reading, probe, permit_request, permit_grant, run_request,
-                                     run_response, cancel_attempt, fate_query, fate_reply, ping, pong>;
+/// Identifies the end of a server process that its owner noticed.
+struct crash_id {
+    incarnation owner;
+    std::uint64_t number = 0; ///< Counts the ends that this owner noticed.
+
+    friend bool operator==(const crash_id&, const crash_id&) = default;
+};
+
+/// What a node knows about a request that was in progress when servers ended.
+struct suspect_notice {
+    request_fingerprint fingerprint;
+    std::vector<crash_id> crashes; ///< Ends at which it was in progress.
+    duration quarantine_left{};    ///< Zero: it is only suspected.
+    duration quarantine_length{};  ///< Of the last quarantine; zero: there was none.
+    bool cleared = false;          ///< A run of it ended well after these ends.
+};
+
+/// Sent by an owner to the entries and passed on by them to the other owners of the service.
+struct suspect_update {
+    service_id service;
+    std::vector<suspect_notice> suspects;
+};
+
+using traffic_message =
+    std::variant<hello, load_reading, probe, permit_request, permit_grant, run_request, run_response,
+                 cancel_attempt, fate_query, fate_reply, ping, pong, suspect_update>;
 
 } // namespace cornelpier
 
--- a/src/cornelpier/node/traffic_actions.hpp
+++ b/src/cornelpier/node/traffic_actions.hpp
@@ -83,7 +83,9 @@
     measurement,      ///< Count of reports read and probes answered.
     answer_discarded, ///< Count.
     run_started,      ///< Count of runs sent to the server.
-    run_rate_limited  ///< Count of runs refused because of the server's rate limit.
+    run_rate_limited, ///< Count of runs refused because of the server's rate limit.
+    run_quarantined,  ///< Count of runs and calls rejected because of a quarantine.
+    server_crashed    ///< Count of ends of the server process with runs in progress.
 };
 
 /// Records a value of a metric.
--- a/src/cornelpier/node/traffic_core.cpp
+++ b/src/cornelpier/node/traffic_core.cpp
@@ -17,7 +17,9 @@
     implementation(node_identity identity, std::uint64_t seed, time_point start, traffic_options options)
         : m_identity(std::move(identity)), m_random(seed), m_timers(start),
           m_entry(m_identity, m_timers, m_random.split(), std::move(options.entry)),
-          m_owner(m_identity, m_timers, m_random.split(), options.owner) {}
+          m_owner(m_identity, m_timers, m_random.split(), options.owner) {
+        m_owner.set_suspect_publisher([this](const suspect_update& it) { m_entry.publish_suspects(it); });
+    }
 
     void handle(const traffic_event& event, time_point now, traffic_actions& actions) {
         set_output(m_pending);
--- a/src/cornelpier/node/traffic_core.hpp
+++ b/src/cornelpier/node/traffic_core.hpp
@@ -24,6 +24,8 @@
     std::size_t ledger_records = 0;
     std::size_t open_links = 0;
     double measurements_last_second = 0;
+    std::size_t suspected_requests = 0; ///< Known to the owner, with those in quarantine.
+    std::size_t quarantined_requests = 0;
 };
 
 /// Entry and owner of one node. Performs no I/O: it consumes events and emits actions. Not thread-safe; calls
--- a/src/cornelpier/owner/accepted_run.hpp
+++ b/src/cornelpier/owner/accepted_run.hpp
@@ -30,7 +30,8 @@
     bool at_server = false;
     time_point accepted_at;
     time_point dispatched_at;
-    run_trace trace;
+    run_trace trace;              ///< Set when it is dispatched.
+    bool is_suspect = false;      ///< Requests like it were in progress when a server ended.
     bool deadline_passed = false; ///< Still at the server, so that the ledger can record its outcome.
     scoped_timer timer;
 };
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -23,6 +23,8 @@
 /// Interval of the runs to a server that accepts none.
 constexpr duration trial_run_interval = std::chrono::seconds{10};
 
+constexpr int first_server_error_status = 500;
+
 /// Poll interval while runs wait for a slowdown to end. Slowdowns last some hundred milliseconds.
 constexpr duration deferred_poll_period = std::chrono::milliseconds{25};
 
@@ -34,7 +36,7 @@
     implementation(const node_identity& identity, timer_service& timers, random_source random,
                    const owner_options& options)
         : m_state(identity, timers, random), m_advice(m_state), m_drain(m_state, options.drain_timeout),
-          m_executor(m_state, m_drain), m_crashes(m_state), m_admission(m_state, m_executor),
+          m_executor(m_state, m_drain), m_crashes(m_state, m_executor), m_admission(m_state, m_executor),
           m_fates(m_state), m_measurements(m_state), m_gate(m_state, m_admission, m_measurements),
           m_drain_delay(options.drain_delay) {
         m_state.load.set_adaptive(options.adaptive_limit);
@@ -101,6 +103,8 @@
         snapshot.concurrency_limit = m_state.load.limit();
         snapshot.server_rate_limit = m_state.pacer.limit();
         snapshot.service_time = m_state.load.current_service_time(load);
+        snapshot.suspected_requests = m_state.suspects.size();
+        snapshot.quarantined_requests = m_state.suspects.quarantined(m_state.now());
         snapshot.ledger_records = m_state.ledger.size();
         snapshot.measurements_last_second = static_cast<double>(m_measurements.taken_last_second());
     }
@@ -126,6 +130,13 @@
         }
     }
 
+    void note_success(const server_answered& event) {
+        const accepted_run* accepted = m_state.runs.find(event.run);
+        if (accepted != nullptr && !event.refused && event.response.status < first_server_error_status) {
+            m_crashes.on_success(accepted->trace);
+        }
+    }
+
     void apply_advice(const server_advice& advice, advice_source source) {
         if (m_advice.on_advice(advice, source)) {
             m_executor.refuse_unservable();
@@ -167,8 +178,11 @@
         const node_identity& node = m_state.identity;
         m_state.outbox.send(link, hello{node.self, node.process, node.data_centre, version});
         m_state.outbox.send(link, m_state.make_reading());
+        m_crashes.inform(link);
     }
 
+    void on(link_id /*link*/, const suspect_update& message) { m_crashes.on_update(message); }
+
     void on(link_id link, const probe& /*message*/) {
         if (m_measurements.admit_probe()) {
             m_state.outbox.send(link, m_state.make_reading());
@@ -209,6 +223,10 @@
     m_implementation->m_state.outbox.set_output(actions);
 }
 
+void owner_manager::set_suspect_publisher(std::function<void(const suspect_update&)> publisher) {
+    m_implementation->m_crashes.set_publisher(std::move(publisher));
+}
+
 void owner_manager::on_link_closed(link_id link) {
     m_implementation->on_link_closed(link);
 }
@@ -218,6 +236,7 @@
 }
 
 void owner_manager::on_server_answered(const server_answered& event) {
+    m_implementation->note_success(event);
     m_implementation->update_slowness(event.load);
     m_implementation->apply_advice(event.advice, advice_source::run);
     m_implementation->m_executor.on_answered(event);
@@ -226,7 +245,8 @@
 
 void owner_manager::on_server_failed(const server_failed& event) {
     if (event.kind == server_failure::connection_lost) {
-        m_implementation->m_crashes.on_connection_lost();
+        m_implementation->m_crashes.on_connection_lost(event.run);
+        return;
     }
     m_implementation->m_executor.on_failed(event);
 }
--- a/src/cornelpier/owner/owner_manager.hpp
+++ b/src/cornelpier/owner/owner_manager.hpp
@@ -8,6 +8,7 @@
 #include "cornelpier/owner/owner_options.hpp"
 #include "cornelpier/timer/timer_service.hpp"
 
+#include <functional>
 #include <memory>
 
 namespace cornelpier {
@@ -31,6 +32,9 @@
     /// @copydoc entry_manager::set_output
     void set_output(traffic_actions& actions);
 
+    /// Sets the function that informs the other owners of the service.
+    void set_suspect_publisher(std::function<void(const suspect_update&)> publisher);
+
     void on_link_closed(link_id link);
     void on_message(link_id link, const traffic_message& message);
     void on_server_answered(const server_answered& event);
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -85,6 +85,14 @@
     return std::min(scale(wait, 1 / std::max(1 - urgent_share, min_free_share)), run_pacer::max_wait);
 }
 
+duration owner_state::expected_confinement_wait(suspicion level) const {
+    if (level != suspicion::suspected) {
+        return duration::zero();
+    }
+    const duration service_time = std::max(route_work.mean(), load.current_service_time(runs.load(now())));
+    return static_cast<duration::rep>(runs.suspects()) * service_time;
+}
+
 bool owner_state::is_short_service_time(duration expected) const {
     return expected < route_work.mean() / short_run_divisor;
 }
@@ -102,6 +110,9 @@
         if (message.reason == refusal::rate_limited) {
             outbox.increment(metric::run_rate_limited);
         }
+        if (message.reason == refusal::quarantined) {
+            outbox.increment(metric::run_quarantined);
+        }
     }
     message.load = make_reading();
     outbox.send(link, std::move(message));
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -18,6 +18,7 @@
 #include "cornelpier/node/node_identity.hpp"
 #include "cornelpier/owner/owner_outbox.hpp"
 #include "cornelpier/owner/run_table.hpp"
+#include "cornelpier/quarantine/suspect_table.hpp"
 #include "cornelpier/timer/timer_service.hpp"
 
 #include <optional>
@@ -61,6 +62,9 @@
     /// arrive meanwhile start first.
     [[nodiscard]] duration expected_pace_wait(request_class priority, std::size_t ahead) const;
 
+    /// @return expected time until a request may start: suspects run one after the other.
+    [[nodiscard]] duration expected_confinement_wait(suspicion level) const;
+
     /// @return whether a service time is much shorter than the server's mean. Such runs are mostly nested
     /// calls of longer runs at other servers, whose work is lost if the nested call fails.
     [[nodiscard]] bool is_short_service_time(duration expected) const;
@@ -87,6 +91,7 @@
     on_time_reserve reserve;                 ///< run_executor.
     slowness_meter slowness;                 ///< owner_manager, run_executor.
     class_rate_meter class_rates;            ///< run_executor.
+    suspect_table suspects;                  ///< crash_monitor.
     run_pacer pacer;                         ///< owner_manager, advice_monitor, run_executor.
     node_state_machine lifecycle;            ///< drain_controller.
     time_point started_at;                   ///< Start of the process.
--- a/src/cornelpier/owner/run_admission.cpp
+++ b/src/cornelpier/owner/run_admission.cpp
@@ -139,6 +139,13 @@
     if (!is_own || service == nullptr || service->id != message.service) {
         return refusal::unknown_service;
     }
+    const suspicion level = level_of(message);
+    if (level == suspicion::quarantined) {
+        return refusal::quarantined;
+    }
+    if (level == suspicion::suspected && !message.confined && !message.key) {
+        return refusal::suspected;
+    }
     const permit_status permit_state = m_state.permits.check(message.permit, m_state.now());
     if (!message.idempotent && permit_state != permit_status::valid) {
         return refusal::no_permit;
@@ -157,7 +164,9 @@
     const server_load load = m_state.runs.load(m_state.now());
     const std::size_t ahead = m_state.queue.ahead_of(message.priority);
     const duration pace_wait = m_state.expected_pace_wait(message.priority, ahead);
-    const duration wait = std::max(m_state.load.reported_wait(load, ahead, m_state.now()), pace_wait);
+    const duration confinement_wait = m_state.expected_confinement_wait(level_of(message));
+    const duration wait =
+        std::max({m_state.load.reported_wait(load, ahead, m_state.now()), pace_wait, confinement_wait});
     if (message.wait_limit && wait > *message.wait_limit) {
         return refusal::wait_limit;
     }
@@ -167,7 +176,7 @@
     // An idle server always gets a run. Without new samples, a service time estimate above the deadline could
     // never fall again.
     const bool idle = load.in_flight == 0 && m_state.queue.empty() && pace_wait == duration::zero();
-    const duration slot_wait = m_state.load.expected_wait(load, ahead);
+    const duration slot_wait = std::max(m_state.load.expected_wait(load, ahead), confinement_wait);
     const duration expected = std::max(slot_wait, pace_wait) + m_state.load.current_service_time(load);
     if (!idle && expected > left) {
         return pace_wait > slot_wait ? refusal::rate_limited : refusal::deadline;
@@ -183,7 +192,8 @@
         m_state.queue.ahead_of(message.priority, now + message.objective - service_time);
     const duration loss = m_state.slowness.expected_delay(service_time, now);
     const duration pace_wait = m_state.expected_pace_wait(message.priority, ahead);
-    const duration slot_wait = m_state.expected_start_wait(ahead);
+    const duration slot_wait =
+        std::max(m_state.expected_start_wait(ahead), m_state.expected_confinement_wait(level_of(message)));
     const duration wait = std::max(pace_wait, slot_wait) + loss;
     const run_estimate estimate{service_time, message.objective, left,
                                 m_state.is_short_service_time(service_time)};
@@ -199,6 +209,10 @@
     return m_executor.has_capacity(message.priority) ? refusal::none : refusal::overloaded;
 }
 
+suspicion run_admission::level_of(const run_request& message) const {
+    return m_state.suspects.level(message.service, message.request, m_state.now());
+}
+
 bool run_admission::needs_record(const run_request& message) const {
     if (!message.idempotent) {
         return true;
@@ -226,7 +240,9 @@
 
 void run_admission::refuse(link_id link, const run_request& message, refusal reason) {
     duration retry_after{};
-    if (has_retry_after(reason)) {
+    if (reason == refusal::quarantined) {
+        retry_after = m_state.suspects.quarantine_left(message.service, message.request, m_state.now());
+    } else if (has_retry_after(reason)) {
         retry_after = message.route.empty() ? m_state.jittered_retry_after()
                                             : m_state.expected_start_wait(m_state.queue.size());
     }
--- a/src/cornelpier/owner/run_admission.hpp
+++ b/src/cornelpier/owner/run_admission.hpp
@@ -28,6 +28,8 @@
     [[nodiscard]] refusal check_run(const run_request& message) const;
     [[nodiscard]] refusal check_load(const run_request& message) const;
     [[nodiscard]] refusal check_route_load(const run_request& message, duration left) const;
+    /// Hashes the request if any request is suspected.
+    [[nodiscard]] suspicion level_of(const run_request& message) const;
     [[nodiscard]] bool needs_record(const run_request& message) const;
     [[nodiscard]] duration time_left(const run_request& message) const;
 
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -91,21 +91,40 @@
         accepted.latest_start = m_state.now() + message.objective - accepted.baseline_service_time;
     }
 
+    accepted.is_suspect =
+        m_state.suspects.level(message.service, message.request, m_state.now()) == suspicion::suspected;
     m_state.class_rates.on_accepted(message.priority, m_state.now());
     accepted_run& added = m_state.runs.add(std::move(accepted));
-    const run_id id = added.id;
+    if (!added.is_suspect) {
+        enqueue(added);
+        return;
+    }
+    schedule_last_start(added);
+    release_suspect();
+}
+
+/// The timer fires at the last start that can still meet the deadline, so that the caller is not kept waiting
+/// for a run that would be cancelled.
+void run_executor::schedule_last_start(accepted_run& accepted) {
+    accepted.timer.call_at(m_state.timers, last_start(accepted),
+                           [this, id = accepted.id] { on_deadline(id); });
+}
 
+void run_executor::enqueue(accepted_run& added) {
+    const run_id id = added.id;
     if (may_start() && m_state.queue.empty() && !must_defer(added)) {
         dispatch(added);
         return;
     }
-    // The timer fires at the last start that can still meet the deadline, so that the caller is not kept
-    // waiting for a run that would be cancelled.
-    added.timer.call_at(m_state.timers, last_start(added), [this, id] { on_deadline(id); });
+    schedule_last_start(added);
     const bool is_short = !added.route.empty() && m_state.is_short_service_time(added.baseline_service_time);
     const time_point late_after = is_short ? last_start(added) : added.latest_start;
-    if (const auto offered = m_state.queue.offer(id, message.priority, added.latest_start, late_after);
-        offered.shed) {
+    const auto offered = m_state.queue.offer(id, added.priority, added.latest_start, late_after);
+    if (!offered.accepted) {
+        refuse(id, refusal::overloaded);
+        return;
+    }
+    if (offered.shed) {
         refuse(*offered.shed, refusal::overloaded);
     }
     // This run may get a slot that is reserved for on-time runs although late runs are queued.
@@ -113,6 +132,40 @@
     refuse_unservable();
 }
 
+void run_executor::release_suspect() {
+    const bool is_one_released = m_released_suspect && m_state.runs.find(*m_released_suspect) != nullptr;
+    if (is_one_released || m_state.runs.has_suspect_at_server()) {
+        return;
+    }
+    const auto waiting = m_state.runs.queued_suspects();
+    m_released_suspect = waiting.empty() ? std::nullopt : std::optional{waiting.front()};
+    if (m_released_suspect) {
+        enqueue(*m_state.runs.find(*m_released_suspect));
+    }
+}
+
+void run_executor::on_suspects_changed() {
+    const suspect_table& suspects = m_state.suspects;
+    m_state.runs.mark_suspects_at_server(
+        [&](const run_trace& it) { return suspects.level(it, m_state.now()) != suspicion::none; });
+    for (const run_id id : m_state.runs.queued()) {
+        accepted_run* queued = m_state.runs.find(id);
+        if (queued == nullptr) {
+            continue; // Refused when an earlier one was enqueued.
+        }
+        const suspicion level = suspects.level(m_state.identity.service, queued->request, m_state.now());
+        const bool was_suspect = std::exchange(queued->is_suspect, level == suspicion::suspected);
+        if (level == suspicion::quarantined) {
+            refuse(id, refusal::quarantined);
+        } else if (queued->is_suspect && !was_suspect) {
+            m_state.queue.remove(id);
+        } else if (was_suspect && !queued->is_suspect && m_released_suspect != id) {
+            enqueue(*queued);
+        }
+    }
+    on_run_ended();
+}
+
 bool run_executor::must_defer(const accepted_run& accepted) const {
     return !accepted.route.empty() &&
            m_state.slowness.should_defer(accepted.baseline_service_time, m_state.now());
@@ -305,6 +358,11 @@
     on_run_ended();
 }
 
+void run_executor::on_server_ended() {
+    m_state.load.on_unreachable(m_state.now());
+    m_drain.on_server_down();
+}
+
 void run_executor::on_deadline(run_id id) {
     accepted_run& accepted = *m_state.runs.find(id);
     if (!accepted.at_server) {
@@ -376,6 +434,10 @@
     refused.reason = reason;
     if (reason == refusal::rate_limited) {
         refused.retry_after = m_state.pacer.wait(m_state.queue.size(), m_state.now());
+    } else if (reason == refusal::quarantined) {
+        const http_request& request = m_state.runs.find(id)->request;
+        refused.retry_after =
+            m_state.suspects.quarantine_left(m_state.identity.service, request, m_state.now());
     } else if (has_retry_after(reason)) {
         refused.retry_after = m_state.jittered_retry_after();
     }
@@ -405,6 +467,7 @@
 }
 
 void run_executor::on_run_ended() {
+    release_suspect();
     start_queued();
     m_drain.stop_if_drained();
 }
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -19,6 +19,13 @@
     /// @return whether a run of this class could start or be queued now.
     [[nodiscard]] bool has_capacity(request_class priority) const;
 
+    /// Adapts the runs to changes of the suspects: refuses queued ones that are in quarantine, and lets
+    /// suspects wait for each other.
+    void on_suspects_changed();
+
+    /// The server process has ended. The entries learn from the next reading that it is down.
+    void on_server_ended();
+
     /// Adds a run that passed the checks of `run_admission`, and starts or queues it.
     /// @param link link on which the answer is sent.
     /// @param deadline on this node's clock.
@@ -66,6 +73,14 @@
     [[nodiscard]] bool would_miss_deadline(const accepted_run& accepted) const;
     [[nodiscard]] duration time_at_server(const accepted_run& accepted) const;
 
+    void schedule_last_start(accepted_run& accepted);
+
+    /// Starts a run, or queues it if it may not start at once.
+    void enqueue(accepted_run& accepted);
+
+    /// Enqueues the first waiting suspect if no other suspect is queued or at the server.
+    void release_suspect();
+
     void dispatch(accepted_run& accepted);
     [[nodiscard]] std::string expected_instance(const accepted_run& accepted) const;
     void log_run_ended(const accepted_run& accepted, int status);
@@ -85,7 +100,8 @@
 
     owner_state& m_state;
     drain_controller& m_drain;
-    scoped_timer m_pace_timer; ///< Fires when the server's rate limit allows the next run.
+    std::optional<run_id> m_released_suspect; ///< The suspect that was enqueued last.
+    scoped_timer m_pace_timer;                ///< Fires when the server's rate limit allows the next run.
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/owner/run_table.cpp
+++ b/src/cornelpier/owner/run_table.cpp
@@ -70,6 +70,28 @@
     return result;
 }
 
+std::size_t run_table::suspects() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_runs, [](const auto& it) { return it.second.is_suspect; }));
+}
+
+void run_table::mark_suspects_at_server(const std::function<bool(const run_trace&)>& is_suspect) {
+    for (auto& [id, it] : m_runs) {
+        if (it.at_server) {
+            it.is_suspect = is_suspect(it.trace);
+        }
+    }
+}
+
+bool run_table::has_suspect_at_server() const {
+    return std::ranges::any_of(m_runs,
+                               [](const auto& it) { return it.second.is_suspect && it.second.at_server; });
+}
+
+std::vector<run_id> run_table::queued_suspects() const {
+    return select_ids([](const accepted_run& it) { return it.is_suspect && !it.at_server; });
+}
+
 std::vector<run_id> run_table::queued_past_deadline(time_point now) const {
     return select_ids([now](const accepted_run& it) { return !it.at_server && it.deadline <= now; });
 }
--- a/src/cornelpier/owner/run_table.hpp
+++ b/src/cornelpier/owner/run_table.hpp
@@ -4,6 +4,7 @@
 #include "cornelpier/owner/accepted_run.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,19 @@
     /// @return the runs at the server, the one that was dispatched last first.
     [[nodiscard]] std::vector<const accepted_run*> at_server_youngest_first() const;
 
+    /// @return number of suspects among the runs.
+    [[nodiscard]] std::size_t suspects() const;
+
+    /// Marks the runs at the server that are suspects.
+    /// @param is_suspect called for each trace.
+    void mark_suspects_at_server(const std::function<bool(const run_trace&)>& is_suspect);
+
+    /// @return whether a suspect is at the server.
+    [[nodiscard]] bool has_suspect_at_server() const;
+
+    /// @return the suspects that have not been dispatched, in order of arrival.
+    [[nodiscard]] std::vector<run_id> queued_suspects() const;
+
     /// @return the queued runs whose deadline has passed, in order of arrival.
     [[nodiscard]] std::vector<run_id> queued_past_deadline(time_point now) const;
 
