Cancel lookups that come into quarantine while they run

What callers saw: a third server ended although two ends had named the request: copies of it that had started before were still running there. Cause: a quarantine only kept new runs from servers. Change: an owner that learns of a quarantine cancels the request's idempotent runs; most servers give a request up when its connection closes. Orders go on, since their outcome has to be recorded. Test: a lookup that comes into quarantine while it runs is cancelled, an order is not.

--- a/src/cornelpier/node/traffic_core.hpp
+++ b/src/cornelpier/node/traffic_core.hpp
@@ -24,6 +24,7 @@
     std::size_t ledger_records = 0;
     std::size_t open_links = 0;
     double measurements_last_second = 0;
+    std::uint64_t server_crashes = 0;   ///< Ends of the server with runs in progress.
     std::size_t suspected_requests = 0; ///< Known to the owner, with those in quarantine.
     std::size_t quarantined_requests = 0;
 };
--- a/src/cornelpier/owner/crash_monitor.cpp
+++ b/src/cornelpier/owner/crash_monitor.cpp
@@ -28,8 +28,9 @@
 void crash_monitor::begin_check() {
     m_checking = true;
     m_exposed.clear();
-    for (const accepted_run* it : m_state.runs.at_server_youngest_first()) {
-        m_exposed.push_back({it->id, it->trace, m_state.now() - it->dispatched_at});
+    for (const run_id id : m_state.runs.at_server_youngest_first()) {
+        const accepted_run& it = *m_state.runs.find(id);
+        m_exposed.push_back({id, it.trace, m_state.now() - it.dispatched_at});
     }
     m_state.outbox.emit(check_server{});
 }
--- a/src/cornelpier/owner/crash_monitor.hpp
+++ b/src/cornelpier/owner/crash_monitor.hpp
@@ -42,6 +42,9 @@
     /// Tells an entry what is known, if anything.
     void inform(link_id link);
 
+    /// @return ends of the server with runs in progress.
+    [[nodiscard]] std::uint64_t count() const { return m_crashes; }
+
   private:
     struct exposed_run {
         run_id run;
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -103,6 +103,7 @@
         snapshot.concurrency_limit = m_state.load.limit();
         snapshot.server_rate_limit = m_state.pacer.limit();
         snapshot.service_time = m_state.load.current_service_time(load);
+        snapshot.server_crashes = m_crashes.count();
         snapshot.suspected_requests = m_state.suspects.size();
         snapshot.quarantined_requests = m_state.suspects.quarantined(m_state.now());
         snapshot.ledger_records = m_state.ledger.size();
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -145,27 +145,40 @@
 }
 
 void run_executor::on_suspects_changed() {
-    const suspect_table& suspects = m_state.suspects;
-    m_state.runs.mark_suspects_at_server(
-        [&](const run_trace& it) { return suspects.level(it, m_state.now()) != suspicion::none; });
+    for (const run_id id : m_state.runs.at_server_youngest_first()) {
+        update_suspect_at_server(*m_state.runs.find(id));
+    }
     for (const run_id id : m_state.runs.queued()) {
-        accepted_run* queued = m_state.runs.find(id);
-        if (queued == nullptr) {
-            continue; // Refused when an earlier one was enqueued.
-        }
-        const suspicion level = suspects.level(m_state.identity.service, queued->request, m_state.now());
-        const bool was_suspect = std::exchange(queued->is_suspect, level == suspicion::suspected);
-        if (level == suspicion::quarantined) {
-            refuse(id, refusal::quarantined);
-        } else if (queued->is_suspect && !was_suspect) {
-            m_state.queue.remove(id);
-        } else if (was_suspect && !queued->is_suspect && m_released_suspect != id) {
-            enqueue(*queued);
+        // Enqueueing an earlier one may have ended this one.
+        if (accepted_run* queued = m_state.runs.find(id); queued != nullptr && !queued->at_server) {
+            update_queued_suspect(*queued);
         }
     }
     on_run_ended();
 }
 
+/// Most servers give a request up when its connection is closed, perhaps before it ends them.
+void run_executor::update_suspect_at_server(accepted_run& accepted) {
+    const suspicion level = m_state.suspects.level(accepted.trace, m_state.now());
+    accepted.is_suspect = level != suspicion::none;
+    if (level == suspicion::quarantined && accepted.idempotent) {
+        cancel_at_server(accepted);
+        complete(accepted.id, {});
+    }
+}
+
+void run_executor::update_queued_suspect(accepted_run& accepted) {
+    const suspicion level = m_state.suspects.level(m_state.identity.service, accepted.request, m_state.now());
+    const bool was_suspect = std::exchange(accepted.is_suspect, level == suspicion::suspected);
+    if (level == suspicion::quarantined) {
+        refuse(accepted.id, refusal::quarantined);
+    } else if (accepted.is_suspect && !was_suspect) {
+        m_state.queue.remove(accepted.id);
+    } else if (was_suspect && !accepted.is_suspect && m_released_suspect != accepted.id) {
+        enqueue(accepted);
+    }
+}
+
 bool run_executor::must_defer(const accepted_run& accepted) const {
     return !accepted.route.empty() &&
            m_state.slowness.should_defer(accepted.baseline_service_time, m_state.now());
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -19,8 +19,8 @@
     /// @return whether a run of this class could start or be queued now.
     [[nodiscard]] bool has_capacity(request_class priority) const;
 
-    /// Adapts the runs to changes of the suspects: refuses queued ones that are in quarantine, and lets
-    /// suspects wait for each other.
+    /// Adapts the runs to changes of the suspects: refuses queued ones that are in quarantine, cancels
+    /// idempotent ones at the server, and lets suspects wait for each other.
     void on_suspects_changed();
 
     /// The server process has ended. The entries learn from the next reading that it is down.
@@ -73,6 +73,8 @@
     [[nodiscard]] bool would_miss_deadline(const accepted_run& accepted) const;
     [[nodiscard]] duration time_at_server(const accepted_run& accepted) const;
 
+    void update_suspect_at_server(accepted_run& accepted);
+    void update_queued_suspect(accepted_run& accepted);
     void schedule_last_start(accepted_run& accepted);
 
     /// Starts a run, or queues it if it may not start at once.
--- a/src/cornelpier/owner/run_table.cpp
+++ b/src/cornelpier/owner/run_table.cpp
@@ -59,14 +59,10 @@
     return select_ids([](const accepted_run& it) { return !it.at_server; });
 }
 
-std::vector<const accepted_run*> run_table::at_server_youngest_first() const {
-    std::vector<const accepted_run*> result;
-    for (const auto& [id, it] : m_runs) {
-        if (it.at_server) {
-            result.push_back(&it);
-        }
-    }
-    std::ranges::stable_sort(result, std::ranges::greater{}, &accepted_run::dispatched_at);
+std::vector<run_id> run_table::at_server_youngest_first() const {
+    std::vector<run_id> result = select_ids([](const accepted_run& it) { return it.at_server; });
+    std::ranges::stable_sort(result, std::ranges::greater{},
+                             [this](run_id id) { return m_runs.at(id).dispatched_at; });
     return result;
 }
 
@@ -75,14 +71,6 @@
         std::ranges::count_if(m_runs, [](const auto& it) { return it.second.is_suspect; }));
 }
 
-void run_table::mark_suspects_at_server(const std::function<bool(const run_trace&)>& is_suspect) {
-    for (auto& [id, it] : m_runs) {
-        if (it.at_server) {
-            it.is_suspect = is_suspect(it.trace);
-        }
-    }
-}
-
 bool run_table::has_suspect_at_server() const {
     return std::ranges::any_of(m_runs,
                                [](const auto& it) { return it.second.is_suspect && it.second.at_server; });
--- a/src/cornelpier/owner/run_table.hpp
+++ b/src/cornelpier/owner/run_table.hpp
@@ -4,7 +4,6 @@
 #include "cornelpier/owner/accepted_run.hpp"
 
 #include <cstddef>
-#include <functional>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -33,15 +32,11 @@
     [[nodiscard]] std::vector<run_id> queued() const;
 
     /// @return the runs at the server, the one that was dispatched last first.
-    [[nodiscard]] std::vector<const accepted_run*> at_server_youngest_first() const;
+    [[nodiscard]] std::vector<run_id> at_server_youngest_first() const;
 
     /// @return number of suspects among the runs.
     [[nodiscard]] std::size_t suspects() const;
 
-    /// Marks the runs at the server that are suspects.
-    /// @param is_suspect called for each trace.
-    void mark_suspects_at_server(const std::function<bool(const run_trace&)>& is_suspect);
-
     /// @return whether a suspect is at the server.
     [[nodiscard]] bool has_suspect_at_server() const;
 
--- a/tests/owner/crash_test.cpp
+++ b/tests/owner/crash_test.cpp
@@ -159,6 +159,28 @@
     CHECK(it.take_actions<start_run>().empty());
 }
 
+TEST_CASE("a lookup that comes into quarantine while it runs is cancelled, an order is not", "[crash]") {
+    crash_fixture it;
+    const run_id lookup = *it.submit(it.lookup_of(1, "/deadly"));
+    run_request order = it.order(2);
+    order.request.path = "/deadly-order";
+    CHECK(it.submit(order));
+    suspect_update update = crash_elsewhere(it, "/deadly");
+    update.suspects.front().crashes.push_back({incarnation{98}, 1});
+    suspect_notice other = update.suspects.front();
+    other.fingerprint = fingerprint_of(it.identity.service, order.request);
+    other.crashes = {{incarnation{97}, 1}, {incarnation{96}, 1}};
+    update.suspects.push_back(other);
+    it.actions.clear();
+    it.receive(update);
+    const auto cancelled = it.take_actions<cancel_run>();
+    REQUIRE(cancelled.size() == 1);
+    CHECK(cancelled.front().run == lookup);
+    const auto answers = it.take_sent<run_response>();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().outcome == verdict::unknown);
+}
+
 TEST_CASE("suspects run one after the other, and others beside them", "[crash]") {
     crash_fixture it;
     suspect_update update = crash_elsewhere(it, "/s1");
