Report servers that crash and requests in quarantine

Cause: events 408 to 410 and 609 are the only trace of a quarantine; the pages for operators and callers do not name it, and /metrics has no names for the two new counters. Test: every counter has a name (the exposition threw before); a node that keeps requests in quarantine needs attention.

--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -33,9 +33,12 @@
 };
 
 std::string_view counter_name(metric kind) {
-    constexpr std::array<std::string_view, 9> names{
-        "call_latency", "retries",           "rechoices",    "hedges",           "runs_refused",
-        "measurements", "answers_discarded", "runs_started", "runs_rate_limited"};
+    constexpr std::array<std::string_view, 11> names{"call_latency",      "retries",
+                                                     "rechoices",         "hedges",
+                                                     "runs_refused",      "measurements",
+                                                     "answers_discarded", "runs_started",
+                                                     "runs_rate_limited", "quarantine_rejections",
+                                                     "server_crashes"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -133,6 +136,11 @@
         write_gauge(out, "server_rate_limit", "Requests per second that the server accepts; +Inf: no limit.",
                     traffic.server_rate_limit ? traffic.server_rate_limit->per_second
                                               : std::numeric_limits<double>::infinity());
+        write_gauge(out, "suspected_requests",
+                    "Requests that may have ended servers, with those in quarantine.",
+                    static_cast<double>(traffic.suspected_requests));
+        write_gauge(out, "quarantined_requests", "Requests that are not run because they end servers.",
+                    static_cast<double>(traffic.quarantined_requests));
         write_gauge(out, "service_seconds", "Service time of the server now.",
                     to_seconds(traffic.service_time));
         write_gauge(out, "ledger_records", "Requests remembered.",
--- a/src/daemon/operator/operator_pages.cpp
+++ b/src/daemon/operator/operator_pages.cpp
@@ -91,6 +91,8 @@
     report.queued = gauges.traffic.runs_queued;
     report.limit = gauges.traffic.concurrency_limit;
     report.rate_limit = gauges.traffic.server_rate_limit;
+    report.server_crashes = gauges.traffic.server_crashes;
+    report.quarantined_requests = gauges.traffic.quarantined_requests;
     report.service_time = gauges.traffic.service_time;
     report.measurements_per_second = gauges.traffic.measurements_last_second;
     report.measuring_budget = gauges.measuring_budget;
--- a/src/daemon/report/fleet_report.cpp
+++ b/src/daemon/report/fleet_report.cpp
@@ -141,7 +141,8 @@
 
 bool needs_attention(const node_status& status) {
     return status.source != fact_source::direct || status.stale || status.state != "serving" ||
-           status.vm_state == "leaving" || (status.details && status.details->rate_limit);
+           status.vm_state == "leaving" ||
+           (status.details && (status.details->rate_limit || status.details->quarantined_requests > 0));
 }
 
 fleet_report make_fleet_report(const std::vector<node_query_result>& query_results, std::string taken_at) {
--- a/src/daemon/report/node_report.cpp
+++ b/src/daemon/report/node_report.cpp
@@ -54,6 +54,8 @@
     if (const auto it = item.find("rate_limit"); it != item.end()) {
         report.rate_limit = rate{it->get<double>()};
     }
+    report.server_crashes = item.value("server_crashes", std::uint64_t{0});
+    report.quarantined_requests = item.value("quarantined_requests", std::uint64_t{0});
     report.service_time = microseconds(item, "service_time_us");
     report.measurements_per_second = item.at("measurements_per_second").get<double>();
     report.measuring_budget = item.at("measuring_budget").get<double>();
@@ -105,6 +107,8 @@
                {{"running", report.running},
                 {"queued", report.queued},
                 {"limit", report.limit},
+                {"server_crashes", report.server_crashes},
+                {"quarantined_requests", report.quarantined_requests},
                 {"service_time_us", report.service_time.count()},
                 {"measurements_per_second", report.measurements_per_second},
                 {"measuring_budget", report.measuring_budget}}},
--- a/src/daemon/report/node_report.hpp
+++ b/src/daemon/report/node_report.hpp
@@ -46,7 +46,9 @@
     std::uint64_t running = 0; ///< Requests at the server.
     std::uint64_t queued = 0;
     std::uint64_t limit = 0;
-    std::optional<rate> rate_limit; ///< Requests that the server accepts; unset: no limit.
+    std::optional<rate> rate_limit;         ///< Requests that the server accepts; unset: no limit.
+    std::uint64_t server_crashes = 0;       ///< Ends of the server with runs in progress.
+    std::uint64_t quarantined_requests = 0; ///< Requests that are not run because they end servers.
     duration service_time{};
     double measurements_per_second = 0;
     double measuring_budget = 0;             ///< Per second.
--- a/src/daemon/report/report_html.cpp
+++ b/src/daemon/report/report_html.cpp
@@ -81,6 +81,7 @@
             << escape_html(status.data_centre.value()) << "): " << (current ? "" : "last known ")
             << escape_html(status.state) << (status.vm_state == "leaving" ? ", VM leaving" : "") << "<br>"
             << escape_html(format_rate_limit(status)) << (format_rate_limit(status).empty() ? "" : "<br>")
+            << escape_html(format_quarantine(status)) << (format_quarantine(status).empty() ? "" : "<br>")
             << "<span class=\"old\">" << escape_html(format_source(status)) << "</span></div>\n";
     }
     if (count > max_listed_nodes) {
--- a/src/daemon/report/report_text.cpp
+++ b/src/daemon/report/report_text.cpp
@@ -36,6 +36,9 @@
     if (const std::string limit = format_rate_limit(status); !limit.empty()) {
         out << "\n    " << limit;
     }
+    if (const std::string quarantine = format_quarantine(status); !quarantine.empty()) {
+        out << "\n    " << quarantine;
+    }
     out << "\n    " << format_source(status) << '\n';
 }
 
@@ -81,6 +84,14 @@
     return "server accepts " + to_text(*status.details->rate_limit) + " requests a second";
 }
 
+std::string format_quarantine(const node_status& status) {
+    if (!status.details || status.details->quarantined_requests == 0) {
+        return {};
+    }
+    return "requests in quarantine: " + std::to_string(status.details->quarantined_requests) +
+           "; server crashed: " + std::to_string(status.details->server_crashes);
+}
+
 std::string format_answered(const group_totals& totals) {
     if (totals.answered == totals.nodes) {
         return "all " + std::to_string(totals.nodes) + " nodes answered";
--- a/src/daemon/report/report_text.hpp
+++ b/src/daemon/report/report_text.hpp
@@ -22,6 +22,9 @@
 /// if it names none.
 std::string format_rate_limit(const node_status& status);
 
+/// @return the requests in quarantine and the ends of the server; empty if no request is in quarantine.
+std::string format_quarantine(const node_status& status);
+
 /// @return `all N nodes answered` or `N of M nodes answered`.
 std::string format_answered(const group_totals& totals);
 
--- a/tests/daemon/fleet_report_test.cpp
+++ b/tests/daemon/fleet_report_test.cpp
@@ -79,6 +79,23 @@
     CHECK(to_html(report).find("server accepts 4.7 requests a second") != std::string::npos);
 }
 
+TEST_CASE("a node that keeps requests in quarantine needs attention", "[report]") {
+    auto fleet = partitioned_fleet();
+    fleet[0].answer->quarantined_requests = 2;
+    fleet[0].answer->server_crashes = 3;
+    const auto parsed = parse_node_report(to_json(*fleet[0].answer));
+    REQUIRE(has_value(parsed));
+    CHECK(std::get<node_report>(parsed).quarantined_requests == 2);
+    CHECK(std::get<node_report>(parsed).server_crashes == 3);
+
+    const auto report = make_fleet_report(fleet, "2026-01-01T06:00:00Z");
+    const auto it = std::ranges::find(report.nodes, target_id{"comenzi-1"}, &node_status::node);
+    CHECK(needs_attention(*it));
+    const std::string line = "requests in quarantine: 2; server crashed: 3";
+    CHECK(to_text(report).find("\n    " + line + "\n") != std::string::npos);
+    CHECK(to_html(report).find(line) != std::string::npos);
+}
+
 TEST_CASE("calls are attributed to the called service, not to the service of the entry", "[report]") {
     const auto report = make_fleet_report(partitioned_fleet(), "2026-01-01T06:00:00Z");
     CHECK(report.services.at(service_id{"atelier"}).calls.ran == 200);
--- a/tests/daemon/metrics_test.cpp
+++ b/tests/daemon/metrics_test.cpp
@@ -14,6 +14,17 @@
 
 } // namespace
 
+TEST_CASE("every counter has a name", "[metrics]") {
+    metrics values;
+    for (const metric kind :
+         {metric::retry, metric::run_rate_limited, metric::run_quarantined, metric::server_crashed}) {
+        values.add({kind, service_id{"s"}, verdict::unknown, 1}, time_point{});
+    }
+    const std::string text = values.exposition({});
+    CHECK(text.find(R"(cornelpier_quarantine_rejections_total{service="s"} 1)") != std::string::npos);
+    CHECK(text.find(R"(cornelpier_server_crashes_total{service="s"} 1)") != std::string::npos);
+}
+
 TEST_CASE("histogram buckets are cumulative and the last one equals the count", "[metrics]") {
     metrics values;
     values.add(latency(3ms), time_point{1s});
