Send requests that end servers in the soak

Cause: no run with real processes had a request that ends the servers that run it; the soak's servers end only together with their replacement. Change: a deadly request of its own content is sent again and again to one node after the other; a server that runs it refuses connections for 1 s. It excuses nothing: the other checks hold meanwhile. Its events have a random generator of their own, so that seeds keep their other events.

--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -10,11 +10,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::array<const char*, 23> kind_names{
-    "terminate",    "hang_up",     "replace_server", "change_plan",  "kill",         "kill_all",
-    "pause",        "delay_links", "cut_to",         "cut_from",     "reset_links",  "mute_links",
-    "cut_store",    "reset_store", "mute_store",     "store_down",   "lapse",        "reset_server",
-    "lose_answers", "cut_answers", "slow_server",    "limit_server", "restore_store"};
+constexpr std::array<const char*, 24> kind_names{
+    "terminate",    "hang_up",     "replace_server", "change_plan",  "kill",          "kill_all",
+    "pause",        "delay_links", "cut_to",         "cut_from",     "reset_links",   "mute_links",
+    "cut_store",    "reset_store", "mute_store",     "store_down",   "lapse",         "reset_server",
+    "lose_answers", "cut_answers", "slow_server",    "limit_server", "restore_store", "deadly_request"};
 
 constexpr auto first_fault = static_cast<int>(fault_kind::kill);
 constexpr auto last_kind = static_cast<int>(fault_kind::slow_server);
@@ -23,6 +23,8 @@
 constexpr auto first_separate_kind = static_cast<int>(fault_kind::limit_server);
 constexpr auto last_separate_kind = static_cast<int>(fault_kind::restore_store);
 constexpr std::uint32_t separate_seed_offset = 1'000'003;
+constexpr auto deadly_kind = static_cast<int>(fault_kind::deadly_request);
+constexpr std::uint32_t deadly_seed_offset = 2'000'003;
 
 /// Lengths of the phases of a round: faults with planned operations, then planned operations alone.
 constexpr milliseconds fault_phase{5000};
@@ -84,12 +86,15 @@
 std::vector<fault_event> make_schedule(std::uint32_t seed, int vms, milliseconds length) {
     generator result{seed, vms};
     generator separate{seed + separate_seed_offset, vms};
+    generator deadly{seed + deadly_seed_offset, vms};
     for (milliseconds at{0}; at < length; at += generator::round_length) {
         result.add_round(at);
         separate.add_each(at, first_separate_kind, last_separate_kind);
+        deadly.add_each(at, deadly_kind, deadly_kind);
     }
     auto& events = result.events;
     events.insert(events.end(), separate.events.begin(), separate.events.end());
+    events.insert(events.end(), deadly.events.begin(), deadly.events.end());
     std::erase_if(events, [&](const fault_event& it) { return it.at >= length; });
     std::ranges::stable_sort(events, {}, &fault_event::at);
     return std::move(events);
--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -34,6 +34,7 @@
     slow_server,
     limit_server,  ///< The server names the rate of requests that it accepts.
     restore_store, ///< The store returns from the copy it was at when the event began.
+    deadly_request ///< A request that ends each server that runs it is sent again and again.
 };
 
 /// @return the name for log output.
--- a/tests/soak/loopback_proxy.cpp
+++ b/tests/soak/loopback_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/standins/http_service.hpp"
 
+#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
@@ -57,6 +58,19 @@
     }
 }
 
+void loopback_proxy::set_refusing(bool value) {
+    if (value == m_refusing) {
+        return;
+    }
+    m_refusing = value;
+    if (value) {
+        // Closing would not do: processes that were started since have inherited the socket.
+        ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+        return;
+    }
+    m_acceptor.listen();
+}
+
 void loopback_proxy::stall_all() {
     for (const auto& it : m_sessions) {
         if (const auto open = it.lock()) {
@@ -68,7 +82,12 @@
 void loopback_proxy::accept(asio::yield_context yield) {
     while (true) {
         tcp::socket accepted{m_context};
-        m_acceptor.async_accept(accepted, yield);
+        error_code ec;
+        m_acceptor.async_accept(accepted, yield[ec]);
+        if (ec) {
+            sleep(m_context, fault_poll_interval, yield);
+            continue;
+        }
         auto it = std::make_shared<session>(std::move(accepted));
         m_sessions.remove_if([](const auto& other) { return other.expired(); });
         m_sessions.push_back(it);
--- a/tests/soak/loopback_proxy.hpp
+++ b/tests/soak/loopback_proxy.hpp
@@ -20,8 +20,8 @@
 /// TCP proxy on loopback that injects faults on request. Must be used on the thread of its io_context.
 class loopback_proxy {
   public:
-    /// @param front `IP:port` to listen on.
-    /// @param back `IP:port` to connect to.
+    /// @param client `IP:port` to listen on.
+    /// @param upstream `IP:port` to connect to.
     loopback_proxy(boost::asio::io_context& context, const std::string& client, const std::string& upstream);
 
     /// Replaces the active fault; a default-constructed one ends it. Data that was held back is then
@@ -31,6 +31,9 @@
     /// Resets all open connections (RST).
     void reset_all();
 
+    /// Refuses new connections, as if nothing listened, or accepts them again.
+    void set_refusing(bool value);
+
     /// Stops forwarding on all open connections without closing them; new connections work.
     void stall_all();
 
@@ -46,6 +49,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::ip::tcp::endpoint m_upstream;
     link_fault m_fault;
+    bool m_refusing = false;
     std::list<std::weak_ptr<session>> m_sessions;
 };
 
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -101,16 +101,40 @@
         error_code ec;
         it.stream.expires_after(connect_timeout);
         it.stream.async_connect(standins::parse_endpoint(address), yield[ec]);
-        while (!ec && !m_stopped && send_request(it, address, yield)) {
+        while (!ec && !m_stopped && send_request(it, address, next_request(), yield)) {
             sleep(milliseconds{random_between(min_pause_ms, max_pause_ms)}, yield);
         }
         sleep(reconnect_delay, yield);
     }
 }
 
+void soak_callers::send_repeatedly(std::vector<std::string> addresses, std::string target, int count,
+                                   milliseconds interval) {
+    const auto repeat = [=, this](asio::yield_context yield) {
+        for (int n = 0; n < count && !m_stopped; ++n) {
+            asio::spawn(m_context, [=, this](asio::yield_context inner) {
+                connection it{m_context};
+                const std::string& address = addresses[static_cast<std::size_t>(n) % addresses.size()];
+                auto request = next_request();
+                request.idempotent = true;
+                request.body.clear();
+                request.target = target;
+                error_code ec;
+                it.stream.expires_after(connect_timeout);
+                it.stream.async_connect(standins::parse_endpoint(address), inner[ec]);
+                if (!ec) {
+                    send_request(it, address, request, inner);
+                }
+            });
+            sleep(interval, yield);
+        }
+    };
+    asio::spawn(m_context, repeat);
+}
+
 /// @return whether the connection can be reused.
-bool soak_callers::send_request(connection& it, const std::string& address, asio::yield_context yield) {
-    const auto request = next_request();
+bool soak_callers::send_request(connection& it, const std::string& address, const request_record& request,
+                                asio::yield_context yield) {
     const auto sent_at = steady_clock::now();
     const std::string bytes = bytes_of(request);
     m_checker.on_request_sent(request);
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace cornelpier::soak {
 
@@ -32,6 +33,10 @@
     void check_plan(const std::string& address, int version,
                     std::chrono::steady_clock::time_point changed_at);
 
+    /// Sends requests of the same content to one node after the other.
+    void send_repeatedly(std::vector<std::string> addresses, std::string target, int count,
+                         std::chrono::milliseconds interval);
+
     /// @return the number of requests answered with status 200 by node address since the last call.
     [[nodiscard]] std::map<std::string, int> take_served() { return std::exchange(m_served, {}); }
 
@@ -39,7 +44,8 @@
     class connection;
 
     void run_caller(const std::string& address, boost::asio::yield_context yield);
-    bool send_request(connection& it, const std::string& address, boost::asio::yield_context yield);
+    bool send_request(connection& it, const std::string& address, const request_record& request,
+                      boost::asio::yield_context yield);
     void request_plan_route(const std::string& address, int version,
                             std::chrono::steady_clock::time_point changed_at,
                             boost::asio::yield_context yield);
--- a/tests/soak/soak_runner.cpp
+++ b/tests/soak/soak_runner.cpp
@@ -44,13 +44,18 @@
 constexpr double limited_rate = 2;
 constexpr milliseconds limit_duration{6000};
 
+/// How often a deadly request is sent, and for how long a server that it ended is away.
+constexpr int deadly_repeats = 40;
+constexpr milliseconds deadly_interval{250};
+constexpr milliseconds crash_outage{1000};
+
 /// Time for which the store is away before it returns from its copy.
 constexpr milliseconds restore_outage{500};
 
 } // namespace
 
 soak_runner::soak_runner(soak_options options)
-    : m_options(std::move(options)), m_checker(max_attempts),
+    : m_options(std::move(options)), m_checker(max_attempts), m_deadly(m_checker, m_faults),
       m_fleet(m_context, m_checker, m_options.sidecar, m_options.directory, m_options.vms, m_options.seed),
       m_callers(m_context, m_checker, m_faults, m_options.seed),
       m_busy(static_cast<std::size_t>(m_options.vms)),
@@ -59,8 +64,11 @@
           const auto guard = boost::asio::make_work_guard(m_context);
           m_context.run();
       }) {
-    for (auto& it : m_fleet.vms) {
-        it.server->fault_free_since = [this](auto since) { return m_faults.fault_free_since(since); };
+    for (int vm = 0; vm < m_options.vms; ++vm) {
+        auto& server = *m_fleet.vms[static_cast<std::size_t>(vm)].server;
+        server.fault_free_since = [this](auto since) { return m_faults.fault_free_since(since); };
+        server.deadly = &m_deadly;
+        server.on_crash = [this, vm] { crash_server(vm); };
     }
 }
 
@@ -95,16 +103,18 @@
 
     std::vector<std::string> violations;
     std::string answers;
+    std::size_t crashes = 0;
     on_context([&] {
         m_callers.stop();
+        crashes = m_deadly.crashes();
         m_checker.finish();
         violations = m_checker.violations();
         for (const auto& [status, count] : m_checker.answers()) {
             answers += ' ' + (status == 0 ? "none" : std::to_string(status)) + ':' + std::to_string(count);
         }
     });
-    std::cout << "seed " << m_options.seed << " answers" << answers << ", broken " << violations.size()
-              << '\n';
+    std::cout << "seed " << m_options.seed << " answers" << answers << ", crashes " << crashes << ", broken "
+              << violations.size() << '\n';
     return violations;
 }
 
@@ -119,6 +129,9 @@
               std::to_string(event.duration.count()) + " ms");
     if (is_planned(event.kind)) {
         run_planned_operation(event);
+    } else if (event.kind == fault_kind::deadly_request) {
+        // No fault that excuses anything: the nodes have to serve all others meanwhile.
+        on_context([this] { send_deadly_requests(); });
     } else {
         on_context([this] { m_faults.begin(); });
         inject_fault(event);
@@ -284,6 +297,25 @@
     });
 }
 
+void soak_runner::send_deadly_requests() {
+    std::vector<std::string> addresses;
+    for (int vm = 0; vm < m_options.vms; ++vm) {
+        addresses.push_back(m_fleet.caller_address(vm));
+    }
+    m_callers.send_repeatedly(std::move(addresses),
+                              deadly_tracker::path_prefix + std::to_string(++m_deadly_requests),
+                              deadly_repeats, deadly_interval);
+}
+
+/// Runs on the thread of the io_context.
+void soak_runner::crash_server(int vm) {
+    auto& proxy = *m_fleet.vms[static_cast<std::size_t>(vm)].server_proxy;
+    proxy.set_refusing(true);
+    proxy.reset_all();
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, crash_outage);
+    timer->async_wait([&proxy, timer](boost::system::error_code) { proxy.set_refusing(false); });
+}
+
 void soak_runner::write_entries_again() {
     on_context([this] {
         for (int vm = 0; vm < m_options.vms; ++vm) {
--- a/tests/soak/soak_runner.hpp
+++ b/tests/soak/soak_runner.hpp
@@ -53,6 +53,8 @@
     void change_plan();
     void take_store_down(const fault_event& event);
     void restore_store(const fault_event& event);
+    void send_deadly_requests();
+    void crash_server(int vm);
     void write_entries_again();
     void restart_node(int vm);
     void run_due_actions(time_point until);
@@ -68,12 +70,14 @@
     boost::asio::io_context m_context{1};
     invariant_checker m_checker;
     fault_tracker m_faults;
+    deadly_tracker m_deadly;
     soak_fleet m_fleet;
     soak_callers m_callers;
     std::multimap<time_point, std::function<void()>> m_scheduled_actions;
     std::vector<bool> m_busy; ///< VMs whose node is being stopped, restarted or paused by an event.
     std::vector<bool> m_server_draining;
     int m_plan_version = 1;
+    int m_deadly_requests = 0;
     bool m_store_busy = false;
     time_point m_started_at;
     std::thread m_thread;
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -13,6 +13,10 @@
 constexpr double min_work_ms = 10;
 constexpr double max_work_ms = 60;
 
+/// Time for which a deadly request runs until the server ends.
+constexpr int min_crash_delay_ms = 10;
+constexpr int max_crash_delay_ms = 60;
+
 /// Time after the first naming of a rate from which it has to hold, and the period over which arrivals count.
 constexpr std::chrono::seconds limit_reaction_time{3};
 constexpr std::chrono::seconds limit_window{4};
@@ -117,6 +121,12 @@
         m_checker.add_violation("unasked", id, "has a different service in X-Caller-Service");
     }
     check_drain(id);
+    const std::string target{request.target()};
+    if (deadly_tracker::is_deadly(target)) {
+        deadly->on_run(target, std::chrono::steady_clock::now());
+        crash_later(target);
+        return;
+    }
 
     ++m_running;
     const auto work = std::uniform_real_distribution{min_work_ms, max_work_ms}(m_random)*slowness;
@@ -135,6 +145,16 @@
     });
 }
 
+void soak_server::crash_later(const std::string& target) {
+    const auto delay = std::uniform_int_distribution{min_crash_delay_ms, max_crash_delay_ms}(m_random);
+    const auto timer =
+        std::make_shared<boost::asio::steady_timer>(m_context, std::chrono::milliseconds{delay});
+    timer->async_wait([this, timer, target](boost::system::error_code) {
+        deadly->on_crash(target, std::chrono::steady_clock::now());
+        on_crash();
+    });
+}
+
 void soak_server::finish(const exchange_ptr& it) {
     const double draw = std::uniform_real_distribution{0.0, 1.0}(m_random);
     if (draw < dropped_response_share) {
--- a/tests/soak/soak_server.hpp
+++ b/tests/soak/soak_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tests/soak/deadly_tracker.hpp"
 #include "tests/soak/invariant_checker.hpp"
 #include "tests/standins/http_service.hpp"
 
@@ -43,6 +44,12 @@
     /// Starts a new instance, which is not draining.
     void restart_as(const std::string& name);
 
+    /// Called when a deadly request has ended the server; the connections are to be reset and refused.
+    std::function<void()> on_crash;
+
+    /// Set by the fleet; not owned.
+    deadly_tracker* deadly = nullptr;
+
     /// Returns whether no fault has been active since a time; see fault_tracker.
     std::function<bool(std::chrono::steady_clock::time_point)> fault_free_since;
 
@@ -52,6 +59,7 @@
     void on_request(const exchange_ptr& it);
     void run(const exchange_ptr& it);
     void finish(const exchange_ptr& it);
+    void crash_later(const std::string& target);
     void check_drain(const std::string& id);
     void check_rate_limit(const std::string& id);
     void refuse(const exchange_ptr& it, int status);
