Refuse deeply nested documents and messages

What operators saw, reported from other fleets: one odd entry, and the processes that read it end again and again. Cause: copying a JSON value and parsing CBOR recurse. Change: documents and messages from outside the process are refused beyond 64 levels, which is checked without recursion.

--- a/src/cornelpier/message/cbor_reader.cpp
+++ b/src/cornelpier/message/cbor_reader.cpp
@@ -1,11 +1,17 @@
 #include "cornelpier/message/cbor_reader.hpp"
 
+#include "cornelpier/validation/nesting.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace cornelpier {
 
 nlohmann::json read_cbor(std::string_view bytes) {
     using nlohmann::json;
+    if (is_cbor_too_deep(bytes)) {
+        json nothing = json::value_t::discarded;
+        return nothing;
+    }
     try {
         return json::from_cbor(bytes.begin(), bytes.end(), true, false);
     } catch (const json::out_of_range&) {
--- a/src/cornelpier/validation/json_validator.cpp
+++ b/src/cornelpier/validation/json_validator.cpp
@@ -1,6 +1,7 @@
 #include "cornelpier/validation/json_validator.hpp"
 
 #include "cornelpier/validation/nearest_word.hpp"
+#include "cornelpier/validation/nesting.hpp"
 
 #include <nlohmann/json.hpp>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
@@ -189,6 +190,9 @@
 } // namespace
 
 result<json> parse_json(std::string_view text) {
+    if (is_json_too_deep(text)) {
+        return error{"", "nested deeper than " + std::to_string(max_nesting) + " levels"};
+    }
     try {
         return json::parse(text.begin(), text.end());
     } catch (const json::parse_error& problem) {
@@ -198,6 +202,14 @@
     }
 }
 
+json read_json(std::string_view text) {
+    if (is_json_too_deep(text)) {
+        json nothing = json::value_t::discarded;
+        return nothing;
+    }
+    return json::parse(text, nullptr, false);
+}
+
 std::vector<error> validate_json(const json& document, std::string_view schema_text) {
     const json schema = json::parse(schema_text);
     std::vector<error> errors;
--- a/src/cornelpier/validation/json_validator.hpp
+++ b/src/cornelpier/validation/json_validator.hpp
@@ -13,6 +13,10 @@
 /// @return the document, or an error with line and column.
 result<nlohmann::json> parse_json(std::string_view text);
 
+/// Parses untrusted JSON text.
+/// @return the document, or a discarded value if the text is malformed or nested too deep.
+nlohmann::json read_json(std::string_view text);
+
 /// Validates a document against a JSON Schema.
 /// @param document any JSON value.
 /// @param schema_text JSON Schema (draft 7) that uses `properties`, `required`, `items`, `type`, `enum` and
--- a/src/daemon/platform/platform_reader.cpp
+++ b/src/daemon/platform/platform_reader.cpp
@@ -1,5 +1,7 @@
 #include "daemon/platform/platform_reader.hpp"
 
+#include "cornelpier/validation/json_validator.hpp"
+
 #include "daemon/net/endpoint.hpp"
 #include "daemon/platform/http_get.hpp"
 
@@ -56,7 +58,7 @@
 } // namespace
 
 control_event parse_vm_list(const std::string& text) {
-    const auto list = nlohmann::json::parse(text, nullptr, false);
+    const auto list = read_json(text);
     if (!list.is_object() || !list.contains("vms") || !list["vms"].is_array()) {
         return vm_list_read_failed{};
     }
--- a/src/daemon/server/server_client.cpp
+++ b/src/daemon/server/server_client.cpp
@@ -1,5 +1,7 @@
 #include "daemon/server/server_client.hpp"
 
+#include "cornelpier/validation/json_validator.hpp"
+
 #include "daemon/net/endpoint.hpp"
 #include "daemon/net/hop_by_hop.hpp"
 #include "daemon/server/server_check.hpp"
@@ -24,7 +26,7 @@
 
 /// @return the report, or `server_report_failed` if the response is not a valid report.
 traffic_event parse_report(const http_response& response) {
-    const auto item = nlohmann::json::parse(*response.body, nullptr, false);
+    const auto item = read_json(*response.body);
     if (response.status != status_ok || !item.is_object()) {
         return server_report_failed{};
     }
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -1,4 +1,8 @@
+#include "cornelpier/message/cbor_reader.hpp"
+
+#include "platform/manifest.hpp"
 #include "platform/server_directory.hpp"
+#include "platform/store_client.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -64,4 +68,30 @@
     }
 }
 
+TEST_CASE("a deeply nested document ends no process", "[odd-entry]") {
+    const std::string deep = nested('[', ']', max_value_bytes / 2);
+    const std::string deep_object = [] {
+        std::string text;
+        for (std::size_t n = 0; n < max_value_bytes / 6; ++n) {
+            text += R"({"a":)";
+        }
+        return text;
+    }();
+    CHECK(std::holds_alternative<store_failure>(decode_page(200, deep, {})));
+    CHECK(std::holds_alternative<store_failure>(decode_changes(200, deep_object, {})));
+    CHECK(std::holds_alternative<error>(decode_manifest(deep)));
+    const std::string manifest = R"({"version":"r1","routes":{"columns":["name"],"rows":[[)" + deep +
+                                 R"(]]},"services":{"columns":[],"rows":[]}})";
+    CHECK(std::holds_alternative<error>(decode_manifest(manifest)));
+}
+
+TEST_CASE("a deeply nested message of a node ends no process", "[odd-entry]") {
+    for (const char open : {'\x81', '\x9f', '\xbf', '\xa1', '\xc1'}) {
+        CHECK(read_cbor(std::string(4 * max_value_bytes, open)).is_discarded());
+    }
+    std::string closed(max_value_bytes, '\x81');
+    closed += '\x01';
+    CHECK(read_cbor(closed).is_discarded());
+}
+
 } // namespace cornelpier::platform
