Do not reuse a connection after a failure without a request id

What callers saw, reported from other fleets: a faulty server writes an earlier refusal once more on a kept connection, and callers are told that a request did not run that has run. Cause: servers of the own interface echo no request id, so that a late copy of a refusal (503 of refusal_statuses) was taken for the response to the next request, with the verdict not-run. Change: without ids, a connection is closed after a response of 400 and above, so that no copy of a refusal can come before the next response. Copies of successful responses are still not recognised there; the connection is discarded if one arrives while it is idle.

--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -208,8 +208,12 @@
 void server_exchange::process_response() {
     auto& parser = *m_http->parser;
     const bool framed = !parser.need_eof();
-    const bool clean =
-        parser.keep_alive() && m_http->buffer.size() == 0 && m_write_completed && !m_unmatched_response_seen;
+    // A repeated refusal without an id would be taken for the response to the next request, and would claim
+    // that it did not run.
+    const bool repeatable =
+        m_rules.request_id_field.empty() && parser.get().result_int() >= first_error_status;
+    const bool clean = parser.keep_alive() && m_http->buffer.size() == 0 && m_write_completed &&
+                       !m_unmatched_response_seen && !repeatable;
     const auto idle_time = announced_idle_time(std::string{parser.get()[http::field::keep_alive]});
     auto response = copy_response(parser.get(), m_request.method == "HEAD");
     if (is_unmatched(response) && framed) {
--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -360,6 +360,28 @@
     }
 }
 
+TEST_CASE(
+    "a refusal that a server without request ids repeats is not taken for the response to the next request",
+    "[server][field-reports]") {
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    scripted_server server(refusal);
+    client_fixture it(server.address);
+    it.start(1);
+    REQUIRE(it.events.wait(1).size() == 1);
+    it.start(2);
+    REQUIRE(it.events.wait(2).size() == 2);
+    CHECK(server.connections.wait(2).size() == 2);
+
+    // Other responses keep the connection.
+    scripted_server sound(short_answer);
+    client_fixture other(sound.address);
+    other.start(1);
+    REQUIRE(other.events.wait(1).size() == 1);
+    other.start(2);
+    REQUIRE(other.events.wait(2).size() == 2);
+    CHECK(sound.connections.wait(2, 50ms).size() == 1);
+}
+
 TEST_CASE("a late response to a run is not taken for a health report", "[server][field-reports]") {
     auto names = adapter_names();
     names.load = "x-load";
