Test responses that break off at every byte

What callers saw, reported from other fleets: a server stops in the middle of its answer's head and closes, and callers get a 200 with a short body framed as whole. Result: it does not happen here. No change of the product.

--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -404,6 +404,31 @@
     CHECK(report->load);
 }
 
+TEST_CASE("a response that breaks off anywhere before its end is never complete", "[server][field-reports]") {
+    const std::string fields = "X-Id: 7\r\nX-Seal: s\r\n";
+    const std::vector<std::string> responses{
+        "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 12\r\n\r\nwhole answer",
+        "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n" + fields + "Keep-Alive: timeout=5\r\n\r\nwhole answer",
+        "HTTP/1.1 200 OK\r\n" + fields +
+            "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n7\r\n answer\r\n0\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\n" + fields + "\r\n",
+        "HTTP/1.1 503 Busy\r\nX-Id: 7\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    };
+    for (const auto& whole : responses) {
+        REQUIRE(std::holds_alternative<server_answered>(outcome_of(whole, true)));
+        for (std::size_t length = 0; length < whole.size(); ++length) {
+            INFO(whole.substr(0, length));
+            CHECK(std::holds_alternative<server_failed>(outcome_of(whole.substr(0, length), true)));
+        }
+    }
+    // Without a length, the head at least has to be whole.
+    const std::string head = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        INFO(head.substr(0, length));
+        CHECK(std::holds_alternative<server_failed>(outcome_of(head.substr(0, length), true)));
+    }
+}
+
 // A faulty server may send invalid bytes until the client closes the connection.
 TEST_CASE("unbounded input ends at a limit and counts as an incomplete response", "[server][field-reports]") {
     constexpr std::size_t bound = std::size_t{16} * 1024 * 1024;
