Forget suspects in time, and test orders, frequent requests and the end of a quarantine

Cause: expired records stayed until the next end of a server, so that owners and entries hashed every request for as long, and every end of a run searched the runs for suspects that there were none of. Change: records are removed at most a second after they expire; runs are searched only while one may be a suspect. The servers of the tests let no deadly request end well before its time.

--- a/src/cornelpier/entry/quarantine_gate.cpp
+++ b/src/cornelpier/entry/quarantine_gate.cpp
@@ -13,7 +13,8 @@
 
 } // namespace
 
-suspicion quarantine_gate::level(const call_state& call) const {
+suspicion quarantine_gate::level(const call_state& call) {
+    m_suspects.expire(m_context.now());
     return m_suspects.level(call.event.service, call.event.request, m_context.now());
 }
 
--- a/src/cornelpier/entry/quarantine_gate.hpp
+++ b/src/cornelpier/entry/quarantine_gate.hpp
@@ -15,7 +15,7 @@
     /// @param links must outlive the object.
     quarantine_gate(entry_context& context, link_set& links) : m_context(context), m_links(links) {}
 
-    [[nodiscard]] suspicion level(const call_state& call) const;
+    [[nodiscard]] suspicion level(const call_state& call);
 
     /// @return rest of the quarantine of the call's request; zero if there is none.
     [[nodiscard]] duration quarantine_left(const call_state& call) const;
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -91,7 +91,7 @@
     on_time_reserve reserve;                 ///< run_executor.
     slowness_meter slowness;                 ///< owner_manager, run_executor.
     class_rate_meter class_rates;            ///< run_executor.
-    suspect_table suspects;                  ///< crash_monitor.
+    suspect_table suspects;                  ///< crash_monitor, run_admission.
     run_pacer pacer;                         ///< owner_manager, advice_monitor, run_executor.
     node_state_machine lifecycle;            ///< drain_controller.
     time_point started_at;                   ///< Start of the process.
--- a/src/cornelpier/owner/run_admission.cpp
+++ b/src/cornelpier/owner/run_admission.cpp
@@ -48,6 +48,7 @@
 void run_admission::admit(link_id link, const run_request& message) {
     m_state.ledger.expire(m_state.now());
     m_state.keys.expire(m_state.now());
+    m_state.suspects.expire(m_state.now());
 
     // Comes before all other checks: a duplicate must not be refused as `not_run` while another copy of the
     // attempt runs or has run.
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -99,6 +99,7 @@
         enqueue(added);
         return;
     }
+    m_has_suspects = true;
     schedule_last_start(added);
     release_suspect();
 }
@@ -134,10 +135,11 @@
 
 void run_executor::release_suspect() {
     const bool is_one_released = m_released_suspect && m_state.runs.find(*m_released_suspect) != nullptr;
-    if (is_one_released || m_state.runs.has_suspect_at_server()) {
+    if (!m_has_suspects || is_one_released || m_state.runs.has_suspect_at_server()) {
         return;
     }
     const auto waiting = m_state.runs.queued_suspects();
+    m_has_suspects = !waiting.empty();
     m_released_suspect = waiting.empty() ? std::nullopt : std::optional{waiting.front()};
     if (m_released_suspect) {
         enqueue(*m_state.runs.find(*m_released_suspect));
@@ -145,6 +147,7 @@
 }
 
 void run_executor::on_suspects_changed() {
+    m_has_suspects = true;
     for (const run_id id : m_state.runs.at_server_youngest_first()) {
         update_suspect_at_server(*m_state.runs.find(id));
     }
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -102,6 +102,7 @@
 
     owner_state& m_state;
     drain_controller& m_drain;
+    bool m_has_suspects = false;              ///< A run may be a suspect.
     std::optional<run_id> m_released_suspect; ///< The suspect that was enqueued last.
     scoped_timer m_pace_timer;                ///< Fires when the server's rate limit allows the next run.
 };
--- a/src/cornelpier/quarantine/suspect_table.cpp
+++ b/src/cornelpier/quarantine/suspect_table.cpp
@@ -289,6 +289,10 @@
 }
 
 void suspect_table::expire(time_point now) {
+    if (m_records.empty() || now < m_next_expiry) {
+        return;
+    }
+    m_next_expiry = now + expiry_interval;
     std::erase_if(m_records, [now](const auto& it) { return now >= expiry(it.second); });
 }
 
--- a/src/cornelpier/quarantine/suspect_table.hpp
+++ b/src/cornelpier/quarantine/suspect_table.hpp
@@ -57,6 +57,7 @@
 
     static constexpr duration suspicion_length = std::chrono::seconds{60};
     static constexpr duration first_quarantine = std::chrono::seconds{60};
+    static constexpr duration expiry_interval = std::chrono::seconds{1};
     static constexpr duration max_quarantine = std::chrono::minutes{15};
 
     [[nodiscard]] bool empty() const { return m_records.empty(); }
@@ -113,7 +114,7 @@
                                              const std::vector<request_fingerprint>& fingerprints,
                                              time_point now) const;
 
-    /// Removes the records that have expired.
+    /// Removes the records that have expired, at most once per `expiry_interval`.
     void expire(time_point now);
 
   private:
@@ -144,6 +145,7 @@
     void make_room();
 
     record_map m_records;
+    time_point m_next_expiry{};
 };
 
 } // namespace cornelpier
--- a/tests/server_crashes/crash_fleet.cpp
+++ b/tests/server_crashes/crash_fleet.cpp
@@ -68,12 +68,14 @@
     m_fleet.queue().run_until(end);
 }
 
-void crash_fleet::send(const std::string& method, const std::string& body) {
+void crash_fleet::send(const std::string& method, const std::string& body,
+                       const std::optional<std::string>& key) {
     call_request request;
     request.entry = target(m_calls++ % m_fleet.targets().size());
     request.service = service_name;
     request.method = method;
     request.body = body;
+    request.key = key;
     request.hidden_from_transcript = true;
     m_fleet.send_call(std::move(request));
 }
--- a/tests/server_crashes/crash_fleet.hpp
+++ b/tests/server_crashes/crash_fleet.hpp
@@ -2,6 +2,7 @@
 
 #include "tests/support/fleet.hpp"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -36,8 +37,9 @@
     void press(duration length, const std::vector<std::string>& deadly = {},
                const std::vector<std::string>& methods = {"GET"});
 
-    /// Sends one request.
-    void send(const std::string& method, const std::string& body);
+    /// Sends one request to the next entry.
+    /// @param key Idempotency-Key, if any.
+    void send(const std::string& method, const std::string& body, const std::optional<std::string>& key = {});
 
     /// Takes a server down for `outage`; no request is the cause.
     void crash(std::size_t target);
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -139,10 +139,11 @@
         auto& it = m_runs.at(run);
         it.in_service = true;
         ++m_busy_slots;
-        schedule_completion(run, it);
         if (m_deadly_bodies.contains(*it.request.body)) {
+            it.remaining_time = std::max(it.remaining_time, 2 * m_deadly_delay);
             m_queue.call_after(m_deadly_delay, [this, run] { crash_if_running(run); });
         }
+        schedule_completion(run, it);
     }
 }
 
--- a/tools/mutation_check.sh
+++ b/tools/mutation_check.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Mutation test of the safety mechanisms: disables one mechanism at a time in a scratch copy and expects a
 # test suite to fail. Mutations of the core run the scenarios, the random schedules, the fleets whose servers give
-# advice and the unit tests; mutations of the daemon and the adapter run their tests tagged [field-reports],
+# advice or end and the unit tests; mutations of the daemon and the adapter run their tests tagged [field-reports],
 # [drain] or [restored]. Arguments: names of mutations (default: all of tests/mutations/mutations.txt).
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -12,7 +12,8 @@
 cd "$scratch"
 # Warnings are off because a mutation can leave a variable unused, which -Werror would reject.
 cmake -S . -B build -G Ninja -DCMAKE_CXX_FLAGS=-w > /dev/null
-core_targets=(cornelpier-scenario-tests cornelpier-schedule-tests cornelpier-server-advice-tests cornelpier-tests)
+core_targets=(cornelpier-scenario-tests cornelpier-schedule-tests cornelpier-server-advice-tests
+  cornelpier-server-crash-tests cornelpier-tests)
 daemon_targets=(cornelpier-daemon-tests cornelpier-platform-tests cornelpier-fleet-source-tests)
 
 trim() { sed -E 's/^ +//; s/ +$//' <<< "$1"; }
