Tell only the entries that lost a run of the end of a server

Cause: the owner told all connected entries, so that the cost of an end grew with the fleet (576 messages at 960 targets). Change: only the entries whose runs were lost are told before they are answered, and the other owners of the service; other entries learn of a suspicion or a quarantine by a refusal, of the early end of a quarantine by a message to all. Test: the end of a server is told to the entries that lost a run and to the owners.

--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -74,12 +74,7 @@
     const target_plan* best = nullptr;
     std::uint64_t best_score = 0;
     for (const auto& it : service.targets) {
-        const bool is_tried = std::ranges::any_of(call.attempts, [&](const attempt_state& attempt) {
-            return attempt.target == it.id && attempt.may_have_run();
-        });
-        const bool is_excluded = std::ranges::count(call.excluded_targets, it.id) != 0;
-        const bool is_healthy = m_health.at(it.id, m_context.now()).state() == health_state::healthy;
-        if (is_tried || is_excluded || !is_healthy || is_leaving(it.id) || m_links.is_backing_off(it.id)) {
+        if (!is_usable_for_suspect(call, it.id)) {
             continue;
         }
         const std::uint64_t score = rendezvous_score(hash_input, it.id.value());
@@ -94,6 +89,14 @@
     return selection{best->id, best->data_centre, best->node_address, std::nullopt, false, true};
 }
 
+bool target_selector::is_usable_for_suspect(const call_state& call, const target_id& target) {
+    const bool is_tried = std::ranges::any_of(
+        call.attempts, [&](const attempt_state& it) { return it.target == target && it.may_have_run(); });
+    const bool is_excluded = std::ranges::count(call.excluded_targets, target) != 0;
+    const bool is_healthy = m_health.at(target, m_context.now()).state() == health_state::healthy;
+    return !is_tried && !is_excluded && is_healthy && !is_leaving(target) && !m_links.is_backing_off(target);
+}
+
 std::optional<selection> target_selector::select_home(const service_plan& service, const std::string& key) {
     if (service.targets.empty()) {
         return std::nullopt;
--- a/src/cornelpier/entry/target_selector.hpp
+++ b/src/cornelpier/entry/target_selector.hpp
@@ -72,6 +72,7 @@
         bool wait_limit_only = false;
     };
 
+    bool is_usable_for_suspect(const call_state& call, const target_id& target);
     std::optional<selection> select_trial(const call_state& call, const service_state& service);
     std::vector<scored_candidate> score(const call_state& call, service_state& service,
                                         const std::vector<subset_member>& members);
--- a/src/cornelpier/owner/crash_monitor.cpp
+++ b/src/cornelpier/owner/crash_monitor.cpp
@@ -30,7 +30,7 @@
     m_exposed.clear();
     for (const run_id id : m_state.runs.at_server_youngest_first()) {
         const accepted_run& it = *m_state.runs.find(id);
-        m_exposed.push_back({id, it.trace, m_state.now() - it.dispatched_at});
+        m_exposed.push_back({id, it.trace, m_state.now() - it.dispatched_at, it.reply_to});
     }
     m_state.outbox.emit(check_server{});
 }
@@ -59,15 +59,23 @@
     m_state.outbox.increment(metric::server_crashed);
     m_executor.on_server_ended();
     m_reported.clear();
+    std::set<link_id> links;
     for (const auto& it : m_exposed) {
         m_reported.insert(it.run);
+        if (it.reply_to) {
+            links.insert(*it.reply_to);
+        }
     }
 
     const service_id& service = m_state.identity.service;
     const auto causes = possible_causes();
     const crash_id crash{m_state.identity.process, ++m_crashes};
     log_quarantines(m_state.suspects.on_crash(crash, service, causes, m_state.now()));
-    publish(m_state.suspects.make_update(service, causes, m_state.now()));
+    const suspect_update update = m_state.suspects.make_update(service, causes, m_state.now());
+    for (const link_id it : links) {
+        m_state.outbox.send(it, update);
+    }
+    inform_owners(update);
     m_executor.on_suspects_changed();
 }
 
@@ -97,11 +105,14 @@
         return;
     }
     m_state.outbox.log(event_number::quarantine_lifted, {{"fingerprint", to_string(*fingerprint)}});
-    publish(m_state.suspects.make_update(m_state.identity.service, {*fingerprint}, m_state.now()));
+    // Any entry may reject the request without asking an owner.
+    const suspect_update update =
+        m_state.suspects.make_update(m_state.identity.service, {*fingerprint}, m_state.now());
+    m_state.outbox.broadcast(update);
+    inform_owners(update);
 }
 
-void crash_monitor::publish(const suspect_update& update) {
-    m_state.outbox.broadcast(update);
+void crash_monitor::inform_owners(const suspect_update& update) {
     if (m_publisher) {
         m_publisher(update);
     }
--- a/src/cornelpier/owner/crash_monitor.hpp
+++ b/src/cornelpier/owner/crash_monitor.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -50,13 +51,13 @@
         run_id run;
         run_trace trace;
         duration age{}; ///< Time at the server when the first connection was lost.
+        std::optional<link_id> reply_to;
     };
 
     [[nodiscard]] bool is_leaving() const;
     /// @return the requests that may have ended the server.
     [[nodiscard]] std::vector<request_fingerprint> possible_causes() const;
-    /// Informs the connected entries and the other owners of the service.
-    void publish(const suspect_update& update);
+    void inform_owners(const suspect_update& update);
     void begin_check();
     void report_crash();
     void log_crash() const;
--- a/tests/message/codec_test.cpp
+++ b/tests/message/codec_test.cpp
@@ -48,6 +48,31 @@
     CHECK(received.rate_limit == sent.rate_limit);
 }
 
+TEST_CASE("an update about suspects is decoded with all fields and stays small", "[codec]") {
+    suspect_update sent{service_id{"comenzi"}, {}};
+    for (std::uint64_t n = 0; n < 32; ++n) {
+        suspect_notice notice;
+        notice.fingerprint = {~n, ~(2 * n)};
+        notice.crashes = {{incarnation{~n}, n}};
+        notice.quarantine_left = std::chrono::seconds{n};
+        notice.quarantine_length = std::chrono::seconds{60};
+        notice.cleared = n == 3;
+        sent.suspects.push_back(notice);
+    }
+    const suspect_update received = round_trip(sent);
+    CHECK(received.service == sent.service);
+    REQUIRE(received.suspects.size() == sent.suspects.size());
+    for (std::size_t n = 0; n < sent.suspects.size(); ++n) {
+        CHECK(received.suspects[n].fingerprint == sent.suspects[n].fingerprint);
+        CHECK(received.suspects[n].crashes == sent.suspects[n].crashes);
+        CHECK(received.suspects[n].quarantine_left == sent.suspects[n].quarantine_left);
+        CHECK(received.suspects[n].quarantine_length == sent.suspects[n].quarantine_length);
+        CHECK(received.suspects[n].cleared == sent.suspects[n].cleared);
+    }
+    // One end of a server names 32 suspects at most.
+    CHECK(encode(traffic_message{sent}).size() <= 2048);
+}
+
 TEST_CASE("a run response without an HTTP response is decoded without one", "[codec]") {
     run_response sent;
     sent.outcome = verdict::not_run;
--- a/tests/owner/crash_test.cpp
+++ b/tests/owner/crash_test.cpp
@@ -75,6 +75,23 @@
     CHECK(std::get<run_response>(sent[2].message).outcome == verdict::unknown);
 }
 
+TEST_CASE("the end of a server is told to the entries that lost a run and to the owners", "[crash]") {
+    crash_fixture it;
+    it.owner.on_message(owner_fixture::second_link,
+                        hello{target_id{"e2"}, incarnation{3}, data_centre_id{"dc1"}, 1});
+    std::vector<suspect_update> published;
+    it.owner.set_suspect_publisher([&](const suspect_update& update) { published.push_back(update); });
+    const run_id run = *it.submit(it.lookup_of(1, "/a"));
+    it.actions.clear();
+    it.crash({run});
+    CHECK(published.size() == 1);
+    for (const auto& sent : it.take_actions<send_message>()) {
+        if (std::holds_alternative<suspect_update>(sent.message)) {
+            CHECK(sent.link == owner_fixture::link);
+        }
+    }
+}
+
 TEST_CASE("a lost connection to a server that still listens names nobody", "[crash]") {
     for (const auto presence : {server_presence::listening, server_presence::unknown}) {
         crash_fixture it;
