--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -111,16 +111,17 @@
                            [this, id = accepted.id] { on_deadline(id); });
 }
 
-void run_executor::enqueue(accepted_run& added) {
-    const run_id id = added.id;
-    if (may_start() && m_state.queue.empty() && !must_defer(added)) {
-        dispatch(added);
+void run_executor::enqueue(accepted_run& accepted) {
+    const run_id id = accepted.id;
+    if (may_start() && m_state.queue.empty() && !must_defer(accepted)) {
+        dispatch(accepted);
         return;
     }
-    schedule_last_start(added);
-    const bool is_short = !added.route.empty() && m_state.is_short_service_time(added.baseline_service_time);
-    const time_point late_after = is_short ? last_start(added) : added.latest_start;
-    const auto offered = m_state.queue.offer(id, added.priority, added.latest_start, late_after);
+    schedule_last_start(accepted);
+    const bool is_short =
+        !accepted.route.empty() && m_state.is_short_service_time(accepted.baseline_service_time);
+    const time_point late_after = is_short ? last_start(accepted) : accepted.latest_start;
+    const auto offered = m_state.queue.offer(id, accepted.priority, accepted.latest_start, late_after);
     if (!offered.accepted) {
         refuse(id, refusal::overloaded);
         return;
