Reopen links to targets that a suspect could use

Cause: the choice for suspects skipped targets whose link was backing off and did not ask for the link again, unlike the choice for others. Change: the link is opened, so that the next attempt can use the target.

--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -77,6 +77,10 @@
         if (!is_usable_for_suspect(call, it.id)) {
             continue;
         }
+        if (m_links.is_backing_off(it.id)) {
+            m_links.open(it.id, it.node_address);
+            continue;
+        }
         const std::uint64_t score = rendezvous_score(hash_input, it.id.value());
         if (best == nullptr || score > best_score) {
             best = &it;
@@ -94,7 +98,7 @@
         call.attempts, [&](const attempt_state& it) { return it.target == target && it.may_have_run(); });
     const bool is_excluded = std::ranges::count(call.excluded_targets, target) != 0;
     const bool is_healthy = m_health.at(target, m_context.now()).state() == health_state::healthy;
-    return !is_tried && !is_excluded && is_healthy && !is_leaving(target) && !m_links.is_backing_off(target);
+    return !is_tried && !is_excluded && is_healthy && !is_leaving(target);
 }
 
 std::optional<selection> target_selector::select_home(const service_plan& service, const std::string& key) {
