--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -178,6 +178,16 @@
     scripted_server listening("");
     CHECK(check(listening.address) == server_presence::listening);
     CHECK(check(test::free_address()) == server_presence::absent);
+
+    // A process that ends closes its connections before its listening socket.
+    boost::asio::io_context context;
+    tcp::acceptor ending(context, {boost::asio::ip::address_v4::loopback(), 0});
+    std::thread end([&] {
+        ending.accept().close();
+        ending.close();
+    });
+    CHECK(check("127.0.0.1:" + std::to_string(ending.local_endpoint().port())) == server_presence::absent);
+    end.join();
 }
 
 TEST_CASE("incomplete responses are failures", "[server]") {
--- a/tests/process/process_failure_test.cpp
+++ b/tests/process/process_failure_test.cpp
@@ -129,4 +129,38 @@
     CHECK(plan_state(fleet, "comenzi-2").at("version") == 2);
 }
 
+TEST_CASE("a request that has ended two servers is kept from them when they are back", "[process]") {
+    small_fleet fleet;
+    const std::string deadly = get_request(small_fleet::deadly_path, "comenzi");
+    const auto serves = [&](const std::string& target) {
+        try {
+            return call(fleet.server_address(target), get_request("/load", "any")).status == 200;
+        } catch (const std::runtime_error&) {
+            return false;
+        }
+    };
+    const auto first = call(fleet.caller_address("atelier-1"), deadly);
+    CHECK(first.verdict() == "unknown");
+    REQUIRE(becomes_true(5s, [&] {
+        static_cast<void>(call(fleet.caller_address("atelier-1"), deadly));
+        return !serves("comenzi-1") && !serves("comenzi-2");
+    }));
+    fleet.start_server("comenzi-1");
+    fleet.start_server("comenzi-2");
+    REQUIRE(becomes_true(5s, [&] { return serves("comenzi-1") && serves("comenzi-2"); }));
+
+    for (int n = 0; n < 10; ++n) {
+        for (const auto& node : node_names) {
+            const auto answer = call(fleet.caller_address(node), deadly);
+            CHECK(answer.status == 503);
+            CHECK(answer.verdict() == "not-run");
+        }
+    }
+    CHECK(serves("comenzi-1"));
+    CHECK(serves("comenzi-2"));
+    CHECK(becomes_true(5s, [&] {
+        return call(fleet.caller_address("atelier-1"), get_request("/a", "comenzi")).verdict() == "ran";
+    }));
+}
+
 } // namespace cornelpier
--- a/tests/process/support/small_fleet.cpp
+++ b/tests/process/support/small_fleet.cpp
@@ -71,7 +71,7 @@
 
 small_fleet::small_fleet(const std::string& service_ms)
     : m_directory(std::filesystem::temp_directory_path() / ("cornelpier-test-" + std::to_string(getpid()))),
-      m_first_port(find_free_port_range()) {
+      m_first_port(find_free_port_range()), m_service_ms(service_ms) {
     std::filesystem::remove_all(m_directory);
     std::filesystem::create_directories(m_directory);
     write_plan();
@@ -82,10 +82,7 @@
 
     for (const auto& target : targets) {
         write_settings(target);
-        m_stand_ins.emplace_back(std::vector<std::string>{CORNELPIER_SERVER_STANDIN, "--listen",
-                                                          server_address(target), "--name", target,
-                                                          "--service-ms", service_ms},
-                                 file_path(target + "-server.log"));
+        start_server(target);
         start_node(target);
     }
     for (const auto& target : targets) {
@@ -95,6 +92,13 @@
     }
 }
 
+void small_fleet::start_server(const std::string& target) {
+    m_stand_ins.emplace_back(
+        std::vector<std::string>{CORNELPIER_SERVER_STANDIN, "--listen", server_address(target), "--name",
+                                 target, "--service-ms", m_service_ms, "--deadly-path", deadly_path},
+        file_path(target + "-server.log"));
+}
+
 small_fleet::~small_fleet() {
     m_nodes.clear();
     m_stand_ins.clear();
--- a/tests/process/support/small_fleet.hpp
+++ b/tests/process/support/small_fleet.hpp
@@ -12,6 +12,9 @@
 /// The destructor ends all processes and deletes the directory.
 class small_fleet {
   public:
+    /// Path prefix of requests that end the server that runs them.
+    static constexpr const char* deadly_path = "/deadly";
+
     /// Starts all processes and waits until each node serves a lookup.
     /// @param service_ms mean service time of the servers.
     explicit small_fleet(const std::string& service_ms = "1");
@@ -53,6 +56,9 @@
     /// Starts a node; kills it first if it is already running.
     void start_node(const std::string& target);
 
+    /// Starts the server of a target that has ended.
+    void start_server(const std::string& target);
+
     /// Waits until a node serves a lookup.
     /// @return false after 10 s.
     bool wait_until_serving(const std::string& target) const;
@@ -64,6 +70,7 @@
 
     std::string m_directory;
     int m_first_port;
+    std::string m_service_ms;
     std::vector<child_process> m_stand_ins;
     std::map<std::string, child_process> m_nodes;
 };
--- a/tests/standins/server_standin.cpp
+++ b/tests/standins/server_standin.cpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
 #include <deque>
 #include <iostream>
 #include <list>
@@ -29,6 +30,8 @@
     double cold_start_ms = 0;   ///< Period after the start with threefold service times.
     double report_lag_ms = 100; ///< Age of the load that `/load` reports.
     std::uint64_t seed = 1;
+    std::string deadly_path;     ///< Prefix of paths whose requests end the process; empty: none.
+    double deadly_after_ms = 20; ///< Time for which such a request runs.
 };
 
 class server_standin {
@@ -114,6 +117,12 @@
             ++m_executions[identity];
         }
         position->request->on_peer_closed = [this, position] { finish(position); };
+        const bool is_deadly =
+            !m_options.deadly_path.empty() && request.target().starts_with(m_options.deadly_path);
+        if (is_deadly) {
+            end_process_later();
+            return;
+        }
         position->timer = std::make_unique<asio::steady_timer>(m_context, service_time());
         // The handler of a timer that has already expired runs even if the request is destroyed meanwhile.
         const std::weak_ptr<bool> alive = position->alive;
@@ -125,6 +134,14 @@
         });
     }
 
+    /// Ends like a crash, without closing anything in order.
+    void end_process_later() {
+        const std::chrono::duration<double, std::milli> delay{m_options.deadly_after_ms};
+        m_end_timer = std::make_unique<asio::steady_timer>(
+            m_context, std::chrono::duration_cast<steady::duration>(delay));
+        m_end_timer->async_wait([](boost::system::error_code) { std::_Exit(1); });
+    }
+
     void respond(const exchange& it) {
         if (m_dropping_responses) {
             it->abort();
@@ -224,6 +241,7 @@
     steady::time_point m_slow_until{};
     double m_slow_factor = 1;
     std::uint64_t m_report_count = 0;
+    std::unique_ptr<asio::steady_timer> m_end_timer;
     std::string m_rate_limit; ///< Named in all responses; empty: none.
     bool m_leaving = false;
     bool m_draining = false;
@@ -248,6 +266,8 @@
     app.add_option("--cold-start-ms", options.cold_start_ms,
                    "period after the start with threefold service times, in ms");
     app.add_option("--report-lag-ms", options.report_lag_ms, "age of the load reported by /load, in ms");
+    app.add_option("--deadly-path", options.deadly_path, "Requests below this path end the process");
+    app.add_option("--deadly-after-ms", options.deadly_after_ms, "Time for which such a request runs");
     app.add_option("--seed", options.seed, "seed of the service times");
     CLI11_PARSE(app, argc, argv);
 
