Share the settings of single-service fleets between tests

Cause: the fleets of servers that give advice and of servers that end described the same service twice (found by a search for duplicates). Change: one description; the tests keep their service times.

--- a/tests/server_advice/advised_fleet.cpp
+++ b/tests/server_advice/advised_fleet.cpp
@@ -1,6 +1,6 @@
 #include "tests/server_advice/advised_fleet.hpp"
 
-#include "tests/support/plan_sheet.hpp"
+#include "tests/support/single_service.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -9,34 +9,14 @@
 
 namespace {
 
+constexpr duration mean_service_time = std::chrono::milliseconds{100};
 constexpr double allowed_ratio = 1.5;
 constexpr double allowed_extra = 5;
 
-const service_id service_name{"bins"};
-
-fleet_settings make_settings(std::size_t targets) {
-    service_plan service;
-    service.id = service_name;
-    service.deadline = std::chrono::seconds{2};
-    service.slots = 8;
-    service.measuring = rate{20};
-    service.rules = default_rules();
-    for (std::size_t n = 0; n < targets; ++n) {
-        service.targets.push_back(make_target("t" + std::to_string(n), "dc" + std::to_string(n % 3), n));
-    }
-    plan sheet;
-    sheet.version = 1;
-    sheet.services = {service};
-
-    fleet_settings result;
-    result.initial_plan = finalize_plan(std::move(sheet));
-    result.default_server = {8, std::chrono::milliseconds{100}, true};
-    return result;
-}
-
 } // namespace
 
-advised_fleet::advised_fleet(std::size_t targets) : m_fleet(make_settings(targets)) {
+advised_fleet::advised_fleet(std::size_t targets)
+    : m_fleet(single_service_settings(targets, mean_service_time)) {
     m_fleet.queue().run_until(now() + std::chrono::seconds{1});
 }
 
@@ -61,7 +41,7 @@
         m_fleet.queue().run_until(at);
         call_request request;
         request.entry = target(m_calls % m_fleet.targets().size());
-        request.service = service_name;
+        request.service = single_service;
         // Advances the method after each round over the entries, so that every entry gets all methods.
         request.method = methods[m_calls / m_fleet.targets().size() % methods.size()];
         request.body = "quiet-" + std::to_string(m_calls++);
--- a/tests/server_crashes/crash_fleet.cpp
+++ b/tests/server_crashes/crash_fleet.cpp
@@ -1,6 +1,6 @@
 #include "tests/server_crashes/crash_fleet.hpp"
 
-#include "tests/support/plan_sheet.hpp"
+#include "tests/support/single_service.hpp"
 
 #include <algorithm>
 
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr duration mean_service_time = std::chrono::milliseconds{150};
 constexpr duration run_until_crash = std::chrono::milliseconds{60};
 constexpr int status_ok = 200;
 constexpr int first_server_error_status = 500;
@@ -15,31 +16,9 @@
 /// Calls are scanned for failures back to this many before the last one.
 constexpr std::size_t scanned_calls = 400;
 
-const service_id service_name{"bins"};
-
-fleet_settings make_settings(std::size_t targets) {
-    service_plan service;
-    service.id = service_name;
-    service.deadline = std::chrono::seconds{2};
-    service.slots = 8;
-    service.measuring = rate{20};
-    service.rules = default_rules();
-    for (std::size_t n = 0; n < targets; ++n) {
-        service.targets.push_back(make_target("t" + std::to_string(n), "dc" + std::to_string(n % 3), n));
-    }
-    plan sheet;
-    sheet.version = 1;
-    sheet.services = {service};
-
-    fleet_settings result;
-    result.initial_plan = finalize_plan(std::move(sheet));
-    result.default_server = {8, std::chrono::milliseconds{150}, true};
-    return result;
-}
-
 } // namespace
 
-crash_fleet::crash_fleet(std::size_t targets) : m_fleet(make_settings(targets)) {
+crash_fleet::crash_fleet(std::size_t targets) : m_fleet(single_service_settings(targets, mean_service_time)) {
     m_fleet.queue().run_until(now() + std::chrono::seconds{1});
 }
 
@@ -72,7 +51,7 @@
                        const std::optional<std::string>& key) {
     call_request request;
     request.entry = target(m_calls++ % m_fleet.targets().size());
-    request.service = service_name;
+    request.service = single_service;
     request.method = method;
     request.body = body;
     request.key = key;
