Tell nobody of an end of a server that names no request

Cause: if all requests in progress had ended well a moment before, the owner connected to all owners of the service to send an empty message. Change: nothing is sent. Test: a request that ended well at this server a moment ago is no suspect, with an end that names nobody.

--- a/src/cornelpier/owner/crash_monitor.cpp
+++ b/src/cornelpier/owner/crash_monitor.cpp
@@ -72,6 +72,9 @@
     const crash_id crash{m_state.identity.process, ++m_crashes};
     log_quarantines(m_state.suspects.on_crash(crash, service, causes, m_state.now()));
     const suspect_update update = m_state.suspects.make_update(service, causes, m_state.now());
+    if (update.suspects.empty()) {
+        return;
+    }
     for (const link_id it : links) {
         m_state.outbox.send(it, update);
     }
--- a/src/cornelpier/owner/crash_monitor.hpp
+++ b/src/cornelpier/owner/crash_monitor.hpp
@@ -16,8 +16,9 @@
 /// Finds out whether the server ended when it loses the connection of a run, names the requests that were in
 /// progress, and exchanges with other nodes which requests are suspected.
 ///
-/// The failed runs are answered only after the check, and after the entries have been told. An entry that
-/// tries a lost run again therefore knows whether the request is suspected.
+/// The failed runs are answered only after the check, and after their entries have been told. An entry that
+/// tries a lost run again therefore knows whether the request is suspected. Other entries learn it from a
+/// refusal.
 class crash_monitor {
   public:
     /// @param state must outlive the object.
--- a/tests/owner/crash_test.cpp
+++ b/tests/owner/crash_test.cpp
@@ -141,6 +141,10 @@
     it.take_updates();
     CHECK(it.level_of("/frequent") == suspicion::none);
     CHECK(it.level_of("/other") == suspicion::suspected);
+
+    // An end that names nobody is not told.
+    it.crash({*it.submit(it.lookup_of(4, "/frequent"))});
+    CHECK(it.take_sent<suspect_update>().empty());
 }
 
 TEST_CASE("failures that arrive late belong to the end that was reported", "[crash]") {
