Do not renew a quarantine that is over by what other nodes remember

What callers would see: after its quarantine, a request is refused again, for twice as long each time, as soon as a node connects or restarts. Cause: every message about suspects was judged as if its ends of servers were new, also those that had led to the quarantine; a node that joins judged them as well and told the others. Found by reading. Change: only ends that are new to a table are judged, and not those of a request whose quarantine is over; its length is taken over for the next one. Tests: a quarantine that has ended does not begin again by what other nodes remember; a request is tried again after its quarantine although nodes restart (503 before).

--- a/src/cornelpier/quarantine/suspect_table.cpp
+++ b/src/cornelpier/quarantine/suspect_table.cpp
@@ -115,42 +115,54 @@
 suspect_changes suspect_table::apply(const suspect_update& update, time_point now) {
     expire(now);
     suspect_changes changes;
-    std::vector<crash_id> crashes;
-    for (const auto& notice : update.suspects) {
-        changes.has_news |= apply(update.service, notice, now, changes);
-        for (const auto& it : notice.crashes) {
-            if (!contains(crashes, it)) {
-                crashes.push_back(it);
-            }
-        }
+    std::vector<crash_id> new_crashes;
+    for (const auto& it : update.suspects) {
+        changes.has_news |= it.cleared ? apply_cleared(it, now)
+                                       : apply_suspect(update.service, it, now, new_crashes, changes);
     }
-    for (const auto& it : crashes) {
+    for (const auto& it : new_crashes) {
         judge(it, now, changes);
     }
     return changes;
 }
 
-bool suspect_table::apply(const service_id& service, const suspect_notice& notice, time_point now,
-                          suspect_changes& changes) {
-    if (notice.cleared) {
-        const auto it = m_records.find(notice.fingerprint);
-        const bool is_known =
-            it != m_records.end() && std::ranges::all_of(it->second.crashes, [&](const auto& crash) {
-                return contains(notice.crashes, crash);
-            });
-        return is_known && on_success(notice.fingerprint, now) != suspicion::none;
-    }
+bool suspect_table::apply_cleared(const suspect_notice& notice, time_point now) {
+    const auto it = m_records.find(notice.fingerprint);
+    const bool is_known =
+        it != m_records.end() && std::ranges::all_of(it->second.crashes, [&](const auto& crash) {
+            return contains(notice.crashes, crash);
+        });
+    return is_known && on_success(notice.fingerprint, now) != suspicion::none;
+}
 
+/// Ends that led to a quarantine that is over are not judged again.
+bool suspect_table::apply_suspect(const service_id& service, const suspect_notice& notice, time_point now,
+                                  std::vector<crash_id>& new_crashes, suspect_changes& changes) {
+    const duration length = std::min(notice.quarantine_length, max_quarantine);
+    const bool is_over = length > duration::zero() && notice.quarantine_left <= duration::zero();
     bool has_news = false;
     for (std::size_t n = 0; n < std::min(notice.crashes.size(), max_crashes_per_record); ++n) {
-        has_news |= add_crash(notice.fingerprint, service, notice.crashes[n], now);
+        const bool is_new = add_crash(notice.fingerprint, service, notice.crashes[n], now);
+        has_news = has_news || is_new;
+        if (is_new && !is_over) {
+            new_crashes.push_back(notice.crashes[n]);
+        }
     }
+
     const auto it = m_records.find(notice.fingerprint);
-    if (it == m_records.end() || it->second.is_cleared() || notice.quarantine_left <= duration::zero() ||
+    if (it == m_records.end() || it->second.is_cleared() ||
         level(it->second, now) == suspicion::quarantined) {
         return has_news;
     }
-    quarantine(*it, std::min(notice.quarantine_length, max_quarantine), notice.quarantine_left, now, changes);
+    if (is_over) {
+        it->second.quarantine_length = std::max(it->second.quarantine_length, length);
+        it->second.quarantined_until = it->second.quarantined_until.value_or(now);
+        return has_news;
+    }
+    if (notice.quarantine_left <= duration::zero()) {
+        return has_news;
+    }
+    quarantine(*it, length, notice.quarantine_left, now, changes);
     return true;
 }
 
--- a/src/cornelpier/quarantine/suspect_table.hpp
+++ b/src/cornelpier/quarantine/suspect_table.hpp
@@ -136,8 +136,10 @@
     [[nodiscard]] bool is_explained(const crash_id& crash, const request_fingerprint& other_than) const;
     bool add_crash(const request_fingerprint& fingerprint, const service_id& service, const crash_id& crash,
                    time_point now);
-    bool apply(const service_id& service, const suspect_notice& notice, time_point now,
-               suspect_changes& changes);
+    bool apply_cleared(const suspect_notice& notice, time_point now);
+    /// @param new_crashes receives the ends that have to be judged.
+    bool apply_suspect(const service_id& service, const suspect_notice& notice, time_point now,
+                       std::vector<crash_id>& new_crashes, suspect_changes& changes);
     void quarantine(record_map::value_type& item, duration length, duration left, time_point now,
                     suspect_changes& changes);
     void judge(const crash_id& crash, time_point now, suspect_changes& changes);
--- a/tests/quarantine/suspect_table_test.cpp
+++ b/tests/quarantine/suspect_table_test.cpp
@@ -73,6 +73,25 @@
     CHECK(it.level(request(8), end) == suspicion::none);
 }
 
+TEST_CASE("a quarantine that has ended does not begin again by what other nodes remember", "[quarantine]") {
+    suspect_table it = after_two_crashes();
+    suspect_table other = after_two_crashes();
+    const time_point end = start + seconds{1} + suspect_table::first_quarantine;
+    it.apply(other.make_update(service, end), end);
+    CHECK(it.level(request(1), end) == suspicion::suspected);
+
+    suspect_table joined;
+    joined.apply(it.make_update(service, end), end);
+    CHECK(joined.level(request(1), end) == suspicion::suspected);
+    it.apply(joined.make_update(service, end), end);
+    CHECK(it.level(request(1), end) == suspicion::suspected);
+
+    // The node that joined knows how long the last quarantine was.
+    const auto changes = joined.on_crash(crash(3), service, {request(1), request(8)}, end);
+    REQUIRE(changes.quarantined.size() == 1);
+    CHECK(changes.quarantined.front().length == 2 * suspect_table::first_quarantine);
+}
+
 TEST_CASE("a run that ends well clears its request", "[quarantine]") {
     suspect_table it;
     it.on_crash(crash(1), service, {request(1), request(2)}, start);
--- a/tests/server_crashes/deadly_request_test.cpp
+++ b/tests/server_crashes/deadly_request_test.cpp
@@ -130,6 +130,21 @@
     CHECK(it.answers_to("deadly").back().status == 200);
 }
 
+TEST_CASE("a request is tried again after its quarantine although nodes restart", "[deadly]") {
+    crash_fleet it{4};
+    it.set_deadly({"deadly"});
+    it.press(seconds{3});
+    it.press(seconds{10}, {"deadly"});
+    it.set_deadly({});
+    it.press(seconds{62});
+    for (std::size_t n = 0; n < 4; ++n) {
+        it.nodes().restart(it.target(n));
+        it.press(seconds{2});
+    }
+    it.press(seconds{5}, {"deadly"});
+    CHECK(it.answers_to("deadly").back().status == 200);
+}
+
 TEST_CASE("entries reject a request in quarantine without asking an owner", "[deadly]") {
     crash_fleet it{4};
     it.set_deadly({"deadly"});
