Bound what an end of a server sends where many servers end

Cause: each end of a server opened a link to every owner of the service, and each link that opened carried all suspects in both directions, up to 256 records of 45 B, although most of them came from ends that had other reasons. Class: a message that grows with the load. Change: a link that opens carries quarantines, suspects of two ends and those of the last 2 s. Before a cause is found, an end opens 12 links at most, chosen in an order of the node's own; the open links and the entries reach the others.

--- a/src/cornelpier/entry/quarantine_gate.cpp
+++ b/src/cornelpier/entry/quarantine_gate.cpp
@@ -1,15 +1,20 @@
 #include "cornelpier/entry/quarantine_gate.hpp"
 
+#include "cornelpier/base/hash.hpp"
+
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace cornelpier {
 
 namespace {
 
-/// Bounds the connections that one end of a server causes. Entries pass the news on to the other owners.
-constexpr std::size_t max_opened_links = 128;
+/// Bound the connections that one end of a server causes, before and after the cause is found. Entries pass
+/// the news on to the other owners.
+constexpr std::size_t max_links_for_suspects = 12;
+constexpr std::size_t max_links_for_quarantine = 128;
 
 } // namespace
 
@@ -57,17 +62,31 @@
     if (service == nullptr) {
         return;
     }
+    const bool has_cause = std::ranges::any_of(update.suspects, [](const suspect_notice& it) {
+        return it.cleared || it.quarantine_length > duration::zero();
+    });
+    const std::size_t max_links = has_cause ? max_links_for_quarantine : max_links_for_suspects;
     std::size_t opened = 0;
-    for (const auto& it : service->targets) {
-        if (m_links.is_ready(it.id)) {
-            m_links.send(it.id, update);
-        } else if (it.id != m_context.identity.self && opened < max_opened_links) {
+    for (const target_plan* it : in_own_order(service->targets)) {
+        if (m_links.is_ready(it->id)) {
+            m_links.send(it->id, update);
+        } else if (it->id != m_context.identity.self && opened < max_links) {
             ++opened;
-            m_links.open(it.id, it.node_address);
+            m_links.open(it->id, it->node_address);
         }
     }
 }
 
+/// The order differs from node to node, so that the first targets do not get the links of all.
+std::vector<const target_plan*> quarantine_gate::in_own_order(const std::vector<target_plan>& targets) const {
+    std::vector<const target_plan*> result;
+    std::ranges::transform(targets, std::back_inserter(result), [](const target_plan& it) { return &it; });
+    std::ranges::sort(result, {}, [this](const target_plan* it) {
+        return rendezvous_score(m_context.identity.self.value(), it->id.value());
+    });
+    return result;
+}
+
 void quarantine_gate::on_link_lost(const target_id& target) {
     const auto* service = m_suspects.empty() ? nullptr : m_context.view->current_plan->service_of(target);
     if (service != nullptr && m_suspects.has_records_of(service->id, m_context.now())) {
--- a/src/cornelpier/entry/quarantine_gate.hpp
+++ b/src/cornelpier/entry/quarantine_gate.hpp
@@ -5,6 +5,8 @@
 #include "cornelpier/entry/link_set.hpp"
 #include "cornelpier/quarantine/suspect_table.hpp"
 
+#include <vector>
+
 namespace cornelpier {
 
 /// What the entry knows about requests that end servers. Passes news on to the owners of the service, which
@@ -33,7 +35,8 @@
     /// An owner sent what it knows about suspects.
     void on_update(const target_id& from, const suspect_update& update);
 
-    /// Informs all owners of the service about what the owner of this node has found out.
+    /// Informs owners of the service about what the owner of this node has found out: those that are
+    /// connected and some others, or nearly all if the cause is found.
     void publish(const suspect_update& update);
 
     /// Reconnects to an owner that may have restarted, since it then knows nothing.
@@ -47,6 +50,8 @@
     void on_link_ready(const target_id& target);
 
   private:
+    [[nodiscard]] std::vector<const target_plan*> in_own_order(const std::vector<target_plan>& targets) const;
+
     /// @return whether the update contained news.
     bool apply(const suspect_update& update);
 
--- a/src/cornelpier/quarantine/suspect_table.cpp
+++ b/src/cornelpier/quarantine/suspect_table.cpp
@@ -272,9 +272,12 @@
 
 suspect_update suspect_table::make_update(const service_id& service, time_point now) const {
     suspect_update update{service, {}};
-    for (const auto& it : m_records) {
-        if (it.second.service == service && level(it.second, now) != suspicion::none) {
-            update.suspects.push_back(make_notice(it, now));
+    for (const auto& item : m_records) {
+        const record& it = item.second;
+        const bool is_relevant = it.quarantined_until || it.crashes.size() >= min_crashes_of_culprit ||
+                                 now - it.changed_at <= recent_time;
+        if (it.service == service && is_relevant && level(it, now) != suspicion::none) {
+            update.suspects.push_back(make_notice(item, now));
         }
     }
     return update;
--- a/src/cornelpier/quarantine/suspect_table.hpp
+++ b/src/cornelpier/quarantine/suspect_table.hpp
@@ -55,6 +55,7 @@
     /// Ends of servers kept for one request.
     static constexpr std::size_t max_crashes_per_record = 8;
 
+    static constexpr duration recent_time = std::chrono::seconds{2};
     static constexpr duration suspicion_length = std::chrono::seconds{60};
     static constexpr duration first_quarantine = std::chrono::seconds{60};
     static constexpr duration expiry_interval = std::chrono::seconds{1};
@@ -106,7 +107,9 @@
     void on_refused(const service_id& service, const request_fingerprint& fingerprint, duration left,
                     time_point now);
 
-    /// @return what another node needs to know about the requests of a service.
+    /// Suspects of one end are left out after `recent_time`: they are many where servers end for other
+    /// reasons.
+    /// @return what a node that connects needs to know about the requests of a service.
     [[nodiscard]] suspect_update make_update(const service_id& service, time_point now) const;
 
     /// @return the records of these requests, for other nodes.
--- a/tests/quarantine/suspect_table_test.cpp
+++ b/tests/quarantine/suspect_table_test.cpp
@@ -142,6 +142,16 @@
     CHECK(joined.quarantine_left(request(1), joined_now) == suspect_table::first_quarantine - seconds{20});
 }
 
+TEST_CASE("a node that connects is not told of suspects of one end for long", "[quarantine]") {
+    suspect_table it = after_two_crashes();
+    it.on_crash(crash(3), service, {request(6), request(7)}, start + seconds{1});
+    CHECK(it.make_update(service, start + seconds{1}).suspects.size() == 3);
+    const time_point later = start + seconds{1} + suspect_table::recent_time + duration{1};
+    const auto update = it.make_update(service, later);
+    REQUIRE(update.suspects.size() == 1);
+    CHECK(update.suspects.front().fingerprint == request(1));
+}
+
 TEST_CASE("the table is bounded, and many suspects do not push out a quarantine", "[quarantine]") {
     suspect_table it = after_two_crashes();
     for (std::uint64_t n = 0; n < 200; ++n) {
