--- a/review/support/rig.hpp
+++ b/review/support/rig.hpp
@@ -313,7 +313,13 @@
 /// The platform's store: ranges and watches.
 class store {
   public:
-    store(const string& ip, int port) : m_listener(ip, port, [this](int fd) { serve(fd); }) {}
+    /// @param ips an address for each machine, so that the store can refuse some and serve the others.
+    store(const std::vector<string>& ips, int port) : m_fronts(ips.size()) {
+        for (std::size_t i = 0; i < ips.size(); ++i) {
+            m_listeners.push_back(
+                std::make_unique<listener>(ips[i], port, [this, i](int fd) { serve(fd, m_fronts[i]); }));
+        }
+    }
 
     void put(const string& key, const string& value) {
         const std::lock_guard lock(m_mutex);
@@ -327,9 +333,18 @@
         m_changed.notify_all();
     }
 
-    std::atomic<bool> down{false}; ///< Every call gets 503.
+    /// @param refused whether the calls of a machine get 503.
+    void refuse(std::size_t machine, bool refused) { m_fronts[machine].refused = refused; }
+
+    /// @return the number of calls of a machine so far.
+    [[nodiscard]] int calls(std::size_t machine) const { return m_fronts[machine].calls; }
 
   private:
+    struct front {
+        std::atomic<bool> refused{false};
+        std::atomic<int> calls{0};
+    };
+
     struct item {
         string value;
         std::uint64_t revision = 0;
@@ -372,13 +387,14 @@
                std::to_string(m_revision) + '}';
     }
 
-    void serve(int fd) {
+    void serve(int fd, front& from) {
         reader input(fd);
         message request;
         while (input.read(request, clock::now() + 60s, false)) {
+            ++from.calls;
             string status = "200 OK";
             string body;
-            if (down) {
+            if (from.refused) {
                 status = "503 Service Unavailable";
                 body = "{}";
             } else if (request.path().rfind("/kv-watch", 0) == 0) {
@@ -400,7 +416,8 @@
     std::condition_variable m_changed;
     std::map<string, item> m_items;
     std::uint64_t m_revision = 1;
-    listener m_listener;
+    std::vector<front> m_fronts;
+    std::vector<std::unique_ptr<listener>> m_listeners;
 };
 
 /// The ports of every machine.
@@ -509,18 +526,17 @@
 
     void start() {
         const string log = settings_path() + ".log";
-        const string config = "CORNELPIER_CONFIG=" + settings_path();
+        string config = "CORNELPIER_CONFIG=" + settings_path();
+        char program[] = "target/platform/cornelpier-sidecar";
+        char path[] = "PATH=/usr/bin:/bin";
+        char* arguments[] = {program, nullptr};
+        char* environment[] = {config.data(), path, nullptr};
         m_pid = fork();
         if (m_pid == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(out, 1);
             dup2(out, 2);
-            char program[] = "target/platform/cornelpier-sidecar";
-            char* arguments[] = {program, nullptr};
-            char path[] = "PATH=/usr/bin:/bin";
-            string copy = config;
-            char* environment[] = {copy.data(), path, nullptr};
             execve(program, arguments, environment);
             _exit(127);
         }
