--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr int machine_count = 24;
-constexpr std::size_t leaving_per_trial = 3;
+constexpr int machine_count = 30;
+constexpr std::size_t leaving_per_trial = 4;
 constexpr int trial_count = 7;
 constexpr std::int64_t drain_ms = 2000;
 constexpr std::int64_t tolerance_ms = 30;
@@ -150,7 +150,7 @@
             platform.remove("servers/" + machines[it].instance);
             removed_at[it] = now_ms();
             record.line("the entry of " + machines[it].instance + " is removed");
-            std::this_thread::sleep_for(120ms);
+            std::this_thread::sleep_for(150ms);
         }
         std::this_thread::sleep_for(4s);
 
