--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -55,12 +55,13 @@
 
     std::vector<std::unique_ptr<target>> targets;
     for (std::size_t i = 0; i < machines.size(); ++i) {
-        const auto serve = [i](target& it, int fd, const message& request) {
+        const auto serve = [i, &record](target& it, int fd, const message& request) {
             const string id = request.field("x-attempt-id");
             {
                 const std::lock_guard lock(arrival_mutex);
                 arrivals.push_back({i, entry_of[id], now_ms(), id});
             }
+            record.line(it.place().instance + " runs " + id);
             ++it.running;
             std::this_thread::sleep_for(20ms);
             --it.running;
@@ -93,8 +94,10 @@
     for (std::size_t i = 0; i < machines.size(); ++i) {
         clients.emplace_back([&, i] {
             while (!stop) {
-                const string id = "r-" + std::to_string(++last_id);
-                const bool is_order = last_id % 5 == 0;
+                const long number = ++last_id;
+                const bool is_order = number % 5 == 0;
+                const string id = (is_order ? "order-" : "look-") + std::to_string(number);
+                record.line("client sends " + id + " to " + machines[i].ip);
                 {
                     const std::lock_guard lock(arrival_mutex);
                     entry_of[id] = i;
@@ -105,6 +108,8 @@
                                       is_order ? "crate" : ""),
                          2s);
                 answered += seen.whole ? 1 : 0;
+                record.line("client got " + std::to_string(seen.whole ? seen.response.status() : 0) +
+                            " for " + id);
                 std::this_thread::sleep_for(25ms);
             }
         });
@@ -186,5 +191,6 @@
     nodes.clear();
     std::filesystem::remove_all(directory);
     std::fflush(stdout);
+    record.flush();
     _exit(late > 0 ? 1 : 0);
 }
--- a/review/support/rig.hpp
+++ b/review/support/rig.hpp
@@ -50,7 +50,13 @@
 
     void line(const string& text) {
         const std::lock_guard lock(m_mutex);
-        m_file << now_ms() << " ms " << text << std::endl;
+        m_file << now_ms() << " ms " << text << '\n';
+    }
+
+    /// Must be called before the process ends by `_exit`.
+    void flush() {
+        const std::lock_guard lock(m_mutex);
+        m_file.flush();
     }
 
   private:
@@ -540,9 +546,18 @@
             execve(program, arguments, environment);
             _exit(127);
         }
+        if (m_pid < 0) {
+            std::fprintf(stderr, "cannot start a node\n");
+            std::exit(2);
+        }
     }
 
-    void send_signal(int number) const { kill(m_pid, number); }
+    /// Does nothing if the process has ended: a process id of -1 would name all processes.
+    void send_signal(int number) const {
+        if (m_pid > 0) {
+            kill(m_pid, number);
+        }
+    }
 
     /// @return whether the process has ended by itself.
     bool has_ended() {
