Log which entries are kept as missing

The log could not tell a removal that the reader keeps as missing from one that it has not read.

Event 311 reports the number of missing entries and how long they are kept.

--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -60,6 +60,8 @@
                       "The state of this node matches the source of the fleet again."},
     event_description{directory_response_ignored, severity::info, "directory_response_ignored",
                       "A response of the configuration service is older than the state of this node."},
+    event_description{directory_entries_missing, severity::info, "directory_entries_missing",
+                      "Entries that disappeared around an outage are kept until they are registered again."},
     event_description{target_ejected, severity::warning, "target_ejected",
                       "A target was ejected and receives no requests."},
     event_description{target_trial, severity::info, "target_trial",
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -38,6 +38,7 @@
     directory_unconfirmed = 308,
     directory_confirmed = 309,
     directory_response_ignored = 310,
+    directory_entries_missing = 311,
     target_ejected = 400,
     target_trial = 401,
     target_recovered = 402,
