Let a reader with missing entries confirm no state

Cause: a reader that keeps removed entries as missing sent its published state, which still lists them, and nodes with the same state took that for a confirmation and stopped reading. The position in the update was the one before the removals, but a confirmation also says that nothing after it matters, which the reader knew to be wrong.

Updates now say what they prove.

--- a/src/cornelpier/message/control_messages.hpp
+++ b/src/cornelpier/message/control_messages.hpp
@@ -54,6 +54,12 @@
     std::string sheet;
 };
 
+/// What an update proves about the service. Each value includes the ones before.
+enum class update_evidence : std::uint8_t {
+    none,           ///< Only the enclosed changes: the node that sent them may know of others.
+    complete_state, ///< At its last read, that node had put all changes up to `position` in force.
+};
+
 /// Update from a node that reads the platform's service on behalf of others.
 struct source_update {
     target_id from;
@@ -62,6 +68,7 @@
     std::uint64_t digest = 0; ///< Hash of that node's complete state at that position.
     std::string changes;      ///< Opaque to the core, encoded by the platform adapter; empty: no change.
     std::uint64_t epoch = 0;  ///< Of the position. Rises when the service restarts its positions.
+    update_evidence evidence = update_evidence::complete_state;
 };
 
 using control_message = std::variant<gossip, plan_pull, plan_push, source_update>;
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -223,6 +223,7 @@
     visit(it.digest);
     visit(it.changes);
     visit(it.epoch);
+    visit(it.evidence);
 }
 
 /// Message types for which `for_each_field` is defined.
@@ -240,6 +241,10 @@
     return refusal::suspected;
 }
 
+constexpr update_evidence max_enumerator(update_evidence /*tag*/) {
+    return update_evidence::complete_state;
+}
+
 constexpr node_state max_enumerator(node_state /*tag*/) {
     return node_state::stopped;
 }
--- a/tests/platform/revision_tracker_test.cpp
+++ b/tests/platform/revision_tracker_test.cpp
@@ -40,6 +40,14 @@
     CHECK(tracker.known() == at(10));
 }
 
+TEST_CASE("an update of a node that knows more than it has put in force confirms no state",
+          "[platform][refusal]") {
+    auto tracker = tracker_at(10);
+    CHECK(tracker.on_update({at(10), same, update_evidence::none}, same, false) == update_result::incomplete);
+    CHECK(tracker.on_update({at(12), same, update_evidence::none}, same, false) == update_result::incomplete);
+    CHECK(tracker.known() == at(10));
+}
+
 TEST_CASE("an update from a reader with a different state does not advance the known revision",
           "[platform]") {
     auto tracker = tracker_at(10);
--- a/tests/platform/support/source_documents.cpp
+++ b/tests/platform/support/source_documents.cpp
@@ -42,4 +42,8 @@
     return endpoint(loopback_address(store_host), store_port);
 }
 
+std::string store_front(const std::string& node) {
+    return endpoint(node, store_port);
+}
+
 } // namespace cornelpier::test
--- a/tests/platform/support/source_documents.hpp
+++ b/tests/platform/support/source_documents.hpp
@@ -36,4 +36,7 @@
 /// @return address of the store.
 std::string store_endpoint();
 
+/// @return address at which a node reaches the store.
+std::string store_front(const std::string& node);
+
 } // namespace cornelpier::test
--- a/tests/platform/support/source_fleet.cpp
+++ b/tests/platform/support/source_fleet.cpp
@@ -9,7 +9,8 @@
 
 namespace cornelpier::test {
 
-source_fleet::source_fleet() : m_store(m_context, store_endpoint()) {
+source_fleet::source_fleet(std::chrono::milliseconds limit)
+    : m_propagation_limit(limit), m_store(m_context, store_endpoint()) {
     m_store.put("op/config", source_manifest(1));
     m_thread = std::thread([this] {
         const auto work = boost::asio::make_work_guard(m_context);
@@ -38,6 +39,10 @@
     run([&] { m_store.remove(key); });
 }
 
+void source_fleet::refuse(const std::string& node, standins::store_refusal refusal) {
+    run([&] { m_store.refuse(store_front(node), refusal); });
+}
+
 void source_fleet::save_copy() {
     run([&] { m_store.save_copy(); });
 }
@@ -59,7 +64,9 @@
 
 source_node& source_fleet::start_node(const std::string& address) {
     run([&] {
-        m_nodes.push_back(std::make_unique<source_node>(m_context, address, store_endpoint()));
+        m_store.add_front(store_front(address));
+        m_nodes.push_back(
+            std::make_unique<source_node>(m_context, address, store_front(address), m_propagation_limit));
         m_nodes.back()->start();
     });
     return *m_nodes.back();
--- a/tests/platform/support/source_fleet.hpp
+++ b/tests/platform/support/source_fleet.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "tests/platform/support/source_documents.hpp"
 #include "tests/platform/support/source_node.hpp"
 #include "tests/platform/support/update_peer.hpp"
 #include "tests/standins/store_standin.hpp"
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,7 +20,8 @@
 /// A store, nodes and peers on loopback addresses, run by one thread.
 class source_fleet {
   public:
-    source_fleet();
+    /// @param limit time within which changes must take effect at the nodes.
+    explicit source_fleet(std::chrono::milliseconds limit = propagation_limit);
     ~source_fleet();
 
     source_fleet(const source_fleet&) = delete;
@@ -32,6 +35,9 @@
     /// Deletes a key of the store.
     void remove(const std::string& key);
 
+    /// Lets the store refuse the requests of a node, which must have been added.
+    void refuse(const std::string& node, standins::store_refusal refusal);
+
     /// Keeps a copy of the store.
     void save_copy();
 
@@ -53,6 +59,7 @@
   private:
     void run(const std::function<void()>& function);
 
+    std::chrono::milliseconds m_propagation_limit;
     boost::asio::io_context m_context{1};
     standins::store_standin m_store;
     std::vector<std::unique_ptr<source_node>> m_nodes;
--- a/tests/platform/support/source_node.cpp
+++ b/tests/platform/support/source_node.cpp
@@ -9,12 +9,13 @@
 
 namespace {
 
-platform::platform_settings settings_for(const std::string& address, const std::string& store) {
+platform::platform_settings settings_for(const std::string& address, const std::string& store,
+                                         std::chrono::milliseconds limit) {
     platform::platform_settings settings;
     settings.store_address = store;
     settings.node_port = source_node_port;
     settings.node_address = endpoint(address, source_node_port);
-    settings.propagation_limit = propagation_limit;
+    settings.propagation_limit = limit;
     return settings;
 }
 
@@ -23,7 +24,7 @@
 } // namespace
 
 source_node::source_node(boost::asio::io_context& context, const std::string& address,
-                         const std::string& store)
+                         const std::string& store, std::chrono::milliseconds limit)
     : m_identity{target_id{address},
                  incarnation{1},
                  vm_id{address},
@@ -38,7 +39,7 @@
                     const std::lock_guard lock(m_mutex);
                     m_view = std::move(it);
                 }},
-               settings_for(address, store)) {}
+               settings_for(address, store, limit)) {}
 
 void source_node::start() {
     if (!m_links.bind(m_node_address).reason.empty() || !m_source.bind().reason.empty()) {
--- a/tests/platform/support/source_node.hpp
+++ b/tests/platform/support/source_node.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <mutex>
 #include <string>
@@ -14,7 +15,10 @@
 /// A node's source of the fleet's state with the links to other nodes.
 class source_node {
   public:
-    source_node(boost::asio::io_context& context, const std::string& address, const std::string& store);
+    /// @param store address of the store.
+    /// @param limit time within which changes must take effect.
+    source_node(boost::asio::io_context& context, const std::string& address, const std::string& store,
+                std::chrono::milliseconds limit);
 
     /// Starts the source. Called on the thread of the context.
     void start();
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -13,6 +13,15 @@
 store_standin::store_standin(boost::asio::io_context& context, const std::string& address)
     : m_context(context), m_service(context, address, [this](const auto& it) { on_request(it); }) {}
 
+void store_standin::add_front(const std::string& address) {
+    m_fronts[address].service = std::make_unique<http_service>(
+        m_context, address, [this, address](const auto& it) { on_front_request(address, it); });
+}
+
+void store_standin::refuse(const std::string& address, store_refusal refusal) {
+    m_fronts.at(address).refusal = refusal;
+}
+
 void store_standin::put(const std::string& key, const std::string& value) {
     m_contents.items[key] = {value, ++m_contents.revision, false};
     notify_watches();
@@ -47,6 +56,26 @@
     m_watches.clear();
 }
 
+void store_standin::on_front_request(const std::string& address, const exchange& it) {
+    switch (m_fronts.at(address).refusal) {
+    case store_refusal::none:
+        on_request(it);
+        return;
+    case store_refusal::unavailable:
+        it->respond(503, "{}");
+        return;
+    case store_refusal::too_many_requests:
+        it->respond(429, "{}");
+        return;
+    case store_refusal::disconnect:
+        it->abort();
+        return;
+    case store_refusal::silence:
+        m_unanswered.push_back(it);
+        return;
+    }
+}
+
 void store_standin::on_request(const exchange& it) {
     ++m_request_count;
     const std::string target{it->request().target()};
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -7,15 +7,31 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cornelpier::standins {
 
+/// How the store turns the requests of one node away.
+enum class store_refusal : std::uint8_t {
+    none,
+    unavailable,       ///< Status 503.
+    too_many_requests, ///< Status 429.
+    disconnect,        ///< The connection is closed without a response.
+    silence,           ///< Neither a response nor a close.
+};
+
 /// Stand-in for the platform's key-value store, with range reads and long-poll watches as its documentation
 /// describes them. Not thread-safe: used on the thread of its context only.
 class store_standin {
   public:
     store_standin(boost::asio::io_context& context, const std::string& address);
 
+    /// Adds an address, so that the requests to it can be refused while others are served.
+    void add_front(const std::string& address);
+
+    /// Changes how requests to an added address are refused from now on. Pending watches are not affected.
+    void refuse(const std::string& address, store_refusal refusal);
+
     /// Writes a key and notifies the watches.
     void put(const std::string& key, const std::string& value);
 
@@ -38,6 +54,12 @@
   private:
     using exchange = std::shared_ptr<http_exchange>;
 
+    /// An address with a refusal of its own.
+    struct front {
+        store_refusal refusal = store_refusal::none;
+        std::unique_ptr<http_service> service;
+    };
+
     struct item {
         std::string value;
         std::uint64_t revision = 0;
@@ -57,6 +79,7 @@
     };
 
     void on_request(const exchange& it);
+    void on_front_request(const std::string& address, const exchange& it);
     void list_items(const exchange& it);
     void start_watch(const exchange& it, const std::string& target);
     bool respond_with_changes(const exchange& it, std::uint64_t after) const;
@@ -70,6 +93,8 @@
     std::list<watch> m_watches;
     std::uint64_t m_request_count = 0;
     bool m_down = false;
+    std::map<std::string, front> m_fronts;
+    std::vector<exchange> m_unanswered; ///< Kept open, without a response.
     http_service m_service;
 };
 
