Do not take the refusal of one node for an outage of the store

Cause: server_directory took 1.5 s of failed calls of its own node for an outage in which entries expire, although other nodes had been served meanwhile. Reports of other nodes were ignored while own calls failed, and a relay that reads since the reader is silent did not report to the reader.

Updates now also say whether the store has served their sender without an outage. Such an update ends the suspicion of a node whose calls fail; an update of a node that itself comes back from an outage does not, so that entries that expired are still kept for two seconds. While others are served, a gap counts as an outage only if it is longer than the interval at which they report. Nodes that read since the reader is silent tell the reader, relays with the changes. No call to the store is added.

--- a/src/cornelpier/message/control_messages.hpp
+++ b/src/cornelpier/message/control_messages.hpp
@@ -58,6 +58,7 @@
 enum class update_evidence : std::uint8_t {
     none,           ///< Only the enclosed changes: the node that sent them may know of others.
     complete_state, ///< At its last read, that node had put all changes up to `position` in force.
+    available,      ///< Besides, the service has served that node without an outage.
 };
 
 /// Update from a node that reads the platform's service on behalf of others.
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -242,7 +242,7 @@
 }
 
 constexpr update_evidence max_enumerator(update_evidence /*tag*/) {
-    return update_evidence::complete_state;
+    return update_evidence::available;
 }
 
 constexpr node_state max_enumerator(node_state /*tag*/) {
--- a/tests/platform/refused_reader_test.cpp
+++ b/tests/platform/refused_reader_test.cpp
@@ -30,12 +30,21 @@
 /// For how long the store refuses the reader: longer than an outage in which entries expire.
 constexpr auto refusal_time = 3s;
 
-std::vector<test::source_node*> start_all(source_fleet& fleet, const std::vector<std::string>& addresses) {
-    for (const auto& it : addresses) {
+/// Longest pause of a node between two calls to a store that refuses it.
+constexpr auto longest_backoff = 800ms;
+
+/// Time for a waiting or pausing reader to read a change.
+constexpr auto read_time = 800ms;
+
+/// @param registered nodes with an entry in the store.
+/// @param started those of them that run.
+std::vector<test::source_node*> start_all(source_fleet& fleet, const std::vector<std::string>& registered,
+                                          const std::vector<std::string>& started) {
+    for (const auto& it : registered) {
         fleet.put(source_entry_key(it), source_entry(it, "ready"));
     }
     std::vector<test::source_node*> nodes;
-    for (const auto& it : addresses) {
+    for (const auto& it : started) {
         nodes.push_back(&fleet.start_node(it));
     }
     REQUIRE(becomes_true(start_time, [&] {
@@ -55,7 +64,7 @@
     const std::string leaving = *std::ranges::find_if(
         members.nodes, [&](const auto& it) { return it != members.reader && it != members.relays.front(); });
     source_fleet fleet{drain_limit};
-    const auto nodes = start_all(fleet, members.nodes);
+    const auto nodes = start_all(fleet, members.nodes, members.nodes);
     fleet.refuse(members.reader, refusal);
     std::this_thread::sleep_for(refusal_time);
     fleet.refuse(members.reader, store_refusal::none);
@@ -73,8 +82,7 @@
     const std::string& leaving = members.nodes.back();
     source_fleet fleet{drain_limit};
     auto& peer = fleet.add_peer(leaving);
-    fleet.put(source_entry_key(leaving), source_entry(leaving, "ready"));
-    const auto nodes = start_all(fleet, {members.reader});
+    const auto nodes = start_all(fleet, members.nodes, {members.reader});
     REQUIRE(becomes_true(start_time, [&] { return !peer.received().empty(); }));
 
     fleet.refuse(members.reader, store_refusal::unavailable);
@@ -89,4 +97,35 @@
                                [](const auto& it) { return it.changes.empty(); }));
 }
 
+// Guards against a reader that takes its own refusal for an outage of the store.
+TEST_CASE("a reader that hears from its relays while it is refused drops a server at once",
+          "[platform][refusal]") {
+    const auto members = test::find_members(4, [](const auto& it) { return it.relays.front() != it.reader; });
+    const std::string leaving = *std::ranges::find_if(
+        members.nodes, [&](const auto& it) { return it != members.reader && it != members.relays.front(); });
+    source_fleet fleet{drain_limit};
+    // Only the relay runs beside the reader. The store refuses it last, so that it cannot report the removal.
+    const auto nodes = start_all(fleet, members.nodes, {members.reader, members.relays.front()});
+    fleet.refuse(members.reader, store_refusal::unavailable);
+    std::this_thread::sleep_for(refusal_time);
+    fleet.refuse(members.relays.front(), store_refusal::silence);
+    fleet.refuse(members.reader, store_refusal::none);
+    std::this_thread::sleep_for(longest_backoff);
+
+    fleet.remove(source_entry_key(leaving));
+    CHECK(becomes_true(read_time, [&] { return nodes.front()->state_of(leaving) == vm_state::unlisted; }));
+}
+
+// Guards against a reader that hears nothing while it is refused, since it updates its data centre itself.
+TEST_CASE("a node that reads since the reader is silent tells the reader", "[platform][refusal]") {
+    const auto members = test::find_members(2, [](const auto& it) {
+        return it.reader == it.nodes.front() && it.relays == std::vector{it.reader};
+    });
+    source_fleet fleet{drain_limit};
+    auto& reader = fleet.add_peer(members.reader);
+    start_all(fleet, members.nodes, {members.nodes.back()});
+    REQUIRE(becomes_true(drain_limit, [&] { return !reader.received().empty(); }));
+    CHECK(reader.received().back().evidence == update_evidence::available);
+}
+
 } // namespace cornelpier::platform
--- a/tests/platform/server_directory_test.cpp
+++ b/tests/platform/server_directory_test.cpp
@@ -11,6 +11,9 @@
 
 constexpr time_point start{seconds{100}};
 
+/// Between two reports of other nodes.
+constexpr duration report_interval = milliseconds{1800};
+
 std::string entry(const std::string& address, std::uint64_t sequence, const std::string& state = "ready",
                   std::uint64_t started_at_ms = 1) {
     return R"({"address":")" + address + R"(","born":)" + std::to_string(started_at_ms) +
@@ -122,7 +125,7 @@
     server_directory directory;
     directory.on_contact(start);
     directory.put("servers/i-1", entry("10.0.0.1:80", 1));
-    directory.on_relayed_contact(start + seconds{9});
+    directory.on_relayed_contact(start + seconds{9}, true);
     directory.on_failure();
     directory.on_contact(start + seconds{10});
     directory.on_deleted("servers/i-1", start + seconds{10});
@@ -134,12 +137,47 @@
     directory.on_contact(start);
     directory.put("servers/i-1", entry("10.0.0.1:80", 1));
     directory.on_failure();
-    directory.on_relayed_contact(start + seconds{5});
+    directory.on_relayed_contact(start + seconds{5}, false);
     directory.on_contact(start + seconds{5});
     directory.on_deleted("servers/i-1", start + seconds{5});
     CHECK(directory.servers().size() == 1);
 }
 
+// Guards against a node that keeps servers that have left since the store refused it alone.
+TEST_CASE("calls that the store refuses to one node only are no outage", "[platform][refusal]") {
+    for (duration heard_after = milliseconds{50}; heard_after <= report_interval;
+         heard_after += milliseconds{50}) {
+        server_directory directory{report_interval};
+        directory.on_contact(start);
+        directory.put("servers/i-1", entry("10.0.0.1:80", 1));
+        directory.on_failure();
+        const time_point heard_at = start + heard_after;
+        directory.on_relayed_contact(heard_at, true);
+        directory.on_failure();
+        const time_point back = heard_at + report_interval - milliseconds{1};
+        directory.on_contact(back);
+        CHECK(directory.is_store_available(back));
+        directory.on_deleted("servers/i-1", back);
+        CHECK(directory.servers().empty());
+    }
+}
+
+TEST_CASE("an outage that follows a refusal is noticed", "[platform][refusal]") {
+    server_directory directory{report_interval};
+    directory.on_contact(start);
+    directory.put("servers/i-1", entry("10.0.0.1:80", 1));
+    directory.on_failure();
+    directory.on_relayed_contact(start + seconds{1}, true);
+    const time_point back = start + seconds{1} + report_interval;
+    // Another node was served first after the outage, and knows of it.
+    directory.on_relayed_contact(back, false);
+    directory.on_contact(back);
+    CHECK_FALSE(directory.is_store_available(back));
+    directory.on_deleted("servers/i-1", back);
+    CHECK(directory.has_missing());
+    CHECK(directory.is_store_available(back + server_directory::re_registration_time));
+}
+
 TEST_CASE("an entry that expired during an outage is kept until the re-registration time has passed",
           "[platform]") {
     server_directory directory;
--- a/tools/mutation_check.sh
+++ b/tools/mutation_check.sh
@@ -2,7 +2,7 @@
 # Mutation test of the safety mechanisms: disables one mechanism at a time in a scratch copy and expects a
 # test suite to fail. Mutations of the core run the scenarios, the random schedules, the fleets whose servers give
 # advice or end and the unit tests; mutations of the daemon and the adapter run their tests tagged [field-reports],
-# [drain] or [restored]. Arguments: names of mutations (default: all of tests/mutations/mutations.txt).
+# [drain], [restored] or [refusal]. Arguments: names of mutations (default: all of tests/mutations/mutations.txt).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -41,7 +41,7 @@
   for target in "${targets[@]}"; do
     filter=()
     [ "$target" = cornelpier-tests ] && filter=('~[fleet]')
-    [[ " ${daemon_targets[*]} " != *" $target "* ]] || filter=('[field-reports],[drain],[restored]')
+    [[ " ${daemon_targets[*]} " != *" $target "* ]] || filter=('[field-reports],[drain],[restored],[refusal]')
     timeout 120 prlimit --as=4000000000 "build/tests/$target" "${filter[@]}" > "$target.log" 2>&1 || failed_suites+=("${target#cornelpier-}")
   done
   echo "$name ($point): ${failed_suites[*]:-NOT NOTICED}"
