Limit the head of a message as a whole

Callers: a faulty server that answers in short fields without end fills the memory of the node that called it; the node ends, and with it the requests of its other callers.

Cause: the header limit of Beast 1.74 applies to what each read leaves unparsed. Fields are consumed one by one, and the parser only remembers how far it has searched for the end of the head if three bytes or more are left. A read that ends behind one or two bytes of a field therefore starts the limit anew, and since a read takes 512 bytes and what is left is put in front of the next ones, all further reads end at the same place.

async_read_head reads and counts the head itself. It replaces async_read_header for servers' responses, for the store's and for operators' requests. Callers' heads were parsed as a whole and are not affected.

Evidence: 'short fields without end do not fill the memory' and 'short fields without end from the store or an operator's client end at a limit'.

--- a/src/daemon/operator/operator_server.cpp
+++ b/src/daemon/operator/operator_server.cpp
@@ -1,6 +1,7 @@
 #include "daemon/operator/operator_server.hpp"
 
 #include "daemon/net/endpoint.hpp"
+#include "daemon/net/read_head.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -36,6 +37,16 @@
 
     void run() {
         m_stream.expires_after(session_timeout);
+        async_read_head(m_stream, m_buffer, m_parser, max_header_bytes,
+                        [self = shared_from_this()](error_code ec) {
+                            if (!ec) {
+                                self->read_body();
+                            }
+                        });
+    }
+
+  private:
+    void read_body() {
         http::async_read(m_stream, m_buffer, m_parser,
                          [self = shared_from_this()](error_code ec, std::size_t) {
                              if (!ec) {
@@ -44,7 +55,6 @@
                          });
     }
 
-  private:
     void handle() {
         const auto& request = m_parser.get();
         if (request.method() != http::verb::get && request.method() != http::verb::head) {
--- a/src/daemon/platform/http_get.cpp
+++ b/src/daemon/platform/http_get.cpp
@@ -1,5 +1,6 @@
 #include "daemon/platform/http_get.hpp"
 
+#include "daemon/net/read_head.hpp"
 #include "daemon/net/response_limits.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -31,6 +32,7 @@
         m_message.target(m_request.path);
         m_message.set(http::field::host, m_request.host);
         m_message.set(http::field::connection, "close");
+        m_parser.header_limit(max_response_header_bytes);
         m_parser.body_limit(m_request.max_body_bytes);
     }
 
@@ -60,14 +62,14 @@
 
     void read() {
         // Beast 1.74 ignores the body limit when header and body are parsed in one step.
-        http::async_read_header(m_stream, m_buffer, m_parser,
-                                [self = shared_from_this()](error_code ec, std::size_t) {
-                                    if (ec) {
-                                        self->m_on_done({});
-                                        return;
-                                    }
-                                    self->read_body();
-                                });
+        async_read_head(m_stream, m_buffer, m_parser, max_response_header_bytes,
+                        [self = shared_from_this()](error_code ec) {
+                            if (ec) {
+                                self->m_on_done({});
+                                return;
+                            }
+                            self->read_body();
+                        });
     }
 
     void read_body() {
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -1,6 +1,7 @@
 #include "daemon/server/server_exchange.hpp"
 
 #include "daemon/net/hop_by_hop.hpp"
+#include "daemon/net/read_head.hpp"
 #include "daemon/net/response_limits.hpp"
 #include "daemon/server/server_client.hpp"
 
@@ -26,8 +27,6 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::uint32_t max_response_header_bytes = 32 * 1024;
-
 /// Interim responses and responses to earlier requests that are skipped before the matching one. The limit is
 /// needed because a faulty server may repeat them endlessly.
 constexpr std::uint32_t max_skipped_responses = 16;
@@ -159,9 +158,8 @@
     m_http->parser->body_limit(max_response_body_bytes);
     m_http->parser->skip(m_request.method == "HEAD");
     // Beast 1.74 ignores the body limit when header and body are parsed in one step.
-    http::async_read_header(
-        *m_socket, m_http->buffer, *m_http->parser,
-        [self = shared_from_this()](error_code ec, std::size_t) { self->on_header_read(ec); });
+    async_read_head(*m_socket, m_http->buffer, *m_http->parser, max_response_header_bytes,
+                    [self = shared_from_this()](error_code ec) { self->on_header_read(ec); });
 }
 
 void server_exchange::on_header_read(error_code ec) {
--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -1,4 +1,6 @@
 #include "daemon/server/server_client.hpp"
+#include "tests/daemon/support/endless_fields.hpp"
+#include "tests/daemon/support/resident_bytes.hpp"
 #include "tests/daemon/support/running_context.hpp"
 #include "tests/daemon/support/stub_http_server.hpp"
 
@@ -477,6 +479,35 @@
     }
 }
 
+// Guards against a faulty server that fills the memory with short fields: a limit that applies to each read
+// alone is never reached if the reads end between two fields.
+TEST_CASE("short fields without end do not fill the memory", "[server][field-reports]") {
+    constexpr std::size_t concurrent = 32;
+    constexpr std::size_t bound = std::size_t{64} * 1024 * 1024; // Memory that a node may use.
+    const auto input = test::make_endless_fields("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n");
+    std::vector<std::unique_ptr<test::stub_http_server>> servers;
+    std::vector<std::unique_ptr<client_fixture>> clients;
+    const std::size_t before = test::resident_bytes();
+    for (std::size_t n = 0; n < concurrent; ++n) {
+        servers.push_back(std::make_unique<test::stub_http_server>(
+            [&](std::size_t, const std::string&) { return input.head; }, input.repeated_bytes));
+        clients.push_back(std::make_unique<client_fixture>(servers.back()->address, adapter_names()));
+        start_with_id(*clients.back(), 1, "GET", 20s);
+    }
+    std::size_t most = before;
+    const auto end = std::chrono::steady_clock::now() + 2s;
+    while (std::chrono::steady_clock::now() < end && most - before < bound) {
+        most = std::max(most, test::resident_bytes());
+        std::this_thread::sleep_for(5ms);
+    }
+    CHECK(most - before < bound);
+    for (const auto& it : clients) {
+        const auto events = it->events.wait(1, 1s);
+        REQUIRE(events.size() == 1);
+        CHECK(is_response_incomplete(events[0]));
+    }
+}
+
 TEST_CASE("a connection is not reused after the server's announced idle timeout", "[server]") {
     scripted_server server("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n");
     client_fixture it(server.address);
--- /dev/null
+++ b/tests/daemon/support/resident_bytes.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstddef>
+
+namespace cornelpier::test {
+
+/// @return the memory that this process occupies, in bytes.
+std::size_t resident_bytes();
+
+} // namespace cornelpier::test
--- a/tests/daemon/unbounded_input_test.cpp
+++ b/tests/daemon/unbounded_input_test.cpp
@@ -1,6 +1,8 @@
 #include "daemon/link/link_manager.hpp"
 #include "daemon/net/endpoint.hpp"
+#include "daemon/operator/operator_server.hpp"
 #include "daemon/platform/http_get.hpp"
+#include "tests/daemon/support/endless_fields.hpp"
 #include "tests/daemon/support/raw_connection.hpp"
 #include "tests/daemon/support/running_context.hpp"
 #include "tests/daemon/support/stub_caller_server.hpp"
@@ -97,6 +99,40 @@
     }
 }
 
+// The same fault as in responses of servers, at the two other places that read messages.
+TEST_CASE("short fields without end from the store or an operator's client end at a limit",
+          "[store][operator][field-reports]") {
+    SECTION("store") {
+        const auto input = test::make_endless_fields("HTTP/1.1 200 OK\r\n");
+        test::stub_http_server store([&](std::size_t, const std::string&) { return input.head; },
+                                     input.repeated_bytes);
+        test::running_context threads;
+        test::value_recorder<http_get_outcome> outcomes;
+        http_get_request request;
+        request.server = std::get<socket_address>(parse_address(store.address)).tcp();
+        request.host = "store";
+        request.path = "/";
+        request.timeout = max_send_time;
+        http_get(threads.context, request, [&](http_get_outcome got) { outcomes.push(std::move(got)); });
+        const auto got = outcomes.wait(1, head_timeout);
+        threads.stop();
+        REQUIRE(got.size() == 1);
+        CHECK(got[0].status != 200);
+        CHECK(store.bytes < max_accepted_bytes);
+    }
+    SECTION("operator") {
+        test::running_context threads;
+        operator_server server(threads.context, [](const std::string&, const auto&) {});
+        const std::string address = test::free_address();
+        REQUIRE(server.bind(address).reason.empty());
+        server.start();
+        const auto input = test::make_endless_fields("GET / HTTP/1.1\r\n");
+        const input_case endless{"fields", input.head, input.repeated_bytes};
+        CHECK(send_endlessly(address, endless, max_accepted_bytes) < max_accepted_bytes);
+        threads.stop();
+    }
+}
+
 TEST_CASE("unbounded input from a caller closes its connection and is not dispatched",
           "[caller][field-reports]") {
     const std::string post = "POST / HTTP/1.1\r\nHost: comenzi\r\n";
