Test orders that a starved sidecar takes during its stop

Another operator reports requests that were taken late in the grace of a planned stop and cut at its end. The test plays what was not tried yet: a sidecar with a fifth of the processor time, stopped 0.2 s after a reload, gets orders until 2.5 s after the SIGTERM and uploads that end after 2.5 to 5.5 s. What a server ran must be answered by it; everything else is refused or not read.

--- a/tests/process/sidecar_test.cpp
+++ b/tests/process/sidecar_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/daemon/support/raw_connection.hpp"
 #include "tests/process/support/becomes_true.hpp"
 #include "tests/process/support/child_process.hpp"
 #include "tests/process/support/http_call.hpp"
@@ -12,6 +13,7 @@
 #include <fstream>
 #include <future>
 #include <map>
+#include <set>
 #include <thread>
 #include <unistd.h>
 
@@ -32,6 +34,9 @@
 constexpr int node_port = 28104;
 constexpr int store_port = 28106;
 
+/// Orders under this prefix take the time in milliseconds that follows.
+const std::string work_prefix = "/o/";
+
 std::string vm_address(int vm) {
     return "127.9." + std::to_string(getpid() % 250) + '.' + std::to_string(vm + 1);
 }
@@ -153,6 +158,11 @@
         return with_store([this](auto&) { return m_executions; });
     }
 
+    /// @return ids of the requests that the servers executed.
+    std::set<std::string> executed_ids() {
+        return with_store([this](auto&) { return m_executed_ids; });
+    }
+
     /// Makes all servers add fields to their responses.
     void set_server_fields(const std::vector<std::pair<std::string, std::string>>& fields) {
         with_store([&](auto&) { m_server_fields = fields; });
@@ -189,9 +199,15 @@
             return;
         }
         ++m_executions[vm];
+        m_executed_ids.insert(std::string{request["X-Attempt-Id"]});
         it->response_fields.emplace_back("X-Attempt-Id", std::string{request["X-Attempt-Id"]});
         it->response_fields.emplace_back("X-Response-Seal", "s");
-        it->respond(200, std::string{request.target()});
+        const std::string target{request.target()};
+        const auto work = target.starts_with(work_prefix)
+                              ? std::chrono::milliseconds{std::stoi(target.substr(work_prefix.size()))}
+                              : std::chrono::milliseconds{0};
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, work);
+        timer->async_wait([it, target, timer](boost::system::error_code) { it->respond(200, target); });
     }
 
     void write_settings(int vm) const {
@@ -215,6 +231,7 @@
     std::vector<std::unique_ptr<standins::http_service>> m_servers;
     std::vector<std::pair<std::string, std::string>> m_server_fields;
     std::map<int, int> m_executions;
+    std::set<std::string> m_executed_ids;
     std::filesystem::path m_directory;
     std::thread m_thread;
 };
@@ -350,6 +367,131 @@
     CHECK(sidecar_fleet::request_status(1, "/l/1") == 200);
 }
 
+namespace {
+
+/// Lets a process run for a fifth of the time, as on a machine with a fifth of a core.
+class slowed_process {
+  public:
+    explicit slowed_process(test::child_process& process)
+        : m_process(process), m_thread([this] {
+              while (!m_done) {
+                  m_process.send_signal(SIGSTOP);
+                  std::this_thread::sleep_for(80ms);
+                  m_process.send_signal(SIGCONT);
+                  std::this_thread::sleep_for(20ms);
+              }
+          }) {}
+
+    ~slowed_process() {
+        m_done = true;
+        m_thread.join();
+    }
+
+    slowed_process(const slowed_process&) = delete;
+    slowed_process& operator=(const slowed_process&) = delete;
+    slowed_process(slowed_process&&) = delete;
+    slowed_process& operator=(slowed_process&&) = delete;
+
+  private:
+    test::child_process& m_process;
+    std::atomic<bool> m_done = false;
+    std::thread m_thread;
+};
+
+/// An order on a connection that was opened before.
+struct late_order {
+    std::string id;
+    std::chrono::milliseconds starts_after;
+    std::chrono::milliseconds upload_time;
+};
+
+/// @return the first line of the response, empty if the connection ended without one.
+std::string send_order(test::raw_connection& connection, const late_order& order, int work_ms,
+                       std::chrono::steady_clock::time_point start) {
+    const std::string head =
+        "POST " + work_prefix + std::to_string(work_ms) +
+        " HTTP/1.1\r\nHost: a.example\r\nContent-Length: 8\r\nX-Attempt-Id: " + order.id +
+        "\r\nX-Deadline-Ms: 5000\r\n\r\n";
+    std::this_thread::sleep_until(start + order.starts_after);
+    try {
+        connection.send(head + "half");
+        std::this_thread::sleep_for(order.upload_time);
+        connection.send("half");
+        return connection.read_until("\r\n");
+    } catch (const std::exception&) {
+        return {};
+    }
+}
+
+} // namespace
+
+// Guards against requests that are passed on late in the grace of a planned stop and cut at its end.
+TEST_CASE("orders that a starved sidecar takes during its stop are answered", "[process][sidecar]") {
+    constexpr int work_ms = 2000;
+    constexpr auto grace = 6s;
+    sidecar_fleet fleet;
+    REQUIRE(fleet.wait_until_serving());
+    auto order_route = test::route_row("r-3", "a.example", work_prefix, "unsafe", "status");
+    order_route[4] = "5s";
+    const json rows =
+        json::array({test::route_row("r-1", "a.example", "/l/", "safe", "status"), std::move(order_route)});
+    fleet.with_store([&](auto& store) { store.put("op/config", test::manifest_json(4, rows, "status")); });
+    REQUIRE(becomes_true(3s, [] { return sidecar_fleet::request_status(0, "/unknown") == 404; }));
+    REQUIRE(becomes_true(3s, [] { return sidecar_fleet::request_status(0, work_prefix + "0") == 200; }));
+
+    std::vector<late_order> orders;
+    // With the upload that ends first, no more than the other server has slots, until the last moment at
+    // which orders are taken.
+    for (int n = 0; n < 3; ++n) {
+        orders.push_back({"late-" + std::to_string(n), 1900ms + n * 300ms, 0ms});
+    }
+    for (const auto upload_time : {500ms, 1500ms, 3000ms, 3500ms}) {
+        orders.push_back({"upload-" + std::to_string(upload_time.count()), 2000ms, upload_time});
+    }
+    std::vector<std::unique_ptr<test::raw_connection>> connections;
+    for (std::size_t n = 0; n < orders.size(); ++n) {
+        connections.push_back(std::make_unique<test::raw_connection>(vm_endpoint(0, caller_port)));
+        // Kept connections have carried a request.
+        connections.back()->send(get_request(
+            "/l/1", "a.example", "X-Attempt-Id: first-" + std::to_string(n) + "\r\nX-Deadline-Ms: 1500\r\n"));
+        REQUIRE(connections.back()->read_until("/l/1").ends_with("/l/1"));
+    }
+
+    std::vector<std::future<std::string>> answers;
+    {
+        const slowed_process slowed(fleet.nodes[0]);
+        fleet.change_settings(0, "server_report_path", "/other");
+        fleet.nodes[0].send_signal(SIGHUP);
+        std::this_thread::sleep_for(200ms);
+        const auto start = std::chrono::steady_clock::now();
+        fleet.nodes[0].send_signal(SIGTERM);
+        for (std::size_t n = 0; n < orders.size(); ++n) {
+            answers.push_back(std::async(std::launch::async, [&, n] {
+                return send_order(*connections[n], orders[n], work_ms, start);
+            }));
+        }
+        for (auto& it : answers) {
+            it.wait();
+        }
+        CHECK(std::chrono::steady_clock::now() - start < grace);
+        CHECK(becomes_true(grace, [&] { return fleet.nodes[0].wait(0ms) == 0; }));
+        CHECK(std::chrono::steady_clock::now() - start < grace);
+    }
+    const auto executed = fleet.executed_ids();
+    std::size_t served = 0;
+    for (std::size_t n = 0; n < orders.size(); ++n) {
+        const std::string answer = answers[n].get();
+        CAPTURE(orders[n].id, answer);
+        if (executed.contains(orders[n].id)) {
+            ++served;
+            CHECK(answer.starts_with("HTTP/1.1 200 "));
+        } else {
+            CHECK((answer.empty() || answer.starts_with("HTTP/1.1 503 ")));
+        }
+    }
+    CHECK(served > 0);
+}
+
 TEST_CASE("SIGHUP logs the changed settings without applying them", "[process][sidecar]") {
     sidecar_fleet fleet;
     REQUIRE(fleet.wait_until_serving());
