Play nodes that the store refuses and servers that leave unannounced in the soak

One node a round is refused by the store (503, 429, a close or silence) while the others are served. As the refusal ends, and once more while no fault is active, a server's entry is removed without having been draining, so that the reader can change as well; it must get no request after the propagation limit.

--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -32,9 +32,12 @@
     lose_answers, ///< The server closes connections after it has executed the request.
     cut_answers,  ///< The server truncates responses.
     slow_server,
-    limit_server,  ///< The server names the rate of requests that it accepts.
-    restore_store, ///< The store returns from the copy it was at when the event began.
-    deadly_request ///< A request that ends each server that runs it is sent again and again.
+    limit_server,   ///< The server names the rate of requests that it accepts.
+    restore_store,  ///< The store returns from the copy it was at when the event began.
+    deadly_request, ///< A request that ends each server that runs it is sent again and again.
+    refuse_store,   ///< The store refuses the requests of this node and serves the others.
+    unlist_server   ///< The server's entry is removed while it runs on, then a new instance replaces it.
+                    ///< Planned.
 };
 
 /// @return the name for log output.
@@ -42,7 +45,7 @@
 
 /// @return whether the event is a planned operation rather than a fault.
 constexpr bool is_planned(fault_kind kind) {
-    return kind <= fault_kind::change_plan;
+    return kind <= fault_kind::change_plan || kind == fault_kind::unlist_server;
 }
 
 struct fault_event {
--- a/tests/soak/fault_schedule_test.cpp
+++ b/tests/soak/fault_schedule_test.cpp
@@ -37,7 +37,7 @@
         }
         calm_rounds += events.back().at >= faulty_until + stabilization_time ? 1 : 0;
     }
-    CHECK(kinds.size() == static_cast<std::size_t>(fault_kind::deadly_request) + 1);
+    CHECK(kinds.size() == static_cast<std::size_t>(fault_kind::unlist_server) + 1);
     CHECK(calm_rounds == 50);
 }
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -21,6 +21,7 @@
 constexpr int store_port = 28306;
 constexpr int real_server_port = 28313;
 constexpr int real_node_port = 28314;
+constexpr int real_store_port = 28316;
 
 /// Start time of the first instance of a server; each later instance adds 1 ms.
 constexpr int first_born_ms = 1000;
@@ -59,8 +60,9 @@
                                                   seed + static_cast<std::uint32_t>(vm));
         it.link_proxy =
             std::make_unique<loopback_proxy>(context, endpoint(vm, node_port), endpoint(vm, real_node_port));
+        store.add_front(endpoint(vm, real_store_port));
         it.store_proxy = std::make_unique<loopback_proxy>(context, endpoint(vm, store_port),
-                                                          endpoint(store_vm, store_port));
+                                                          endpoint(vm, real_store_port));
         it.server_proxy = std::make_unique<loopback_proxy>(context, endpoint(vm, server_port),
                                                            endpoint(vm, real_server_port));
         it.server->instance = "i-" + std::to_string(vm) + "-0";
@@ -90,6 +92,14 @@
     write_server_entry(vm, "ready");
 }
 
+void soak_fleet::remove_server_entry(int vm) {
+    store.remove("servers/" + vms[static_cast<std::size_t>(vm)].server->instance);
+}
+
+void soak_fleet::refuse_store(int vm, standins::store_refusal refusal) {
+    store.refuse(endpoint(vm, real_store_port), refusal);
+}
+
 void soak_fleet::write_server_entry(int vm, const std::string& state) {
     const auto& it = vms[static_cast<std::size_t>(vm)];
     const std::uint64_t sequence = state == "ready" ? 1 : 2;
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -43,6 +43,12 @@
     /// Removes the store entry of the current server instance and registers a new instance in its place.
     void replace_server(int vm);
 
+    /// Removes the store entry of the current server instance, which runs on.
+    void remove_server_entry(int vm);
+
+    /// Lets the store refuse the requests of a node.
+    void refuse_store(int vm, standins::store_refusal refusal);
+
     /// Writes the store entry of a server.
     /// @param state name of the state in the store.
     void write_server_entry(int vm, const std::string& state);
--- a/tests/soak/soak_runner.cpp
+++ b/tests/soak/soak_runner.cpp
@@ -3,6 +3,7 @@
 #include "tests/process/support/becomes_true.hpp"
 #include "tests/process/support/http_call.hpp"
 
+#include <array>
 #include <csignal>
 #include <future>
 #include <iostream>
@@ -156,8 +157,9 @@
         }
         break;
     case fault_kind::replace_server:
+    case fault_kind::unlist_server:
         if (!m_server_draining[vm]) {
-            replace_server(event.vm);
+            replace_server(event);
         }
         break;
     default:
@@ -187,11 +189,16 @@
     m_busy[static_cast<std::size_t>(vm)] = false;
 }
 
-void soak_runner::replace_server(int vm) {
+void soak_runner::replace_server(const fault_event& event) {
+    const int vm = event.vm;
     const auto index = static_cast<std::size_t>(vm);
     m_server_draining[index] = true;
-    on_context([this, vm, index] {
-        m_fleet.write_server_entry(vm, "draining");
+    on_context([this, vm, index, kind = event.kind] {
+        if (kind == fault_kind::unlist_server) {
+            m_fleet.remove_server_entry(vm);
+        } else {
+            m_fleet.write_server_entry(vm, "draining");
+        }
         m_fleet.vms[index].server->start_drain(steady_clock::now(), propagation_limit);
     });
     run_after(server_exit_delay, [this, vm, index] {
@@ -248,6 +255,9 @@
     case fault_kind::restore_store:
         restore_store(event);
         break;
+    case fault_kind::refuse_store:
+        refuse_store(event);
+        break;
     case fault_kind::limit_server:
         on_context([&] { vm.server->set_rate_limit(limited_rate); });
         run_after(limit_duration, [this, index] {
@@ -297,6 +307,17 @@
     });
 }
 
+void soak_runner::refuse_store(const fault_event& event) {
+    using standins::store_refusal;
+    constexpr std::array refusals{store_refusal::unavailable, store_refusal::too_many_requests,
+                                  store_refusal::disconnect, store_refusal::silence};
+    const auto n = static_cast<std::size_t>(event.duration.count()) % refusals.size();
+    on_context([&] { m_fleet.refuse_store(event.vm, refusals.at(n)); });
+    run_after(event.duration, [this, vm = event.vm] {
+        on_context([this, vm] { m_fleet.refuse_store(vm, store_refusal::none); });
+    });
+}
+
 void soak_runner::send_deadly_requests() {
     std::vector<std::string> addresses;
     for (int vm = 0; vm < m_options.vms; ++vm) {
--- a/tests/soak/soak_runner.hpp
+++ b/tests/soak/soak_runner.hpp
@@ -49,9 +49,10 @@
     void inject_link_fault(const fault_event& event);
     void run_planned_operation(const fault_event& event);
     void terminate(int vm);
-    void replace_server(int vm);
+    void replace_server(const fault_event& event);
     void change_plan();
     void take_store_down(const fault_event& event);
+    void refuse_store(const fault_event& event);
     void restore_store(const fault_event& event);
     void send_deadly_requests();
     void crash_server(int vm);
