--- a/tests/platform/refused_reader_test.cpp
+++ b/tests/platform/refused_reader_test.cpp
@@ -76,6 +76,32 @@
     }));
 }
 
+// The nodes that a refused relay updates must not depend on it.
+TEST_CASE(
+    "a server that leaves as the store serves the reader and a relay again is dropped in time by the others",
+    "[platform][refusal]") {
+    const auto members = test::find_members(4, [](const auto& it) { return it.relays.front() != it.reader; });
+    const std::vector<std::string> refused{members.reader, members.relays.front()};
+    std::vector<std::string> others = members.nodes;
+    std::erase_if(others, [&](const auto& it) { return std::ranges::find(refused, it) != refused.end(); });
+    const std::string leaving = others.back();
+    source_fleet fleet{drain_limit};
+    start_all(fleet, members.nodes, refused);
+    const auto nodes = start_all(fleet, {}, others);
+    for (const auto& it : refused) {
+        fleet.refuse(it, store_refusal::unavailable);
+    }
+    std::this_thread::sleep_for(refusal_time);
+    fleet.remove(source_entry_key(leaving));
+    for (const auto& it : refused) {
+        fleet.refuse(it, store_refusal::none);
+    }
+    CHECK(becomes_true(drain_limit, [&] {
+        return std::ranges::all_of(
+            nodes, [&](const auto* it) { return it->state_of(leaving) == vm_state::unlisted; });
+    }));
+}
+
 // Guards against nodes that stop reading since a reader confirms a state that it knows to be out of date.
 TEST_CASE("a reader that keeps missing entries confirms nobody", "[platform][refusal]") {
     const auto members = test::find_members(2, [](const auto& it) { return it.reader == it.nodes.front(); });
