--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -482,7 +482,7 @@
 // Guards against a faulty server that fills the memory with short fields: a limit that applies to each read
 // alone is never reached if the reads end between two fields.
 TEST_CASE("short fields without end do not fill the memory", "[server][field-reports]") {
-    constexpr std::size_t concurrent = 32;
+    constexpr std::size_t concurrent = 8;
     constexpr std::size_t bound = std::size_t{64} * 1024 * 1024; // Memory that a node may use.
     const auto input = test::make_endless_fields("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Seal: s\r\n");
     std::vector<std::unique_ptr<test::stub_http_server>> servers;
