--- a/src/daemon/net/read_head.hpp
+++ b/src/daemon/net/read_head.hpp
@@ -15,9 +15,9 @@
 
 /// Reads from a stream until a parser has the whole head of a message.
 ///
-/// The limit applies to the head as a whole. The parser's own limit does not hold in Beast 1.74: it applies
-/// to each read alone if a read ends between two fields, so that a peer that sends short fields without end
-/// fills the memory.
+/// The limit applies to the head as a whole. The parser's own limit does not hold in Beast 1.74: it starts
+/// anew after a read that ends behind one or two bytes of a field, so that a peer that sends short fields
+/// without end fills the memory.
 /// @tparam Stream has `async_read_some`.
 /// @tparam Buffer dynamic buffer with a largest size.
 template <typename Stream, typename Buffer, typename Parser, typename Handler>
--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -479,8 +479,8 @@
     }
 }
 
-// Guards against a faulty server that fills the memory with short fields: a limit that applies to each read
-// alone is never reached if the reads end between two fields.
+// Guards against a faulty server that fills the memory with short fields: the parser's limit starts anew
+// after a read that ends behind one or two bytes of a field.
 TEST_CASE("short fields without end do not fill the memory", "[server][field-reports]") {
     constexpr std::size_t concurrent = 8;
     constexpr std::size_t bound = std::size_t{64} * 1024 * 1024; // Memory that a node may use.
--- a/tests/platform/reading_order_test.cpp
+++ b/tests/platform/reading_order_test.cpp
@@ -74,10 +74,7 @@
     [[nodiscard]] std::uint64_t digest() const { return m_directory.servers().size(); }
 
     [[nodiscard]] announced_state state(time_point now) const {
-        const auto evidence = m_directory.has_missing()             ? update_evidence::none
-                              : m_directory.is_store_available(now) ? update_evidence::available
-                                                                    : update_evidence::complete_state;
-        return {m_tracker.published(), digest(), evidence};
+        return {m_tracker.published(), digest(), m_directory.read_evidence(now)};
     }
 
     server_directory m_directory{report_interval};
