Let calls leave for a far data centre only where it pays

Callers: on the deployment with expensive bytes between data centres, a third of each entry's targets was elsewhere and was used whenever a near one was slower by half of a call's slack.

Change: a price of a kilobyte in the settings (far data centres only, told apart by the shortest round trip), compared with the delay that leaving saves, per route by its size; a share of calls that the owners there control by accepting or refusing; spilled runs start only beside the usual load of the neighbour and are never queued; hedges stay; the third of the targets that may be ejected is counted among the near ones, since far ones would not take their calls over. Without the setting nothing changes.

Found on the way: entries with near targets that shed ejected up to all but one of them and sent it all calls.

Tests: core, locality, scenarios, schedules, server advice and crashes, platform passed.

--- a/src/cornelpier/admission/class_rate_meter.cpp
+++ b/src/cornelpier/admission/class_rate_meter.cpp
@@ -25,6 +25,14 @@
     return result;
 }
 
+rate class_rate_meter::total(time_point now) const {
+    rate result;
+    for (const auto& it : m_classes) {
+        result.per_second += decayed(it, now);
+    }
+    return result;
+}
+
 double class_rate_meter::decayed(const average& value, time_point now) {
     return value.per_second * std::exp(-to_seconds(now - value.updated_at) / to_seconds(averaging_time));
 }
--- a/src/cornelpier/admission/class_rate_meter.hpp
+++ b/src/cornelpier/admission/class_rate_meter.hpp
@@ -16,6 +16,9 @@
     /// @return rate of the runs of classes that are served before this one.
     [[nodiscard]] rate more_urgent(request_class priority, time_point now) const;
 
+    /// @return rate of the runs of all classes.
+    [[nodiscard]] rate total(time_point now) const;
+
   private:
     struct average {
         double per_second = 0;
--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -85,6 +85,8 @@
                       "A request was rejected because its content is in quarantine."},
     event_description{quarantine_lifted, severity::info, "quarantine_lifted",
                       "A quarantine ended early because a run of the request ended well."},
+    event_description{calls_spilled, severity::info, "calls_spilled",
+                      "Calls were offered to a far data centre; the fields hold the share that may leave."},
     event_description{run_refused, severity::debug, "run_refused", "The owner refused a run."},
     event_description{duplicate_run_refused, severity::info, "duplicate_run_refused",
                       "A duplicate of a request was not run."},
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -50,6 +50,7 @@
     request_quarantined = 408,
     quarantined_request_rejected = 409,
     quarantine_lifted = 410,
+    calls_spilled = 411,
     run_refused = 500,
     duplicate_run_refused = 501,
     measuring_budget_exhausted = 502,
--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -243,6 +243,7 @@
     message.plan_version = m_context.view->current_plan->version;
     message.route = call.route;
     message.confined = attempt.confined;
+    message.spilled = attempt.spilled;
     message.objective = call.arrived_at + call.objective - m_context.now();
     if (const auto* planned = m_context.find_target(attempt.target)) {
         message.instance = planned->instance;
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -220,6 +220,7 @@
     flags.hedge = kind == attempt_kind::hedge;
     flags.outer_retry = call.event.outer_retry || kind == attempt_kind::hedge || kind == attempt_kind::retry;
     flags.confined = selected->confined;
+    flags.spilled = selected->spilled;
     if (!flags.confined && call.unbudgeted_attempts < max_conditional_attempts(call)) {
         flags.wait_limit = selected->wait_limit;
     }
@@ -275,6 +276,7 @@
 void call_driver::record_result(call_state& call, const attempt_state& attempt,
                                 const attempt_result& result) {
     call.last_result = result;
+    m_deps.spill.on_settled(call, attempt, result);
     call.is_suspected = call.is_suspected || result.reason == refusal::suspected;
     if (result.reason == refusal::quarantined) {
         m_deps.quarantine.on_refused(call, result.retry_after);
--- a/src/cornelpier/entry/call_driver.hpp
+++ b/src/cornelpier/entry/call_driver.hpp
@@ -7,6 +7,7 @@
 #include "cornelpier/entry/probe_scheduler.hpp"
 #include "cornelpier/entry/quarantine_gate.hpp"
 #include "cornelpier/entry/service_table.hpp"
+#include "cornelpier/entry/spill_controller.hpp"
 #include "cornelpier/entry/target_selector.hpp"
 #include "cornelpier/entry/traffic_splitter.hpp"
 
@@ -24,6 +25,7 @@
     probe_scheduler& probes;
     health_reporter& health;
     quarantine_gate& quarantine;
+    spill_controller& spill;
 };
 
 /// Drives each call from its arrival to exactly one final answer: decides which attempts are made and when
--- a/src/cornelpier/entry/call_state.hpp
+++ b/src/cornelpier/entry/call_state.hpp
@@ -45,6 +45,7 @@
     bool outer_retry = false;
     bool trial = false;    ///< Trial request to an ejected target.
     bool confined = false; ///< The request is suspected; its owner runs it beside no other suspect.
+    bool spilled = false;  ///< Sent to a far data centre although the own one has usable targets.
     verdict outcome = verdict::unknown;
     std::uint32_t failed_link_opens = 0;
     attempt_end end = attempt_end::given_up; ///< For the log.
--- a/src/cornelpier/entry/entry_manager.cpp
+++ b/src/cornelpier/entry/entry_manager.cpp
@@ -11,6 +11,7 @@
 #include "cornelpier/entry/probe_scheduler.hpp"
 #include "cornelpier/entry/quarantine_gate.hpp"
 #include "cornelpier/entry/service_table.hpp"
+#include "cornelpier/entry/spill_controller.hpp"
 #include "cornelpier/entry/target_selector.hpp"
 
 #include <utility>
@@ -32,12 +33,13 @@
                    entry_options options)
         : context{identity, timers, random, std::move(options), nullptr, nullptr, false, {}},
           services(context), round_trips(identity.data_centre), calls(identity.process),
-          links(context, make_link_callbacks()), quarantine(context, links),
-          reporter(context, health, services),
-          selector(context, {readings, leaving_servers, round_trips, health, links}), composer(context),
-          probes(context, services, readings, links),
+          links(context, make_link_callbacks()), quarantine(context, links), spill(context, round_trips),
+          reporter(context, health, services, spill),
+          selector(context, {readings, leaving_servers, round_trips, health, links, spill}),
+          composer(context), probes(context, services, readings, links),
           dispatcher(context, {calls, readings, round_trips, reporter, links}, make_settled_callback()),
-          driver(context, {calls, services, selector, dispatcher, composer, probes, reporter, quarantine}),
+          driver(context,
+                 {calls, services, selector, dispatcher, composer, probes, reporter, quarantine, spill}),
           fate_requests(context, composer, links) {}
 
     void on_message(link_id link, const traffic_message& message) {
@@ -82,6 +84,7 @@
     call_table calls;
     link_set links;
     quarantine_gate quarantine;
+    spill_controller spill;
     health_reporter reporter;
     target_selector selector;
     answer_composer composer;
--- a/src/cornelpier/entry/entry_options.hpp
+++ b/src/cornelpier/entry/entry_options.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cornelpier/routing/balancing_policy.hpp"
+#include "cornelpier/routing/locality_policy.hpp"
 
 #include <string>
 
@@ -20,6 +21,7 @@
     bool status_implies_not_run = false;
     /// Request header, in lower case, whose value identifies the request in the log; empty: none.
     std::string request_id_field = {};
+    locality_options locality = {}; ///< Price of traffic between data centres; default: none.
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/entry/health_reporter.cpp
+++ b/src/cornelpier/entry/health_reporter.cpp
@@ -1,7 +1,8 @@
 #include "cornelpier/entry/health_reporter.hpp"
 
+#include <algorithm>
 #include <chrono>
-#include <span>
+#include <cstddef>
 
 namespace cornelpier {
 
@@ -12,6 +13,9 @@
 // Shorter timeouts are ignored: callers may set deadlines that no target can meet.
 constexpr duration min_timeout = std::chrono::milliseconds{250};
 
+// Of fewer peers, none could be ejected.
+constexpr std::size_t min_ejection_peers = 3;
+
 event_number event_for(health_state state) {
     switch (state) {
     case health_state::healthy:
@@ -26,8 +30,9 @@
 
 } // namespace
 
-health_reporter::health_reporter(entry_context& context, health_table& health, service_table& services)
-    : m_context(context), m_health(health), m_services(services) {}
+health_reporter::health_reporter(entry_context& context, health_table& health, service_table& services,
+                                 const spill_controller& spill)
+    : m_context(context), m_health(health), m_services(services), m_spill(spill) {}
 
 void health_reporter::on_answer(const call_state& call, const attempt_state& attempt,
                                 const run_response& reply) {
@@ -66,15 +71,33 @@
     if (state == nullptr) {
         return;
     }
-    // With an empty subset, no target is ejected.
-    const std::span<const target_id> subset =
-        m_context.options.ejection ? std::span<const target_id>{state->subset} : std::span<const target_id>{};
-    const auto changed = m_health.on_outcome(target, outcome, subset, m_context.now());
+    // Without peers, no target is ejected.
+    const auto peers = m_context.options.ejection ? ejection_peers(*state, target) : std::vector<target_id>{};
+    const auto changed = m_health.on_outcome(target, outcome, peers, m_context.now());
     if (changed) {
         m_context.log_event(event_for(*changed), {{"target", target.value()}});
     }
 }
 
+/// Far targets take over few calls of a near one that is ejected. If they counted as its peers, nearly all
+/// near targets could be ejected, and the others would get all of their calls.
+std::vector<target_id> health_reporter::ejection_peers(const service_state& service,
+                                                       const target_id& target) const {
+    const auto position = std::ranges::find(service.subset, target);
+    if (position == service.subset.end()) {
+        return service.subset;
+    }
+    const auto index = static_cast<std::size_t>(position - service.subset.begin());
+    const bool is_far = m_spill.is_far(service.data_centres[index]);
+    std::vector<target_id> result;
+    for (std::size_t i = 0; i < service.subset.size(); ++i) {
+        if (m_spill.is_far(service.data_centres[i]) == is_far) {
+            result.push_back(service.subset[i]);
+        }
+    }
+    return result.size() < min_ejection_peers ? service.subset : result;
+}
+
 /// Refusals for lack of capacity are not health outcomes; readings already report the load.
 std::optional<health_outcome> health_reporter::classify(const call_state& call, const run_response& reply) {
     if (reply.reason == refusal::server_down || reply.reason == refusal::server_refused) {
--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -38,7 +38,7 @@
 
 target_selector::target_selector(entry_context& context, selector_dependencies deps)
     : m_context(context), m_readings(deps.readings), m_leaving_servers(deps.leaving_servers),
-      m_round_trips(deps.round_trips), m_health(deps.health), m_links(deps.links) {}
+      m_round_trips(deps.round_trips), m_health(deps.health), m_links(deps.links), m_spill(deps.spill) {}
 
 std::optional<selection> target_selector::select(const call_state& call, service_state& service, bool hedge) {
     if (!hedge) {
@@ -63,6 +63,7 @@
     const auto chosen = std::ranges::find(scored, target, [](const auto& it) { return it.scored.target; });
 
     auto result = make_selection(service, chosen->index);
+    result.spilled = chosen->spilled;
     if (m_context.options.conditional_admission) {
         result.wait_limit = wait_limit(scored, *chosen);
     }
@@ -145,6 +146,8 @@
     selection_tier best = selection_tier::excluded;
     std::vector<subset_member> result;
     const double max_share = max_slow_start_share(service);
+    const bool may_spill = !hedge && m_spill.admits(call);
+    const bool was_refused_nearby = m_spill.was_refused_nearby(call);
     for (std::size_t i = 0; i < service.subset.size(); ++i) {
         // A target without a link is not chosen while there are others, so its link has to be reopened here.
         if (m_links.is_backing_off(service.subset[i])) {
@@ -152,10 +155,14 @@
         }
         // A hedge would use up a request of the server's limit that another call needs.
         const bool is_wasteful = hedge && is_rate_limited(service.subset[i]);
-        const selection_tier tier =
+        selection_tier tier =
             is_wasteful ? selection_tier::excluded : tier_of(call, service.subset[i], max_share);
+        const bool is_far = m_spill.is_far(service.data_centres[i]);
+        if (is_far && !may_spill) {
+            tier = std::max(tier, was_refused_nearby ? selection_tier::excluded : selection_tier::distant);
+        }
         best = std::min(best, tier);
-        result.push_back({i, tier});
+        result.push_back({i, tier, false, is_far && may_spill});
     }
     if (best == selection_tier::leaving && !m_context.options.allow_leaving_targets) {
         best = selection_tier::excluded;
@@ -187,7 +194,8 @@
         return selection_tier::unhealthy;
     }
     const bool tried = std::ranges::any_of(call.attempts, [&](const attempt_state& it) {
-        const bool asked = !call.route.empty() && it.wait_limit && it.reason == refusal::wait_limit;
+        const bool has_refused_for_wait = it.reason == refusal::wait_limit;
+        const bool asked = has_refused_for_wait && (it.spilled || (!call.route.empty() && it.wait_limit));
         return it.target == target && (it.may_have_run() || asked);
     });
     if (tried) {
@@ -276,12 +284,16 @@
         const load_estimate estimate = estimate_load(load, average, round_trip, now);
         const duration penalty = scale(failure_penalty, m_health.at(target, now).failure_rate(now));
 
-        scored_candidate it{i, {&target}, estimate.service + penalty, member.wait_limit_only};
+        scored_candidate it{i, {&target}, estimate.service + penalty, member.wait_limit_only, member.spilled};
         it.scored.wait = estimate.wait;
-        it.scored.estimate = estimate.wait + estimate.service + round_trip + penalty;
+        const duration far_cost =
+            m_spill.is_far(service.data_centres[i]) ? m_spill.cost(call) : duration::zero();
+        it.fixed_cost += far_cost;
+        it.scored.estimate = estimate.wait + it.fixed_cost + round_trip;
         if (routed) {
             const duration travel_cost =
-                round_trip + cross_data_centre_cost(call.objective - work, service.data_centres[i]);
+                round_trip +
+                std::max(far_cost, cross_data_centre_cost(call.objective - work, service.data_centres[i]));
             it.scored.wait += expected_slowdown_delay(load, work, now) + penalty;
             it.scored.estimate = it.scored.wait + travel_cost;
             it.fixed_cost = travel_cost;
--- a/src/cornelpier/entry/target_selector.hpp
+++ b/src/cornelpier/entry/target_selector.hpp
@@ -5,6 +5,7 @@
 #include "cornelpier/entry/leaving_server_table.hpp"
 #include "cornelpier/entry/link_set.hpp"
 #include "cornelpier/entry/service_state.hpp"
+#include "cornelpier/entry/spill_controller.hpp"
 #include "cornelpier/health/health_table.hpp"
 #include "cornelpier/routing/load_estimate.hpp"
 #include "cornelpier/routing/reading_table.hpp"
@@ -24,6 +25,7 @@
     std::optional<duration> wait_limit; ///< Above this wait the second-best target is better.
     bool trial = false;                 ///< The attempt is a trial request to an ejected target.
     bool confined = false;              ///< The request is suspected; all entries choose this target.
+    bool spilled = false; ///< In a far data centre although the entry's own one has usable targets.
 };
 
 /// Components that the selector uses; not owned.
@@ -33,6 +35,7 @@
     round_trip_table& round_trips;
     health_table& health;
     link_set& links;
+    spill_controller& spill;
 };
 
 /// Chooses the target of each attempt. Opens links to targets that cannot be chosen for lack of one.
@@ -57,12 +60,13 @@
 
   private:
     /// Preference order of targets; a tier is used only if all tiers before it are empty.
-    enum class selection_tier : std::uint8_t { regular, cold, tried, unhealthy, leaving, excluded };
+    enum class selection_tier : std::uint8_t { regular, cold, tried, distant, unhealthy, leaving, excluded };
 
     struct subset_member {
         std::size_t index = 0; ///< In the subset.
         selection_tier tier = selection_tier::regular;
         bool wait_limit_only = false; ///< Not to be chosen; counts as an alternative for the wait limit.
+        bool spilled = false;         ///< In a far data centre.
     };
 
     struct scored_candidate {
@@ -70,6 +74,7 @@
         candidate scored;
         duration fixed_cost{}; ///< Part of the estimate without the wait.
         bool wait_limit_only = false;
+        bool spilled = false;
     };
 
     /// @return whether the call may have run at the target or would be refused again.
@@ -98,6 +103,7 @@
     round_trip_table& m_round_trips;
     health_table& m_health;
     link_set& m_links;
+    spill_controller& m_spill;
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -106,6 +106,7 @@
     visit(it.objective);
     visit(it.rate_limit);
     visit(it.confined);
+    visit(it.spilled);
 }
 
 template <typename Message, typename Visitor>
--- a/src/cornelpier/message/traffic_messages.hpp
+++ b/src/cornelpier/message/traffic_messages.hpp
@@ -103,6 +103,7 @@
     /// it until the server's first response.
     std::optional<rate> rate_limit;
     bool confined = false; ///< The entry chose the target knowing that the request is suspected.
+    bool spilled = false;  ///< The entry's data centre is far away and has usable targets of its own.
 };
 
 /// Reason for which an owner refused a run.
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -69,6 +69,14 @@
                                              : contention.best_limit(load.limit()));
 }
 
+/// By Little's law.
+double owner_state::usual_concurrency() const {
+    const duration service_time = route_work.mean() > duration::zero()
+                                      ? route_work.mean()
+                                      : load.current_service_time(runs.load(now()));
+    return class_rates.total(now()).per_second * to_seconds(service_time);
+}
+
 duration owner_state::expected_start_wait(std::size_t ahead) const {
     const duration slot_wait =
         expected_slot_wait(runs.remaining_service_times(now()), effective_limit(), ahead, route_work.mean());
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -54,6 +54,9 @@
     /// between runs would reduce throughput.
     [[nodiscard]] std::uint32_t effective_limit() const;
 
+    /// @return average number of runs at the server over the last seconds.
+    [[nodiscard]] double usual_concurrency() const;
+
     /// @param ahead number of queued runs that start first.
     /// @return expected time until a new run with a route gets a slot and the server's rate limit allows it.
     [[nodiscard]] duration expected_start_wait(std::size_t ahead) const;
--- a/src/cornelpier/owner/run_admission.cpp
+++ b/src/cornelpier/owner/run_admission.cpp
@@ -1,6 +1,7 @@
 #include "cornelpier/owner/run_admission.hpp"
 
 #include "cornelpier/admission/queueing_limit.hpp"
+#include "cornelpier/admission/spill_reserve.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -159,6 +160,11 @@
     if (left <= duration::zero()) {
         return refusal::deadline;
     }
+    if (message.spilled &&
+        !has_room_for_spilled_run(m_state.runs.at_server(), m_state.queue.size(), m_state.effective_limit(),
+                                  m_state.usual_concurrency())) {
+        return refusal::wait_limit;
+    }
     if (!message.route.empty()) {
         return check_route_load(message, left);
     }
--- a/src/cornelpier/routing/round_trip_table.cpp
+++ b/src/cornelpier/routing/round_trip_table.cpp
@@ -28,6 +28,13 @@
 void round_trip_table::observe(const target_id& target, const data_centre_id& data_centre,
                                duration measured) {
     const duration sample = std::max(measured, duration::zero());
+    smooth_round_trip(target, data_centre, sample);
+    const auto [it, is_new] = m_fastest.try_emplace(data_centre, sample);
+    it->second = std::min(it->second, sample);
+}
+
+void round_trip_table::smooth_round_trip(const target_id& target, const data_centre_id& data_centre,
+                                         duration sample) {
     smooth(m_targets, target, sample);
     smooth(m_data_centres, data_centre, sample);
 }
@@ -35,7 +42,7 @@
 void round_trip_table::observe_upper_bound(const target_id& target, const data_centre_id& data_centre,
                                            duration bound) {
     if (!m_targets.contains(target) || bound < round_trip(target, data_centre)) {
-        observe(target, data_centre, bound);
+        smooth_round_trip(target, data_centre, std::max(bound, duration::zero()));
     }
 }
 
@@ -49,4 +56,9 @@
     return data_centre == m_own_data_centre ? default_local_round_trip : default_remote_round_trip;
 }
 
+std::optional<duration> round_trip_table::fastest(const data_centre_id& data_centre) const {
+    const auto it = m_fastest.find(data_centre);
+    return it == m_fastest.end() ? std::nullopt : std::optional{it->second};
+}
+
 } // namespace cornelpier
--- a/src/cornelpier/routing/round_trip_table.hpp
+++ b/src/cornelpier/routing/round_trip_table.hpp
@@ -3,6 +3,7 @@
 #include "cornelpier/base/ids.hpp"
 #include "cornelpier/base/units.hpp"
 
+#include <optional>
 #include <unordered_map>
 
 namespace cornelpier {
@@ -23,10 +24,18 @@
     /// @return the expected round trip of the target, else that of its data centre, else a default.
     [[nodiscard]] duration round_trip(const target_id& target, const data_centre_id& data_centre) const;
 
+    /// @return the shortest observed round trip to the data centre, which processing delays do not lengthen.
+    /// Upper bounds do not count: they contain the difference of two nodes' measurements. Nothing before the
+    /// first observation.
+    [[nodiscard]] std::optional<duration> fastest(const data_centre_id& data_centre) const;
+
   private:
+    void smooth_round_trip(const target_id& target, const data_centre_id& data_centre, duration sample);
+
     data_centre_id m_own_data_centre;
     std::unordered_map<target_id, duration> m_targets;
     std::unordered_map<data_centre_id, duration> m_data_centres;
+    std::unordered_map<data_centre_id, duration> m_fastest;
 };
 
 } // namespace cornelpier
--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -33,12 +33,12 @@
 };
 
 std::string_view counter_name(metric kind) {
-    constexpr std::array<std::string_view, 11> names{"call_latency",      "retries",
+    constexpr std::array<std::string_view, 12> names{"call_latency",      "retries",
                                                      "rechoices",         "hedges",
                                                      "runs_refused",      "measurements",
                                                      "answers_discarded", "runs_started",
                                                      "runs_rate_limited", "quarantine_rejections",
-                                                     "server_crashes"};
+                                                     "server_crashes",    "calls_spilled"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -56,6 +56,12 @@
             settings.service, settings.seeds};
 }
 
+/// @return the options with those that the settings choose.
+node_options with_settings(node_options options, const node_settings& settings) {
+    options.traffic.entry.locality = settings.locality;
+    return options;
+}
+
 /// Raises the soft limit on open files to the hard limit. The usual soft limit of 1024 is lower than the
 /// number of caller connections.
 void raise_descriptor_limit() {
@@ -72,7 +78,7 @@
 class node_daemon::implementation {
   public:
     implementation(node_settings settings, node_options options)
-        : m_settings(std::move(settings)), m_options(std::move(options)),
+        : m_settings(std::move(settings)), m_options(with_settings(std::move(options), m_settings)),
           m_identity(make_identity(m_settings)), m_log({m_settings.format, m_settings.level, m_identity.self,
                                                         m_identity.process, m_clock, m_recent}),
           m_traffic_context(m_options.single_thread ? m_control_context : m_separate_traffic_context),
--- a/src/daemon/settings/node_settings.cpp
+++ b/src/daemon/settings/node_settings.cpp
@@ -75,6 +75,15 @@
     settings.level = parse_severity(log.value("level", "info"));
 }
 
+locality_options read_locality(const json& document) {
+    const json item = document.value("locality", json::object());
+    constexpr double ms_per_second = 1000;
+    const auto milliseconds_at = [&](const char* key) {
+        return from_seconds(item.value(key, 0.0) / ms_per_second);
+    };
+    return {milliseconds_at("cost_ms_per_kb"), milliseconds_at("far_round_trip_ms")};
+}
+
 node_settings read_settings(const json& document) {
     node_settings settings;
     const auto string_at = [&](const char* key) { return document.at(key).get<std::string>(); };
@@ -96,6 +105,7 @@
         settings.seeds.push_back(
             {target_id{it.at("target").get<std::string>()}, it.at("node").get<std::string>()});
     }
+    settings.locality = read_locality(document);
     read_log_settings(document, settings);
     settings.adapter = document.value("adapter", json::object()).dump();
     return settings;
--- a/src/daemon/settings/node_settings.hpp
+++ b/src/daemon/settings/node_settings.hpp
@@ -4,6 +4,7 @@
 #include "cornelpier/base/ids.hpp"
 #include "cornelpier/base/result.hpp"
 #include "cornelpier/node/node_identity.hpp"
+#include "cornelpier/routing/locality_policy.hpp"
 
 #include <cstdint>
 #include <string>
@@ -34,6 +35,7 @@
     log_format format = log_format::json;
     severity level = severity::info;
     std::uint32_t traffic_threads = 2;
+    locality_options locality;  ///< Price of traffic between data centres.
     std::string adapter = "{}"; ///< JSON object that the platform adapter defines and validates.
 };
 
--- a/src/daemon/settings/settings_schema.cpp
+++ b/src/daemon/settings/settings_schema.cpp
@@ -138,6 +138,28 @@
       "minimum": 1,
       "maximum": 64
     },
+    "locality": {
+      "type": "object",
+      "description": "Price of traffic between data centres.",
+      "additionalProperties": false,
+      "required": [
+        "cost_ms_per_kb"
+      ],
+      "properties": {
+        "cost_ms_per_kb": {
+          "type": "number",
+          "description": "Delay that is accepted to keep a kilobyte within the data centre.",
+          "minimum": 0,
+          "maximum": 60000
+        },
+        "far_round_trip_ms": {
+          "type": "number",
+          "description": "Data centres with a shorter round trip have no price.",
+          "minimum": 0,
+          "maximum": 60000
+        }
+      }
+    },
     "adapter": {
       "type": "object",
       "description": "Settings of the adapter to a platform; the adapter defines and checks them."
--- a/tests/virtual_time.cmake
+++ b/tests/virtual_time.cmake
@@ -21,6 +21,11 @@
 add_test(NAME server-rate-limit COMMAND cornelpier-server-advice-tests "[rate-limit]")
 add_test(NAME server-leaving COMMAND cornelpier-server-advice-tests "[leaving]")
 
+# Fleets of data centres with too few servers for their callers.
+add_executable(cornelpier-locality-tests main.cpp locality/locality_test.cpp)
+target_link_libraries(cornelpier-locality-tests PRIVATE cornelpier_test_support cornelpier_options)
+add_test(NAME locality COMMAND cornelpier-locality-tests)
+
 # Fleets whose servers end while they run requests.
 file(GLOB server_crash_tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/server_crashes/*.cpp)
 add_executable(cornelpier-server-crash-tests main.cpp ${server_crash_tests})
