Keep new work away from evacuated data centres in the core

An operator could not take a data centre out of use: a drain concerns one server, and the entries went on sending.

The plan lists the evacuated data centres. Entries leave their targets out of subsets, confined choices and homes of idempotency keys, and attempts that wait for a link or a permit choose again. Owners there refuse new and queued runs with refusal::evacuated, which is not run, draws on no retry budget and is no health outcome; runs at the server complete. Probes use the subset of the plan in force, also when no call has arrived since it changed. A call with a key that has no usable home is answered as unknown: an earlier exchange may have run. Events 312 and 313, a gauge and a counter.

--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -39,6 +39,8 @@
     directory_confirmed = 309,
     directory_response_ignored = 310,
     directory_entries_missing = 311,
+    evacuation_changed = 312,
+    evacuation_refused = 313,
     target_ejected = 400,
     target_trial = 401,
     target_recovered = 402,
--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -34,6 +34,8 @@
                                                    : "the target gave no complete answer";
     case refusal::draining:
         return "the target is draining";
+    case refusal::evacuated:
+        return "the data centre of the target is evacuated";
     case refusal::deadline:
         return "the deadline cannot be met";
     case refusal::key_conflict:
@@ -121,7 +123,13 @@
 answer_caller answer_composer::finish(const call_state& call) const {
     if (!call.last_result) {
         auto result = base_answer(call);
-        result.response = text_response(status_unavailable, "no target is available");
+        // Without a reply of the key's home, an earlier request with the same key may have run.
+        result.outcome = call.is_keyed() ? verdict::unknown : verdict::not_run;
+        attempt_result none;
+        none.end = attempt_end::not_sent;
+        result.response =
+            text_response(status_for(none, result.outcome, m_context.options.status_implies_not_run),
+                          "no target is available");
         result.retry_after = add_jitter(default_retry_after);
         return result;
     }
@@ -161,9 +169,11 @@
         return duration::zero();
     }
     if (!call.route.empty()) {
-        // The earliest free slot that an owner expects: the caller can still retry within the objective.
+        // The earliest free slot that an owner expects: the caller can still retry within the objective. An
+        // evacuation gives none and lasts longer.
+        const duration expected = last.reason == refusal::evacuated ? default_retry_after : last.retry_after;
         return outcome == verdict::not_run || call.idempotent
-                   ? add_jitter(std::max(call.earliest_retry.value_or(last.retry_after), min_retry_after))
+                   ? add_jitter(std::max(call.earliest_retry.value_or(expected), min_retry_after))
                    : duration::zero();
     }
     if (outcome == verdict::not_run) {
--- a/src/cornelpier/entry/attempt_dispatcher.cpp
+++ b/src/cornelpier/entry/attempt_dispatcher.cpp
@@ -61,6 +61,25 @@
     }
 }
 
+void attempt_dispatcher::withdraw_evacuated() {
+    const auto& current_plan = *m_context.view->current_plan;
+    // Collected first: settling an attempt may start others and end calls.
+    std::vector<attempt_id> withdrawn;
+    for (const auto* call : m_deps.calls.all()) {
+        for (const auto& it : call->attempts) {
+            if (it.phase == attempt_phase::waiting && current_plan.is_evacuated(it.data_centre)) {
+                withdrawn.push_back(it.id);
+            }
+        }
+    }
+    for (const auto& id : withdrawn) {
+        if (auto* call = m_deps.calls.find(id)) {
+            settle(*call, *call->find(id.number),
+                   {attempt_end::not_sent, verdict::not_run, refusal::evacuated, {}, {}});
+        }
+    }
+}
+
 /// If the link is down, the cancel message is sent when the next one opens.
 void attempt_dispatcher::cancel_run(const attempt_state& attempt) {
     if (m_deps.links.is_ready(attempt.target)) {
--- a/src/cornelpier/entry/attempt_dispatcher.hpp
+++ b/src/cornelpier/entry/attempt_dispatcher.hpp
@@ -34,6 +34,10 @@
     /// Adds an attempt to the call and sends it as soon as there is a link and, if required, a permit.
     void start(call_state& call, const selection& selected, const attempt_state& flags);
 
+    /// Withdraws the attempts to evacuated data centres that were not sent yet, so that their calls choose
+    /// other targets.
+    void withdraw_evacuated();
+
     /// Ends all open attempts of a call without waiting for replies. Those without an idempotency key are
     /// cancelled at their owners.
     void abandon_attempts(call_state& call);
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -48,6 +48,7 @@
     case refusal::rate_limited:
     case refusal::quarantined:
     case refusal::suspected:
+    case refusal::evacuated:
         return true;
     default:
         return false;
@@ -245,7 +246,7 @@
         return std::nullopt;
     }
     if (call.is_keyed()) {
-        return target_selector::select_home(*service, *call.event.key);
+        return m_deps.selector.select_home(*service, *call.event.key);
     }
     if (call.is_suspected || m_deps.quarantine.level(call) == suspicion::suspected) {
         return kind == attempt_kind::hedge ? std::nullopt : m_deps.selector.select_confined(call, *service);
@@ -293,12 +294,28 @@
     if (excludes_target(result)) {
         call.excluded_targets.push_back(attempt.target);
     }
+    if (result.reason == refusal::evacuated) {
+        exclude_data_centre(call, attempt.data_centre);
+    }
     auto* service = m_deps.services.find(call.event.service);
     if (service != nullptr && result.end == attempt_end::answered && result.outcome == verdict::ran) {
         service->hedge_policy_of(call.route).on_latency(m_context.now() - attempt.sent_at);
     }
 }
 
+/// An owner may know of an evacuation before this entry does; the other owners there would refuse as well.
+void call_driver::exclude_data_centre(call_state& call, const data_centre_id& data_centre) const {
+    const auto* service = m_context.find_service(call.event.service);
+    if (service == nullptr) {
+        return;
+    }
+    for (const auto& it : service->targets) {
+        if (it.data_centre == data_centre) {
+            call.excluded_targets.push_back(it.id);
+        }
+    }
+}
+
 /// @return the kind of the next attempt, or nothing if the call ends with this result.
 std::optional<call_driver::attempt_kind>
 call_driver::next_kind(call_state& call, const attempt_state& attempt, const attempt_result& result) {
@@ -312,13 +329,20 @@
         call.earliest_retry = m_deps.quarantine.quarantine_left(call);
         return std::nullopt;
     }
+    const bool is_evacuated = result.reason == refusal::evacuated;
     // Only the home target may run a keyed request, so a repeat is useless if that target would refuse again.
-    if (call.is_keyed() && excludes_target(result)) {
+    // If the attempt was withdrawn here, the key has another home now.
+    const bool has_new_home = is_evacuated && result.end == attempt_end::not_sent;
+    if (call.is_keyed() && excludes_target(result) && !has_new_home) {
         return std::nullopt;
     }
     if (call.possible_runs() >= call.max_runs) {
         return std::nullopt;
     }
+    // Bounded by the number of data centres: the call does not use this one any more.
+    if (is_evacuated) {
+        return attempt_kind::rechoice;
+    }
     if (is_exempt_from_retry_budget(call, attempt, result) &&
         call.unbudgeted_attempts <= max_conditional_attempts(call)) {
         return attempt_kind::rechoice;
--- a/src/cornelpier/entry/call_driver.hpp
+++ b/src/cornelpier/entry/call_driver.hpp
@@ -70,6 +70,7 @@
     bool try_consume_retry(call_state& call);
     void log_retry_budget_exhausted(const service_id& service, service_state& state);
     void record_result(call_state& call, const attempt_state& attempt, const attempt_result& result);
+    void exclude_data_centre(call_state& call, const data_centre_id& data_centre) const;
     void schedule_hedge(call_state& call, service_state& service);
     void on_hedge_due(const request_id& request);
     void on_deadline(const request_id& request);
--- a/src/cornelpier/entry/entry_manager.cpp
+++ b/src/cornelpier/entry/entry_manager.cpp
@@ -65,6 +65,9 @@
         if (plan_changed && before != nullptr) {
             quarantine.on_plan_changed(*before);
         }
+        if (plan_changed && !view->current_plan->evacuated_data_centres.empty()) {
+            dispatcher.withdraw_evacuated();
+        }
     }
 
     void on_pause() {
--- a/src/cornelpier/entry/probe_scheduler.cpp
+++ b/src/cornelpier/entry/probe_scheduler.cpp
@@ -29,23 +29,28 @@
     }
 }
 
-duration probe_scheduler::probe_period(const service_plan& service, std::size_t entries) {
+duration probe_scheduler::probe_period(const service_plan& service, std::size_t entries,
+                                       std::size_t evacuated) {
     const double budget = service.measuring.per_second * service.tail_weight;
-    if (budget <= 0 || service.targets.empty()) {
+    const std::size_t usable = service.targets.size() - evacuated;
+    if (budget <= 0 || usable == 0) {
         return duration::zero();
     }
-    const double used = static_cast<double>(std::min(max_subset_size, service.targets.size()));
-    const double users = static_cast<double>(entries) * used / static_cast<double>(service.targets.size());
+    const double used = static_cast<double>(std::min(max_subset_size, usable));
+    const double users = static_cast<double>(entries) * used / static_cast<double>(usable);
     const double seconds = std::max(users, 1.0) / budget;
     return std::max(min_period, from_seconds(std::min(seconds, to_seconds(max_period))));
 }
 
 duration probe_scheduler::period_of(const service_plan& service) const {
+    const auto& current_plan = *m_context.view->current_plan;
     std::size_t entries = 0;
-    for (const auto& it : m_context.view->current_plan->services) {
+    for (const auto& it : current_plan.services) {
         entries += it.targets.size();
     }
-    return probe_period(service, entries);
+    const auto evacuated = std::ranges::count_if(
+        service.targets, [&](const target_plan& it) { return current_plan.is_evacuated(it.data_centre); });
+    return probe_period(service, entries, static_cast<std::size_t>(evacuated));
 }
 
 void probe_scheduler::schedule(const service_id& service, service_state& state, duration period) {
@@ -63,7 +68,8 @@
     }
     const duration period = period_of(*planned);
     if (period > duration::zero()) {
-        probe_subset(*state, period);
+        // The plan may have changed since the last call.
+        probe_subset(m_services.at(*planned), period);
         schedule(service, *state, period);
     }
 }
--- a/src/cornelpier/entry/probe_scheduler.hpp
+++ b/src/cornelpier/entry/probe_scheduler.hpp
@@ -19,7 +19,8 @@
 
     /// @param entries number of nodes in the plan.
     /// @return interval between two probes of one target by this entry; zero if probing is off.
-    static duration probe_period(const service_plan& service, std::size_t entries);
+    /// @param evacuated number of the service's targets that are not probed because of an evacuation.
+    static duration probe_period(const service_plan& service, std::size_t entries, std::size_t evacuated = 0);
 
   private:
     void schedule(const service_id& service, service_state& state, duration period);
--- a/src/cornelpier/entry/service_table.cpp
+++ b/src/cornelpier/entry/service_table.cpp
@@ -46,7 +46,8 @@
                                 std::max(1.0, current_plan.retry_budget->slack / node_count));
     }
     const auto& identity = m_context.identity;
-    for (const auto i : choose_subset(service, m_subset_entries, identity.self, identity.data_centre)) {
+    for (const auto i : choose_subset(service, m_subset_entries, identity.self, identity.data_centre,
+                                      current_plan.evacuated_data_centres)) {
         state.subset.push_back(service.targets[i].id);
         state.data_centres.push_back(service.targets[i].data_centre);
         state.addresses.push_back(service.targets[i].node_address);
--- a/src/cornelpier/entry/target_selector.cpp
+++ b/src/cornelpier/entry/target_selector.cpp
@@ -75,7 +75,8 @@
     const target_plan* best = nullptr;
     std::pair<bool, std::uint64_t> best_rank;
     for (const auto& it : service.targets) {
-        if (is_tried(call, it.id) || is_leaving(it.id)) {
+        const bool is_evacuated = m_context.view->current_plan->is_evacuated(it.data_centre);
+        if (is_evacuated || is_tried(call, it.id) || is_leaving(it.id)) {
             continue;
         }
         const bool is_backing_off = m_links.is_backing_off(it.id);
@@ -103,14 +104,22 @@
            });
 }
 
-std::optional<selection> target_selector::select_home(const service_plan& service, const std::string& key) {
-    if (service.targets.empty()) {
+std::optional<selection> target_selector::select_home(const service_plan& service,
+                                                      const std::string& key) const {
+    const auto& current_plan = *m_context.view->current_plan;
+    const std::string hash_input = key_placement::scoped_key(service.id, key);
+    const target_plan* home = nullptr;
+    std::uint64_t best_score = 0;
+    for (const auto& it : service.targets) {
+        const std::uint64_t score = rendezvous_score(hash_input, it.id.value());
+        if (!current_plan.is_evacuated(it.data_centre) && (home == nullptr || score > best_score)) {
+            home = &it;
+            best_score = score;
+        }
+    }
+    if (home == nullptr) {
         return std::nullopt;
     }
-    const std::string hash_input = key_placement::scoped_key(service.id, key);
-    const auto home = std::ranges::max_element(service.targets, {}, [&](const target_plan& it) {
-        return rendezvous_score(hash_input, it.id.value());
-    });
     return selection{home->id, home->data_centre, home->node_address, std::nullopt, false};
 }
 
--- a/src/cornelpier/entry/target_selector.hpp
+++ b/src/cornelpier/entry/target_selector.hpp
@@ -51,9 +51,9 @@
     std::optional<selection> select_confined(const call_state& call, const service_plan& service);
 
     /// @return the home target of an idempotency key, the only one that may run its requests, found by
-    /// rendezvous hashing. Nothing if the service has no targets.
-    [[nodiscard]] static std::optional<selection> select_home(const service_plan& service,
-                                                              const std::string& key);
+    /// rendezvous hashing. Nothing if the service has no targets outside evacuated data centres.
+    [[nodiscard]] std::optional<selection> select_home(const service_plan& service,
+                                                       const std::string& key) const;
 
   private:
     /// Preference order of targets; a tier is used only if all tiers before it are empty.
--- a/src/cornelpier/execution/key_placement.cpp
+++ b/src/cornelpier/execution/key_placement.cpp
@@ -3,7 +3,6 @@
 #include "cornelpier/base/hash.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace cornelpier {
@@ -16,7 +15,8 @@
 
 } // namespace
 
-void key_placement::update(const service_plan* service, time_point now) {
+void key_placement::update(const service_plan* service, time_point now,
+                           const std::vector<data_centre_id>& evacuated) {
     if (service == nullptr) {
         set_targets({}, {}, now);
         return;
@@ -25,7 +25,11 @@
 
     std::vector<target_id> targets;
     targets.reserve(service->targets.size());
-    std::ranges::transform(service->targets, std::back_inserter(targets), &target_plan::id);
+    for (const auto& it : service->targets) {
+        if (!std::ranges::binary_search(evacuated, it.data_centre)) {
+            targets.push_back(it.id);
+        }
+    }
     std::ranges::sort(targets);
     set_targets(service->id, std::move(targets), now);
 }
--- a/src/cornelpier/execution/key_placement.hpp
+++ b/src/cornelpier/execution/key_placement.hpp
@@ -23,7 +23,9 @@
 
     /// Applies the targets of this target's service from the plan that came into force.
     /// @param service nullptr if the plan does not list this target, which is then the home of no key.
-    void update(const service_plan* service, time_point now);
+    /// @param evacuated data centres whose targets are the home of no key; sorted.
+    void update(const service_plan* service, time_point now,
+                const std::vector<data_centre_id>& evacuated = {});
 
     /// @param key result of `scoped_key`.
     /// @return true if this target is the home of the key.
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -238,7 +238,7 @@
 }
 
 constexpr refusal max_enumerator(refusal /*tag*/) {
-    return refusal::suspected;
+    return refusal::evacuated;
 }
 
 constexpr update_evidence max_enumerator(update_evidence /*tag*/) {
--- a/src/cornelpier/message/traffic_messages.hpp
+++ b/src/cornelpier/message/traffic_messages.hpp
@@ -126,6 +126,7 @@
     rate_limited, ///< The server's rate limit does not allow the run to start in time.
     quarantined,  ///< Requests like this one ended servers.
     suspected,    ///< Requests like this one may have ended a server; the entry did not know that.
+    evacuated,    ///< The data centre is evacuated; the entry did not know that.
 };
 
 /// Final result of an attempt, sent by the owner.
--- a/src/cornelpier/node/traffic_core.hpp
+++ b/src/cornelpier/node/traffic_core.hpp
@@ -27,6 +27,7 @@
     std::uint64_t server_crashes = 0;   ///< Ends of the server with runs in progress.
     std::size_t suspected_requests = 0; ///< Known to the owner, with those in quarantine.
     std::size_t quarantined_requests = 0;
+    std::size_t evacuated_data_centres = 0; ///< In force at this node.
 };
 
 /// Entry and owner of one node. Performs no I/O: it consumes events and emits actions. Not thread-safe; calls
--- a/src/cornelpier/owner/fresh_report_gate.hpp
+++ b/src/cornelpier/owner/fresh_report_gate.hpp
@@ -39,6 +39,9 @@
     /// the waiting runs are passed on at once.
     void request_report();
 
+    /// Passes on the waiting runs at once.
+    void forward_waiting();
+
   private:
     struct waiting_run {
         link_id link;
@@ -46,8 +49,6 @@
         time_point arrived_at;
     };
 
-    void forward_waiting();
-
     owner_state& m_state;
     run_admission& m_admission;
     measurement_scheduler& m_measurements;
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -3,6 +3,7 @@
 #include "cornelpier/owner/advice_monitor.hpp"
 #include "cornelpier/owner/crash_monitor.hpp"
 #include "cornelpier/owner/drain_controller.hpp"
+#include "cornelpier/owner/evacuation_monitor.hpp"
 #include "cornelpier/owner/fate_responder.hpp"
 #include "cornelpier/owner/fresh_report_gate.hpp"
 #include "cornelpier/owner/measurement_scheduler.hpp"
@@ -38,7 +39,7 @@
         : m_state(identity, timers, random), m_advice(m_state), m_drain(m_state, options.drain_timeout),
           m_executor(m_state, m_drain), m_crashes(m_state, m_executor), m_admission(m_state, m_executor),
           m_fates(m_state), m_measurements(m_state), m_gate(m_state, m_admission, m_measurements),
-          m_drain_delay(options.drain_delay) {
+          m_evacuations(m_state.outbox, m_state.view), m_drain_delay(options.drain_delay) {
         m_state.load.set_adaptive(options.adaptive_limit);
     }
 
@@ -64,7 +65,7 @@
             m_state.load.configure(slots, service->deadline);
             m_state.queue.set_capacity(max_queued_per_slot * slots);
         }
-        m_state.placement.update(service, m_state.now());
+        m_state.placement.update(service, m_state.now(), view->current_plan->evacuated_data_centres);
         const rate measuring_rate = service != nullptr ? service->measuring : rate{};
         m_measurements.set_rate(measuring_rate);
         // Without reports, only a run can tell that the server accepts more requests again.
@@ -77,7 +78,12 @@
         m_drain.on_view();
         // A server may also leave without being reported as leaving; the plan then no longer lists it.
         if (service == nullptr || m_state.lifecycle.has_cause(drain_cause::vm_leaving)) {
-            m_executor.refuse_queued();
+            m_executor.refuse_queued(refusal::draining);
+        }
+        m_evacuations.on_view();
+        if (m_state.is_evacuated()) {
+            m_gate.forward_waiting();
+            m_executor.refuse_queued(refusal::evacuated);
         }
         m_executor.start_queued();
     }
@@ -106,6 +112,7 @@
         snapshot.server_crashes = m_crashes.count();
         snapshot.suspected_requests = m_state.suspects.size();
         snapshot.quarantined_requests = m_state.suspects.quarantined(m_state.now());
+        snapshot.evacuated_data_centres = m_evacuations.count();
         snapshot.ledger_records = m_state.ledger.size();
         snapshot.measurements_last_second = static_cast<double>(m_measurements.taken_last_second());
     }
@@ -119,6 +126,7 @@
     fate_responder m_fates;
     measurement_scheduler m_measurements;
     fresh_report_gate m_gate;
+    evacuation_monitor m_evacuations;
     bool m_report_draining = false; ///< The server's last report says that it drains.
     scoped_timer m_report_poll_timer;
     scoped_timer m_drain_timer;
@@ -169,7 +177,7 @@
         m_drain.on_server_draining(m_report_draining || m_state.server_leaving);
         // The queued runs might start only when the server must not get any more.
         if (was_serving && m_state.server_leaving) {
-            m_executor.refuse_queued();
+            m_executor.refuse_queued(refusal::draining);
         }
     }
 
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -30,7 +30,11 @@
 
 void owner_state::set_view(shared_fleet_view next) {
     view = std::move(next);
-    m_service = view->current_plan->service_of(identity.self);
+    const plan& current_plan = *view->current_plan;
+    m_service = current_plan.service_of(identity.self);
+    const target_plan* own = current_plan.find_target(identity.self);
+    m_is_evacuated = current_plan.is_evacuated(identity.data_centre) ||
+                     (own != nullptr && current_plan.is_evacuated(own->data_centre));
 }
 
 std::uint32_t owner_state::slots() const {
@@ -113,6 +117,9 @@
         if (message.reason == refusal::quarantined) {
             outbox.increment(metric::run_quarantined);
         }
+        if (message.reason == refusal::evacuated) {
+            outbox.increment(metric::run_evacuated);
+        }
     }
     message.load = make_reading();
     outbox.send(link, std::move(message));
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -41,6 +41,9 @@
     /// @return concurrent requests that this target's server can process. `service()` must not be null.
     [[nodiscard]] std::uint32_t slots() const;
 
+    /// @return whether this target's data centre is evacuated, so that the server gets no new work.
+    [[nodiscard]] bool is_evacuated() const { return m_is_evacuated; }
+
     /// Sets the fleet view that came into force.
     void set_view(shared_fleet_view next);
 
@@ -106,6 +109,7 @@
 
   private:
     const service_plan* m_service = nullptr;
+    bool m_is_evacuated = false;
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/owner/run_admission.cpp
+++ b/src/cornelpier/owner/run_admission.cpp
@@ -134,6 +134,9 @@
     if (m_state.lifecycle.state() != node_state::serving) {
         return refusal::draining;
     }
+    if (m_state.is_evacuated()) {
+        return refusal::evacuated;
+    }
     const service_plan* service = m_state.service();
     // The plan may still list another service's server that had this address before.
     const bool is_own = message.service == m_state.identity.service;
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -272,9 +272,9 @@
     }
 }
 
-void run_executor::refuse_queued() {
+void run_executor::refuse_queued(refusal reason) {
     for (const run_id id : m_state.runs.queued()) {
-        refuse(id, refusal::draining);
+        refuse(id, reason);
     }
     on_run_ended();
 }
--- a/src/cornelpier/owner/run_executor.hpp
+++ b/src/cornelpier/owner/run_executor.hpp
@@ -42,9 +42,9 @@
     void on_cancel(const attempt_id& attempt);
     void on_link_closed(link_id link);
 
-    /// Refuses all queued runs because this target's server is leaving; the entries choose other targets.
-    /// When this node learns of it, the period in which a leaving server may still get runs may be over.
-    void refuse_queued();
+    /// Refuses all queued runs because this target's server must not get any more; the entries choose other
+    /// targets. When this node learns of it, the period in which the server may still get runs may be over.
+    void refuse_queued(refusal reason);
 
     /// Refuses the queued runs whose deadline has passed, without waiting for their timers.
     void refuse_overdue();
--- a/src/cornelpier/plan/plan.cpp
+++ b/src/cornelpier/plan/plan.cpp
@@ -46,4 +46,8 @@
     return nullptr;
 }
 
+bool plan::is_evacuated(const data_centre_id& data_centre) const {
+    return std::ranges::binary_search(evacuated_data_centres, data_centre);
+}
+
 } // namespace cornelpier
--- a/src/cornelpier/plan/plan.hpp
+++ b/src/cornelpier/plan/plan.hpp
@@ -18,6 +18,9 @@
 /// Size limit of a plan sheet in bytes; larger sheets are refused.
 inline constexpr std::size_t max_plan_bytes = 1'000'000;
 
+/// Maximum number of data centres that are evacuated at a time.
+inline constexpr std::size_t max_evacuated_data_centres = 64;
+
 /// Classifies requests by method and path.
 struct request_rule {
     std::string method;      ///< HTTP method; `*` matches any.
@@ -71,6 +74,8 @@
     std::shared_ptr<const route_table> routes = nullptr;
     std::optional<caller_limits> limits = std::nullopt;            ///< Unset: the node's own limits apply.
     std::optional<fleet_retry_budget> retry_budget = std::nullopt; ///< Unset: each entry uses its own budget.
+    std::vector<data_centre_id> evacuated_data_centres =
+        {}; ///< Sorted, unique. Their servers get no new work.
 
     /// @param request must have a `host` field if the plan has routes.
     /// @return true if the request may run more than once.
@@ -84,6 +89,9 @@
 
     /// @return the target, or nullptr.
     [[nodiscard]] const target_plan* find_target(const target_id& id) const;
+
+    /// @return whether the servers of the data centre get no new work.
+    [[nodiscard]] bool is_evacuated(const data_centre_id& data_centre) const;
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/plan/plan_parser.cpp
+++ b/src/cornelpier/plan/plan_parser.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <unordered_set>
@@ -64,6 +65,16 @@
     return service;
 }
 
+std::vector<data_centre_id> parse_evacuated(const json& document) {
+    std::vector<data_centre_id> result;
+    for (const auto& it : document.value("evacuated_data_centres", json::array())) {
+        result.emplace_back(it.get<std::string>());
+    }
+    std::ranges::sort(result);
+    result.erase(std::unique(result.begin(), result.end()), result.end());
+    return result;
+}
+
 plan parse_plan_document(const json& document, std::string_view sheet) {
     plan result;
     result.version = document.at("version").get<std::uint64_t>();
@@ -71,6 +82,7 @@
     for (const auto& it : document.at("services")) {
         result.services.push_back(parse_service(it));
     }
+    result.evacuated_data_centres = parse_evacuated(document);
     result.sheet = sheet;
     result.content_hash = stable_hash(sheet);
     return result;
@@ -83,6 +95,7 @@
         for (std::size_t n = 0; n < checked.services.size(); ++n) {
             check_service(checked.services[n], "/services/" + std::to_string(n));
         }
+        check_evacuated(checked);
         return std::move(m_errors);
     }
 
@@ -102,6 +115,7 @@
     }
 
     void check_target(const target_plan& target, const std::string& place) {
+        m_data_centres.insert(target.data_centre);
         if (!m_targets.insert(target.id).second) {
             add_error(place + "/id", "this target is listed twice; a target belongs to one service");
         }
@@ -115,6 +129,15 @@
         }
     }
 
+    /// A misspelt name would leave the data centre in use without notice.
+    void check_evacuated(const plan& checked) {
+        for (const auto& it : checked.evacuated_data_centres) {
+            if (!m_data_centres.contains(it)) {
+                add_error("/evacuated_data_centres", "no target is in data centre " + it.value());
+            }
+        }
+    }
+
     void add_error(std::string place, std::string reason) {
         m_errors.push_back({std::move(place), std::move(reason)});
     }
@@ -122,6 +145,7 @@
     std::vector<error> m_errors;
     std::unordered_set<service_id> m_services;
     std::unordered_set<target_id> m_targets;
+    std::unordered_set<data_centre_id> m_data_centres;
     std::unordered_set<std::string> m_addresses;
 };
 
--- a/src/cornelpier/plan/plan_schema.cpp
+++ b/src/cornelpier/plan/plan_schema.cpp
@@ -25,6 +25,15 @@
       "description": "Name of the deployment.",
       "minLength": 1
     },
+    "evacuated_data_centres": {
+      "type": "array",
+      "description": "Servers of these data centres get no new requests.",
+      "maxItems": 64,
+      "items": {
+        "type": "string",
+        "minLength": 1
+      }
+    },
     "services": {
       "type": "array",
       "items": {
--- a/src/cornelpier/routing/subset.cpp
+++ b/src/cornelpier/routing/subset.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
-#include <numeric>
 #include <utility>
 
 namespace cornelpier {
@@ -22,9 +21,11 @@
 /// Assigns targets to one entry after the other.
 class subset_assigner {
   public:
-    explicit subset_assigner(const service_plan& service) {
+    /// @param usable indices of the targets that may be assigned.
+    subset_assigner(const service_plan& service, const std::vector<std::size_t>& usable) {
         std::map<data_centre_id, std::size_t> indices;
-        for (const auto& it : service.targets) {
+        for (const std::size_t i : usable) {
+            const auto& it = service.targets[i];
             m_hashes.push_back(rendezvous_score(service.id.value(), it.id.value()));
             m_data_centres.push_back(indices.try_emplace(it.data_centre, indices.size()).first->second);
         }
@@ -35,7 +36,7 @@
     }
 
     /// @param round number of the entry; varies the order of equally used targets.
-    /// @return the assigned targets; valid until the next call.
+    /// @return positions of the assigned targets among the usable ones; valid until the next call.
     const std::vector<std::size_t>& assign(std::uint64_t round, const data_centre_id& own_data_centre) {
         sort_targets(round);
         const auto it = m_data_centre_indices.find(own_data_centre);
@@ -120,14 +121,20 @@
 }
 
 std::vector<std::size_t> choose_subset(const service_plan& service, const std::vector<subset_entry>& entries,
-                                       const target_id& self, const data_centre_id& own_data_centre) {
-    std::vector<std::size_t> result(service.targets.size());
-    std::iota(result.begin(), result.end(), std::size_t{0});
-    if (result.size() <= max_subset_size) {
-        return result;
+                                       const target_id& self, const data_centre_id& own_data_centre,
+                                       const std::vector<data_centre_id>& evacuated) {
+    std::vector<std::size_t> usable;
+    usable.reserve(service.targets.size());
+    for (std::size_t i = 0; i < service.targets.size(); ++i) {
+        if (!std::ranges::binary_search(evacuated, service.targets[i].data_centre)) {
+            usable.push_back(i);
+        }
+    }
+    if (usable.size() <= max_subset_size) {
+        return usable;
     }
 
-    subset_assigner assigner(service);
+    subset_assigner assigner(service, usable);
     std::uint64_t round = 0;
     for (const auto& it : entries) {
         if (it.id >= self) {
@@ -135,7 +142,10 @@
         }
         assigner.assign(round++, it.data_centre);
     }
-    result = assigner.assign(round, own_data_centre);
+    std::vector<std::size_t> result;
+    for (const std::size_t position : assigner.assign(round, own_data_centre)) {
+        result.push_back(usable[position]);
+    }
     std::ranges::sort(result);
     return result;
 }
--- a/src/cornelpier/routing/subset.hpp
+++ b/src/cornelpier/routing/subset.hpp
@@ -28,8 +28,10 @@
 /// @param entries all entries in ascending order of their ids.
 /// @param self entry whose subset is returned; need not be in `entries`.
 /// @param own_data_centre data centre of `self`.
+/// @param evacuated data centres whose targets are not assigned; sorted.
 /// @return indices into the targets of the service, ascending.
 std::vector<std::size_t> choose_subset(const service_plan& service, const std::vector<subset_entry>& entries,
-                                       const target_id& self, const data_centre_id& own_data_centre);
+                                       const target_id& self, const data_centre_id& own_data_centre,
+                                       const std::vector<data_centre_id>& evacuated = {});
 
 } // namespace cornelpier
--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -33,12 +33,12 @@
 };
 
 std::string_view counter_name(metric kind) {
-    constexpr std::array<std::string_view, 11> names{"call_latency",      "retries",
+    constexpr std::array<std::string_view, 12> names{"call_latency",      "retries",
                                                      "rechoices",         "hedges",
                                                      "runs_refused",      "measurements",
                                                      "answers_discarded", "runs_started",
                                                      "runs_rate_limited", "quarantine_rejections",
-                                                     "server_crashes"};
+                                                     "server_crashes",    "runs_evacuated"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -141,6 +141,8 @@
                     static_cast<double>(traffic.suspected_requests));
         write_gauge(out, "quarantined_requests", "Requests that are not run because they end servers.",
                     static_cast<double>(traffic.quarantined_requests));
+        write_gauge(out, "evacuated_data_centres", "Data centres whose servers get no new requests.",
+                    static_cast<double>(traffic.evacuated_data_centres));
         write_gauge(out, "service_seconds", "Service time of the server now.",
                     to_seconds(traffic.service_time));
         write_gauge(out, "ledger_records", "Requests remembered.",
--- a/tests/owner/owner_fixture.hpp
+++ b/tests/owner/owner_fixture.hpp
@@ -29,6 +29,7 @@
         auto sheet = std::make_shared<plan>();
         sheet->version = ++version;
         sheet->services = {service};
+        sheet->evacuated_data_centres = evacuated;
         auto view = std::make_shared<fleet_view>();
         view->current_plan = sheet;
         view->vm_states[identity.self] = vm;
@@ -119,6 +120,7 @@
                            data_centre_id{"dc1"}, service_id{"comenzi"}, {}};
     timer_service timers{time_point{seconds{1000}}};
     service_plan service;
+    std::vector<data_centre_id> evacuated; ///< Sorted.
     std::uint64_t version = 0;
     traffic_actions actions;
     owner_manager owner;
