--- a/tests/platform/support/source_documents.cpp
+++ b/tests/platform/support/source_documents.cpp
@@ -14,10 +14,10 @@
 
 } // namespace
 
-std::string source_entry(const std::string& node, const std::string& state) {
+std::string source_entry(const std::string& node, const std::string& state, const std::string& data_centre) {
     return server_entry_json({.address = endpoint(node, server_port),
                               .service = source_service,
-                              .zone = test_data_centre,
+                              .zone = data_centre,
                               .state = state});
 }
 
--- a/tests/platform/support/source_documents.hpp
+++ b/tests/platform/support/source_documents.hpp
@@ -12,11 +12,15 @@
 /// Data centre of all nodes.
 inline constexpr const char* test_data_centre = "z";
 
+/// Data centre without servers that the settings list.
+inline constexpr const char* spare_data_centre = "y";
+
 /// Service of all servers.
 inline constexpr const char* source_service = "status";
 
 /// @return the entry of a node's server in the store.
-std::string source_entry(const std::string& node, const std::string& state);
+std::string source_entry(const std::string& node, const std::string& state,
+                         const std::string& data_centre = test_data_centre);
 
 /// @return key of the entry of a node's server.
 std::string source_entry_key(const std::string& node);
--- a/tests/platform/support/source_fleet.cpp
+++ b/tests/platform/support/source_fleet.cpp
@@ -62,9 +62,10 @@
     return calls;
 }
 
-source_node& source_fleet::start_node(const std::string& address) {
+source_node& source_fleet::start_node(const std::string& address, standins::store_refusal refusal) {
     run([&] {
         m_store.add_front(store_front(address));
+        m_store.refuse(store_front(address), refusal);
         m_nodes.push_back(
             std::make_unique<source_node>(m_context, address, store_front(address), m_propagation_limit));
         m_nodes.back()->start();
--- a/tests/platform/support/source_fleet.hpp
+++ b/tests/platform/support/source_fleet.hpp
@@ -48,7 +48,9 @@
     std::uint64_t store_calls();
 
     /// Adds and starts a node.
-    source_node& start_node(const std::string& address);
+    /// @param refusal how the store refuses its requests from the start.
+    source_node& start_node(const std::string& address,
+                            standins::store_refusal refusal = standins::store_refusal::none);
 
     /// Adds a peer.
     update_peer& add_peer(const std::string& address);
--- a/tests/platform/support/source_node.cpp
+++ b/tests/platform/support/source_node.cpp
@@ -16,6 +16,7 @@
     settings.node_port = source_node_port;
     settings.node_address = endpoint(address, source_node_port);
     settings.propagation_limit = limit;
+    settings.regions = {{test_data_centre, ""}, {spare_data_centre, ""}};
     return settings;
 }
 
@@ -34,7 +35,7 @@
       m_node_address(endpoint(address, source_node_port)),
       m_links(context, {[](link_id) {}, [](link_id) {}, [](link_id, const traffic_message&) {},
                         [this](control_message it) { m_source.on_message(std::move(it)); }, ignore_event}),
-      m_source({context, m_identity, m_links, ignore_event,
+      m_source({context, m_identity, m_links, [this](const event_record& it) { record(it); },
                 [this](shared_fleet_view it) {
                     const std::lock_guard lock(m_mutex);
                     m_view = std::move(it);
@@ -68,4 +69,26 @@
     return m_view ? m_view->current_plan->version : 0;
 }
 
+std::vector<std::string> source_node::evacuated() const {
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> result;
+    if (m_view) {
+        for (const auto& it : m_view->current_plan->evacuated_data_centres) {
+            result.push_back(it.value());
+        }
+    }
+    return result;
+}
+
+std::size_t source_node::logged(event_number number) const {
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_logged.find(number);
+    return it == m_logged.end() ? 0 : it->second;
+}
+
+void source_node::record(const event_record& record) {
+    const std::lock_guard lock(m_mutex);
+    ++m_logged[record.number];
+}
+
 } // namespace cornelpier::test
--- a/tests/platform/support/source_node.hpp
+++ b/tests/platform/support/source_node.hpp
@@ -7,8 +7,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace cornelpier::test {
 
@@ -32,12 +34,21 @@
     /// @return version of the plan that the source published last, 0 if there is none. Thread-safe.
     [[nodiscard]] std::uint64_t plan_version() const;
 
+    /// @return the evacuated data centres of the plan that the source published last. Thread-safe.
+    [[nodiscard]] std::vector<std::string> evacuated() const;
+
+    /// @return the number of events of this kind that the source logged. Thread-safe.
+    [[nodiscard]] std::size_t logged(event_number number) const;
+
   private:
+    void record(const event_record& record);
+
     node_identity m_identity;
     std::string m_node_address;
     link_manager m_links;
     mutable std::mutex m_mutex;
     shared_fleet_view m_view;
+    std::map<event_number, std::size_t> m_logged;
     platform::store_fleet_source m_source;
 };
 
