--- a/src/cornelpier/entry/probe_scheduler.cpp
+++ b/src/cornelpier/entry/probe_scheduler.cpp
@@ -36,7 +36,7 @@
     if (budget <= 0 || usable == 0) {
         return duration::zero();
     }
-    const double used = static_cast<double>(std::min(max_subset_size, usable));
+    const auto used = static_cast<double>(std::min(max_subset_size, usable));
     const double users = static_cast<double>(entries) * used / static_cast<double>(usable);
     const double seconds = std::max(users, 1.0) / budget;
     return std::max(min_period, from_seconds(std::min(seconds, to_seconds(max_period))));
