--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -232,6 +232,13 @@
     document["bounds"] = {"config_apply=2500ms", "drain=2200ms"};
     settings = std::get<platform_settings>(read_platform_settings(document));
     CHECK(settings.propagation_limit == std::chrono::milliseconds{2200});
+
+    // Guards against evacuations that come into force later than their bound.
+    document["bounds"] = {"config_apply=9s", "drain=8s", "evacuation=4s"};
+    settings = std::get<platform_settings>(read_platform_settings(document));
+    CHECK(settings.propagation_limit == std::chrono::seconds{4});
+    document["bounds"] = {"evacuation=soon"};
+    CHECK(std::holds_alternative<error>(read_platform_settings(document)));
 }
 
 TEST_CASE("an error in the platform's settings has a place", "[platform]") {
