Limit what a cold server gets to its warm-up rate

A server that has just started, or has turned cold, may crash above cold_per_s x 1.5 + 8 requests in a second, and the owner sent it full traffic. The plan now names length and rate of the warm-up (cold_start and cold_per_s of the manifest, warm_up_ms and warm_up_rate_per_second of the sheet), the server's report its remaining time, and warm_up_limiter decides until when the server counts as cold. The run pacer keeps to the lower of the warm-up rate and the server's own limit and bounds the starts of any 1.1 s, with those before the server turned cold. Services without a warm-up rate are served as before.

--- a/src/cornelpier/admission/run_pacer.cpp
+++ b/src/cornelpier/admission/run_pacer.cpp
@@ -42,7 +42,39 @@
     m_withdrawn_at.reset();
 }
 
+void run_pacer::set_warm_up_rate(std::optional<rate> limit, time_point now) {
+    m_warm_up_rate = limit;
+    m_warm_up.set_rate(limit, now);
+}
+
+void run_pacer::set_cold_until(time_point until, time_point now) {
+    const bool was_cold = is_cold(now);
+    m_cold_until = until;
+    if (!was_cold && is_cold(now)) {
+        m_warm_up.begin(now);
+    }
+}
+
+std::optional<rate> run_pacer::rate_in_force(time_point now) const {
+    const auto named = limit();
+    if (!is_cold(now)) {
+        return named;
+    }
+    return named && named->per_second < m_warm_up_rate->per_second ? named : m_warm_up_rate;
+}
+
 duration run_pacer::wait(std::size_t ahead, time_point now) const {
+    return std::max(limit_wait(ahead, now), warm_up_wait(ahead, now));
+}
+
+duration run_pacer::warm_up_wait(std::size_t ahead, time_point now) const {
+    if (!is_cold(now)) {
+        return duration::zero();
+    }
+    return std::min({m_warm_up.wait(ahead, now), m_cold_until - now, max_wait});
+}
+
+duration run_pacer::limit_wait(std::size_t ahead, time_point now) const {
     const auto step = interval(now);
     if (!step) {
         return duration::zero();
@@ -56,6 +88,7 @@
     if (const auto step = interval(now)) {
         m_next = std::max(m_next, now) + *step;
     }
+    m_warm_up.on_start(now, is_cold(now));
 }
 
 std::optional<duration> run_pacer::interval(time_point now) const {
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -68,6 +68,8 @@
     link_message_malformed = 610,
     link_queue_full = 611,
     gossip_malformed = 612,
+    warm_up_value_refused = 613,
+    server_warm_up = 614,
     settings_invalid = 700,
     settings_reloaded = 701,
 };
--- a/src/cornelpier/node/traffic_actions.hpp
+++ b/src/cornelpier/node/traffic_actions.hpp
@@ -85,7 +85,8 @@
     run_started,      ///< Count of runs sent to the server.
     run_rate_limited, ///< Count of runs refused because of the server's rate limit.
     run_quarantined,  ///< Count of runs and calls rejected because of a quarantine.
-    server_crashed    ///< Count of ends of the server process with runs in progress.
+    server_crashed,   ///< Count of ends of the server process with runs in progress.
+    run_refused_cold  ///< Count of runs refused because of the rate while the server was cold.
 };
 
 /// Records a value of a metric.
--- a/src/cornelpier/node/traffic_core.hpp
+++ b/src/cornelpier/node/traffic_core.hpp
@@ -19,7 +19,8 @@
     std::size_t runs_at_server = 0;
     std::size_t runs_queued = 0;
     std::uint32_t concurrency_limit = 0;
-    std::optional<rate> server_rate_limit; ///< Named by the server; unset: no limit.
+    std::optional<rate> server_rate_limit; ///< Named by the server or for its warm-up; unset: no limit.
+    duration warm_up_remaining{};          ///< Zero: the server is warm or its service has no warm-up rate.
     duration service_time{};
     std::size_t ledger_records = 0;
     std::size_t open_links = 0;
--- a/src/cornelpier/node/traffic_events.hpp
+++ b/src/cornelpier/node/traffic_events.hpp
@@ -97,6 +97,8 @@
     std::optional<server_load_report> load = std::nullopt;
     std::string instance = {}; ///< Server process that answered; empty if the report does not name it.
     server_advice advice = {};
+    std::optional<duration> warm_up_remaining = std::nullopt; ///< Unset: the report does not mention it.
+    bool warm_up_malformed = false; ///< The remaining time could not be decoded and counts as not mentioned.
 };
 
 /// The server's report could not be read.
--- a/src/cornelpier/owner/advice_monitor.cpp
+++ b/src/cornelpier/owner/advice_monitor.cpp
@@ -54,7 +54,8 @@
 }
 
 void advice_monitor::on_remembered_limit(const std::optional<rate>& limit) {
-    if (m_state.advice_known || !limit) {
+    // The limiter knows more than the entries about the rate of a cold server.
+    if (m_state.advice_known || !limit || is_warm_up_rate(*limit)) {
         return;
     }
     const auto in_force = m_state.pacer.limit();
@@ -64,6 +65,11 @@
     }
 }
 
+bool advice_monitor::is_warm_up_rate(rate limit) const {
+    const service_plan* service = m_state.service();
+    return service != nullptr && service->warm_up && service->warm_up->limit == limit;
+}
+
 void advice_monitor::forget() {
     m_reports_advise = false;
     m_state.server_leaving = false;
--- a/src/cornelpier/owner/advice_monitor.hpp
+++ b/src/cornelpier/owner/advice_monitor.hpp
@@ -33,6 +33,8 @@
 
   private:
     void forget();
+    /// @return whether an entry got this rate because the server was cold.
+    [[nodiscard]] bool is_warm_up_rate(rate limit) const;
     void log_rate_limit(const std::optional<rate>& before, const std::string& source);
 
     owner_state& m_state;
--- a/src/cornelpier/owner/fresh_report_gate.cpp
+++ b/src/cornelpier/owner/fresh_report_gate.cpp
@@ -11,7 +11,8 @@
     // While the server's rate limit delays all runs, its slowness does not decide when they start, and a
     // report is one more request to a server that asks for fewer.
     const bool is_paced = m_state.pacer.wait(0, m_state.now()) > duration::zero();
-    if (!depends_on_slowness || is_paced || m_state.slowness.is_fresh(m_state.now())) {
+    const bool needs_slowness = depends_on_slowness && !is_paced && !m_state.slowness.is_fresh(m_state.now());
+    if (!needs_slowness && !m_state.warm_up.needs_report(m_state.now())) {
         m_admission.on_run(link, message);
         return;
     }
--- a/src/cornelpier/owner/fresh_report_gate.hpp
+++ b/src/cornelpier/owner/fresh_report_gate.hpp
@@ -9,8 +9,9 @@
 
 namespace cornelpier {
 
-/// Delays the admission of runs until the server has reported its current slowness, which takes about a
-/// millisecond. Without this, a slowdown that begins between two responses of the server would go unnoticed.
+/// Delays the admission of runs until the server has reported its current slowness and whether it is cold,
+/// which takes about a millisecond. Without this, a slowdown that begins between two responses of the server
+/// would go unnoticed, and so would a server that has turned cold.
 class fresh_report_gate {
   public:
     /// Time after which a run is passed on without a fresh report.
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -9,6 +9,7 @@
 #include "cornelpier/owner/owner_state.hpp"
 #include "cornelpier/owner/run_admission.hpp"
 #include "cornelpier/owner/run_executor.hpp"
+#include "cornelpier/owner/warm_up_monitor.hpp"
 
 #include <utility>
 #include <variant>
@@ -24,6 +25,7 @@
 constexpr duration trial_run_interval = std::chrono::seconds{10};
 
 constexpr int first_server_error_status = 500;
+constexpr int status_misdirected_request = 421;
 
 /// Poll interval while runs wait for a slowdown to end. Slowdowns last some hundred milliseconds.
 constexpr duration deferred_poll_period = std::chrono::milliseconds{25};
@@ -35,11 +37,13 @@
   public:
     implementation(const node_identity& identity, timer_service& timers, random_source random,
                    const owner_options& options)
-        : m_state(identity, timers, random), m_advice(m_state), m_drain(m_state, options.drain_timeout),
-          m_executor(m_state, m_drain), m_crashes(m_state, m_executor), m_admission(m_state, m_executor),
-          m_fates(m_state), m_measurements(m_state), m_gate(m_state, m_admission, m_measurements),
+        : m_state(identity, timers, random), m_advice(m_state), m_warm_up(m_state),
+          m_drain(m_state, options.drain_timeout), m_executor(m_state, m_drain),
+          m_crashes(m_state, m_executor), m_admission(m_state, m_executor), m_fates(m_state),
+          m_measurements(m_state), m_gate(m_state, m_admission, m_measurements),
           m_drain_delay(options.drain_delay) {
         m_state.load.set_adaptive(options.adaptive_limit);
+        m_warm_up.set_handlers([this] { on_warm_up_changed(); }, [this] { m_gate.request_report(); });
     }
 
     void on_message(link_id link, const traffic_message& message) {
@@ -74,6 +78,7 @@
             // Without reports nothing could remove this cause again.
             set_report_draining(false);
         }
+        m_warm_up.on_view();
         m_drain.on_view();
         // A server may also leave without being reported as leaving; the plan then no longer lists it.
         if (service == nullptr || m_state.lifecycle.has_cause(drain_cause::vm_leaving)) {
@@ -101,7 +106,8 @@
         snapshot.runs_at_server = m_state.runs.at_server();
         snapshot.runs_queued = m_state.queue.size();
         snapshot.concurrency_limit = m_state.load.limit();
-        snapshot.server_rate_limit = m_state.pacer.limit();
+        snapshot.server_rate_limit = m_state.pacer.rate_in_force(m_state.now());
+        snapshot.warm_up_remaining = m_state.warm_up.remaining(m_state.now());
         snapshot.service_time = m_state.load.current_service_time(load);
         snapshot.server_crashes = m_crashes.count();
         snapshot.suspected_requests = m_state.suspects.size();
@@ -112,6 +118,7 @@
 
     owner_state m_state;
     advice_monitor m_advice;
+    warm_up_monitor m_warm_up;
     drain_controller m_drain;
     run_executor m_executor;
     crash_monitor m_crashes;
@@ -151,6 +158,14 @@
         update_server_drain();
     }
 
+    /// Keeps the report fresh while queued runs start: each start may be one too many for a server that has
+    /// just turned cold.
+    void refresh_report() {
+        if (!m_state.queue.empty() && m_state.warm_up.needs_report(m_state.now())) {
+            m_gate.request_report();
+        }
+    }
+
     /// Polls the server's report while runs wait for a slowdown to end, because nothing else reports its end.
     void poll_while_deferring() {
         if (!m_executor.is_deferring()) {
@@ -164,6 +179,13 @@
     }
 
   private:
+    /// The entries choose other targets while the server is cold, and return when it is warm.
+    void on_warm_up_changed() {
+        m_executor.refuse_unservable();
+        m_executor.start_queued();
+        m_state.outbox.broadcast(m_state.make_reading());
+    }
+
     void update_server_drain() {
         const bool was_serving = m_state.lifecycle.state() == node_state::serving;
         m_drain.on_server_draining(m_report_draining || m_state.server_leaving);
@@ -240,11 +262,19 @@
     m_implementation->note_success(event);
     m_implementation->update_slowness(event.load);
     m_implementation->apply_advice(event.advice, advice_source::run);
+    if (event.response.status == status_misdirected_request) {
+        m_implementation->m_warm_up.on_misdirected();
+    }
     m_implementation->m_executor.on_answered(event);
+    m_implementation->refresh_report();
     m_implementation->poll_while_deferring();
 }
 
 void owner_manager::on_server_failed(const server_failed& event) {
+    // First, so that no queued run starts at full speed at the process that may replace the server.
+    if (event.kind != server_failure::response_incomplete) {
+        m_implementation->m_warm_up.on_server_ended();
+    }
     if (event.kind == server_failure::connection_lost) {
         m_implementation->m_crashes.on_connection_lost(event.run);
         return;
@@ -257,6 +287,7 @@
     m_implementation->set_report_draining(event.draining);
     m_implementation->update_slowness(event.load);
     m_implementation->m_advice.on_instance(event.instance);
+    m_implementation->m_warm_up.on_report(event);
     m_implementation->apply_advice(event.advice, advice_source::report);
     m_implementation->m_gate.on_report();
     m_implementation->m_executor.start_queued();
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -26,7 +26,7 @@
 
 owner_state::owner_state(const node_identity& node, timer_service& timer, random_source generator)
     : identity(node), timers(timer), random(generator), outbox(timer, node.service), permits(node.process),
-      placement(node.self, timer.now()), started_at(timer.now()) {}
+      placement(node.self, timer.now()), warm_up(timer.now()), started_at(timer.now()) {}
 
 void owner_state::set_view(shared_fleet_view next) {
     view = std::move(next);
@@ -57,7 +57,7 @@
         result.expected_wait = std::max(expected_start_wait(queue.size()), load.failure_penalty(now()));
     }
     result.expected_wait = std::max(result.expected_wait, pacer.wait(queue.size(), now()));
-    result.rate_limit = pacer.limit();
+    result.rate_limit = pacer.rate_in_force(now());
     result.server_leaving = server_leaving;
     result.advice_known = advice_known;
     return result;
@@ -77,7 +77,7 @@
 
 duration owner_state::expected_pace_wait(request_class priority, std::size_t ahead) const {
     const duration wait = pacer.wait(ahead, now());
-    const auto limit = pacer.limit();
+    const auto limit = pacer.rate_in_force(now());
     if (wait == duration::zero() || !limit || limit->per_second <= 0) {
         return wait;
     }
@@ -109,6 +109,9 @@
         outbox.increment(metric::run_refused);
         if (message.reason == refusal::rate_limited) {
             outbox.increment(metric::run_rate_limited);
+            if (pacer.is_cold(now())) {
+                outbox.increment(metric::run_refused_cold);
+            }
         }
         if (message.reason == refusal::quarantined) {
             outbox.increment(metric::run_quarantined);
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -8,6 +8,7 @@
 #include "cornelpier/admission/route_work_table.hpp"
 #include "cornelpier/admission/run_pacer.hpp"
 #include "cornelpier/admission/slowness_meter.hpp"
+#include "cornelpier/admission/warm_up_limiter.hpp"
 #include "cornelpier/base/random_source.hpp"
 #include "cornelpier/drain/node_state_machine.hpp"
 #include "cornelpier/execution/attempt_ledger.hpp"
@@ -80,21 +81,22 @@
     shared_fleet_view view; ///< Null before the first one; changed by `set_view`.
     owner_outbox outbox;
     permit_issuer permits;
-    attempt_ledger ledger;                   ///< run_admission, run_executor, fate_responder.
-    key_ledger keys;                         ///< run_admission, run_executor.
-    key_placement placement;                 ///< owner_manager.
-    run_table runs;                          ///< run_executor.
-    admission_queue queue;                   ///< owner_manager, run_executor.
-    load_meter load;                         ///< owner_manager, run_executor.
-    route_work_table route_work;             ///< run_executor.
-    contention_meter contention;             ///< run_executor.
-    on_time_reserve reserve;                 ///< run_executor.
-    slowness_meter slowness;                 ///< owner_manager, run_executor.
-    class_rate_meter class_rates;            ///< run_executor.
-    suspect_table suspects;                  ///< crash_monitor, run_admission.
-    run_pacer pacer;                         ///< owner_manager, advice_monitor, run_executor.
-    node_state_machine lifecycle;            ///< drain_controller.
-    time_point started_at;                   ///< Start of the process.
+    attempt_ledger ledger;        ///< run_admission, run_executor, fate_responder.
+    key_ledger keys;              ///< run_admission, run_executor.
+    key_placement placement;      ///< owner_manager.
+    run_table runs;               ///< run_executor.
+    admission_queue queue;        ///< owner_manager, run_executor.
+    load_meter load;              ///< owner_manager, run_executor.
+    route_work_table route_work;  ///< run_executor.
+    contention_meter contention;  ///< run_executor.
+    on_time_reserve reserve;      ///< run_executor.
+    slowness_meter slowness;      ///< owner_manager, run_executor.
+    class_rate_meter class_rates; ///< run_executor.
+    suspect_table suspects;       ///< crash_monitor, run_admission.
+    run_pacer pacer;              ///< owner_manager, advice_monitor, warm_up_monitor, run_executor.
+    warm_up_limiter warm_up;      ///< warm_up_monitor.
+    node_state_machine lifecycle; ///< drain_controller.
+    time_point started_at;        ///< Start of the process.
     std::optional<time_point> serving_since; ///< Unset unless serving with the server up; drain_controller.
     std::string server_instance; ///< Process last reported by the server; empty: unknown. run_executor.
     /// The server's advice is known: it gave some, gave none in a response to a run, or has just replaced
--- a/src/cornelpier/owner/run_admission.cpp
+++ b/src/cornelpier/owner/run_admission.cpp
@@ -246,6 +246,9 @@
     } else if (has_retry_after(reason)) {
         retry_after = message.route.empty() ? m_state.jittered_retry_after()
                                             : m_state.expected_start_wait(m_state.queue.size());
+        if (reason == refusal::rate_limited && m_state.pacer.is_cold(m_state.now())) {
+            retry_after = std::max(retry_after, m_state.pacer.wait(m_state.queue.size(), m_state.now()));
+        }
     }
     m_state.send_answer(link, make_answer(message, verdict::not_run, reason, retry_after));
 }
--- a/src/cornelpier/plan/plan.hpp
+++ b/src/cornelpier/plan/plan.hpp
@@ -4,6 +4,7 @@
 #include "cornelpier/base/units.hpp"
 #include "cornelpier/message/http_fields.hpp"
 #include "cornelpier/plan/route.hpp"
+#include "cornelpier/plan/warm_up_plan.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -55,6 +56,8 @@
     std::vector<request_rule> rules; ///< The first match applies; default: not idempotent, class `order`.
     std::vector<target_plan> targets;
     std::string report_path; ///< Path of the servers' own report; empty: the path from the settings.
+    std::optional<warm_up_plan> warm_up =
+        std::nullopt; ///< Unset: cold servers get as many requests as others.
 
     /// @return the first rule that matches, or nullptr.
     [[nodiscard]] const request_rule* match(std::string_view method, std::string_view path) const;
--- a/src/cornelpier/plan/plan_parser.cpp
+++ b/src/cornelpier/plan/plan_parser.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -40,6 +41,12 @@
     return target;
 }
 
+std::optional<warm_up_plan> parse_warm_up(const json& item) {
+    const warm_up_plan result{std::chrono::milliseconds{item.value("warm_up_ms", std::int64_t{0})},
+                              rate{item.value("warm_up_rate_per_second", 0.0)}};
+    return result.limit.per_second > 0 ? std::optional{result} : std::nullopt;
+}
+
 service_plan parse_service(const json& item) {
     service_plan service;
     service.id = service_id{item.at("id").get<std::string>()};
@@ -50,6 +57,7 @@
     if (item.contains("deadline_ms")) {
         service.deadline = std::chrono::milliseconds{item.at("deadline_ms").get<std::int64_t>()};
     }
+    service.warm_up = parse_warm_up(item);
     if (item.contains("key_memory_s")) {
         service.key_memory = std::chrono::seconds{item.at("key_memory_s").get<std::int64_t>()};
     }
--- a/src/cornelpier/plan/plan_schema.cpp
+++ b/src/cornelpier/plan/plan_schema.cpp
@@ -71,6 +71,18 @@
             "minimum": 1,
             "maximum": 86400
           },
+          "warm_up_ms": {
+            "type": "integer",
+            "description": "Time from the start of a server until it is warm.",
+            "minimum": 0,
+            "maximum": 600000
+          },
+          "warm_up_rate_per_second": {
+            "type": "number",
+            "description": "Requests that a cold server accepts; 0: as many as a warm one.",
+            "minimum": 0,
+            "maximum": 1000000
+          },
           "refusal_statuses": {
             "type": "array",
             "description": "Statuses by which the server promises that it did not execute.",
--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -33,12 +33,12 @@
 };
 
 std::string_view counter_name(metric kind) {
-    constexpr std::array<std::string_view, 11> names{"call_latency",      "retries",
+    constexpr std::array<std::string_view, 12> names{"call_latency",      "retries",
                                                      "rechoices",         "hedges",
                                                      "runs_refused",      "measurements",
                                                      "answers_discarded", "runs_started",
                                                      "runs_rate_limited", "quarantine_rejections",
-                                                     "server_crashes"};
+                                                     "server_crashes",    "runs_refused_cold"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -133,9 +133,12 @@
         write_gauge(out, "runs_queued", "Requests that wait at the owner.",
                     static_cast<double>(traffic.runs_queued));
         write_gauge(out, "concurrency_limit", "Requests allowed at the server.", traffic.concurrency_limit);
-        write_gauge(out, "server_rate_limit", "Requests per second that the server accepts; +Inf: no limit.",
+        write_gauge(out, "server_rate_limit",
+                    "Requests per second that the server accepts now; +Inf: no limit.",
                     traffic.server_rate_limit ? traffic.server_rate_limit->per_second
                                               : std::numeric_limits<double>::infinity());
+        write_gauge(out, "server_warm_up_seconds", "Remaining warm-up of the server; 0: warm.",
+                    to_seconds(traffic.warm_up_remaining));
         write_gauge(out, "suspected_requests",
                     "Requests that may have ended servers, with those in quarantine.",
                     static_cast<double>(traffic.suspected_requests));
--- a/src/daemon/server/server_client.cpp
+++ b/src/daemon/server/server_client.cpp
@@ -23,6 +23,7 @@
 constexpr std::chrono::seconds report_timeout{1};
 constexpr int status_ok = 200;
 constexpr int status_misdirected = 421;
+constexpr double ms_per_second = 1e3;
 
 /// @return the report, or `server_report_failed` if the response is not a valid report.
 traffic_event parse_report(const http_response& response) {
@@ -53,6 +54,16 @@
     return is_valid ? std::optional{result} : std::nullopt;
 }
 
+/// @return the time, or nothing if the text is not a number of milliseconds from 0 to the longest warm-up.
+std::optional<duration> parse_warm_up(const std::string& text) {
+    double milliseconds = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data(), end, milliseconds);
+    const bool is_valid = ec == std::errc{} && stop == end && milliseconds >= 0 &&
+                          milliseconds / ms_per_second <= to_seconds(max_warm_up_length);
+    return is_valid ? std::optional{from_seconds(milliseconds / ms_per_second)} : std::nullopt;
+}
+
 /// @return the value of a field, or nullptr if the response lacks it or the field has no name here.
 const std::string* find_response_field(const http_response& response, const std::string& name) {
     return name.empty() ? nullptr : find_field(response.fields, name);
@@ -220,16 +231,25 @@
         return advice;
     }
 
+    void read_warm_up(const http_response& response, server_report& report) const {
+        if (const auto* text = find_response_field(response, m_options.names.warm_up_remaining)) {
+            report.warm_up_remaining = parse_warm_up(*text);
+            report.warm_up_malformed = !report.warm_up_remaining;
+        }
+    }
+
     [[nodiscard]] traffic_event to_report_event(const http_response& response) const {
         if (m_options.names.load.empty()) {
             auto event = parse_report(response);
             if (auto* report = std::get_if<server_report>(&event)) {
                 report->advice = parse_advice(response);
+                read_warm_up(response, *report);
             }
             return event;
         }
         server_report report;
         report.advice = parse_advice(response);
+        read_warm_up(response, report);
         report.healthy = response.status == status_ok;
         report.load = parse_load_field(response);
         report.in_flight = report.load ? report.load->running : 0;
--- a/src/daemon/wire/wire_names.hpp
+++ b/src/daemon/wire/wire_names.hpp
@@ -31,6 +31,9 @@
         "cornelpier-rate-limit"; ///< On responses: requests per second that the server accepts.
     std::string leaving = "cornelpier-leaving"; ///< `1` on responses of a server that stops soon.
 
+    std::string warm_up_remaining =
+        "cornelpier-warm-up-ms"; ///< On load reports: milliseconds until the server is warm.
+
     /// Parses the value of the `load` field; null if the field is not used.
     std::optional<server_load_report> (*parse_load)(std::string_view) = nullptr;
 
--- a/tests/support/fake_server.cpp
+++ b/tests/support/fake_server.cpp
@@ -87,6 +87,7 @@
     const auto in_flight = m_reporting_zero_load ? 0 : past_load(m_report_age);
     server_report result{true, m_draining, static_cast<std::uint32_t>(in_flight)};
     result.advice = m_advice;
+    result.warm_up_remaining = std::max(m_cold_until - m_queue.now(), duration::zero());
     return result;
 }
 
--- a/tests/support/fake_server.hpp
+++ b/tests/support/fake_server.hpp
@@ -92,6 +92,10 @@
     void set_advice(server_advice value) { m_advice = value; }
     [[nodiscard]] const server_advice& advice() const { return m_advice; }
 
+    /// Makes the load report say that the server is cold for `length` from now on.
+    void turn_cold(duration length) { m_cold_until = m_queue.now() + length; }
+    [[nodiscard]] time_point cold_until() const { return m_cold_until; }
+
     /// Sets the draining state in the load report.
     void set_draining(bool value) { m_draining = value; }
     [[nodiscard]] bool draining() const { return m_draining; }
@@ -144,6 +148,7 @@
     duration m_outage{};
     std::size_t m_crashes = 0;
     server_advice m_advice;
+    time_point m_cold_until;
 };
 
 /// @return the body of the response to a request, which contains the request's body.
--- a/tests/support/plan_sheet.cpp
+++ b/tests/support/plan_sheet.cpp
@@ -37,6 +37,10 @@
                           {"refusal_statuses", service.refusal_statuses},
                           {"rules", nlohmann::json::array()},
                           {"targets", nlohmann::json::array()}};
+    if (service.warm_up) {
+        result["warm_up_ms"] = service.warm_up->length.count() / 1000;
+        result["warm_up_rate_per_second"] = service.warm_up->limit.per_second;
+    }
     for (const auto& rule : service.rules) {
         result["rules"].push_back(to_json(rule));
     }
