Test cold servers with owners, an entry and a fleet, and count the runs since the last report

A report now proves that a server is warm only for as many runs as a cold one may get in 1.1 s; after half of them it is read again, and without an answer the server counts as cold.

--- a/src/cornelpier/admission/warm_up_limiter.cpp
+++ b/src/cornelpier/admission/warm_up_limiter.cpp
@@ -1,13 +1,15 @@
 #include "cornelpier/admission/warm_up_limiter.hpp"
 
+#include "cornelpier/admission/warm_up_pacer.hpp"
+
 #include <algorithm>
 #include <array>
 
 namespace cornelpier {
 
 std::string_view to_string(warm_up_cause cause) {
-    constexpr std::array<std::string_view, 4> names{"owner_started", "server_ended", "new_process",
-                                                    "reported"};
+    constexpr std::array<std::string_view, 5> names{"owner_started", "server_ended", "new_process",
+                                                    "unconfirmed", "reported"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
@@ -25,7 +27,20 @@
     }
 }
 
+void warm_up_limiter::on_report_requested() {
+    if (!m_report_pending) {
+        m_starts_since_request = 0;
+    }
+    m_report_pending = true;
+}
+
+void warm_up_limiter::on_start() {
+    ++m_starts_since_request;
+    ++m_unproved_starts;
+}
+
 void warm_up_limiter::on_report(const warm_up_report& report, time_point now) {
+    m_report_pending = false;
     if (report.malformed) {
         // The process that answers is at least as old as its answer.
         if (!m_reported_at && !m_ends_at) {
@@ -37,6 +52,7 @@
         return;
     }
     m_reported_at = now;
+    m_unproved_starts = std::min(m_unproved_starts, m_starts_since_request);
     const duration remaining = report.remaining.value_or(duration::zero());
     if (remaining == duration::zero()) {
         m_ends_at = now;
@@ -59,7 +75,23 @@
 }
 
 bool warm_up_limiter::is_cold(time_point now) const {
-    return m_plan && (!m_ends_at || now < *m_ends_at);
+    return m_plan && (!m_ends_at || now < *m_ends_at || is_unconfirmed());
+}
+
+bool warm_up_limiter::is_unconfirmed() const {
+    return m_plan && m_reports_expected && m_unproved_starts >= max_unproved_starts();
+}
+
+std::optional<time_point> warm_up_limiter::ends_at() const {
+    return is_unconfirmed() ? std::nullopt : m_ends_at;
+}
+
+warm_up_cause warm_up_limiter::cause() const {
+    return is_unconfirmed() && m_reported_at ? warm_up_cause::unconfirmed : m_cause;
+}
+
+std::size_t warm_up_limiter::max_unproved_starts() const {
+    return m_plan ? warm_up_pacer::starts_per_window(m_plan->limit) : 0;
 }
 
 time_point warm_up_limiter::confirm_at() const {
@@ -77,15 +109,18 @@
     if (!is_cold(now)) {
         return duration::zero();
     }
-    return m_ends_at ? std::max(confirm_at() - now, duration::zero()) : length();
+    return ends_at() ? std::max(confirm_at() - now, duration::zero()) : length();
 }
 
 bool warm_up_limiter::needs_report(time_point now) const {
     if (!m_plan || !m_reports_expected) {
         return false;
     }
-    const bool is_known = m_reported_at.has_value();
-    return !is_known || (now >= confirm_at() && now - *m_reported_at > max_report_age);
+    if (!m_reported_at) {
+        return true;
+    }
+    // Early enough for the report to arrive before the runs have to wait for it.
+    return now >= confirm_at() && (is_cold(now) || 2 * m_unproved_starts >= max_unproved_starts());
 }
 
 duration warm_up_limiter::length() const {
--- a/src/cornelpier/admission/warm_up_limiter.hpp
+++ b/src/cornelpier/admission/warm_up_limiter.hpp
@@ -3,6 +3,7 @@
 #include "cornelpier/base/units.hpp"
 #include "cornelpier/plan/warm_up_plan.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -14,6 +15,7 @@
     owner_started, ///< The owner has not read a report yet.
     server_ended,  ///< The server lost or refused a connection, so its process may be a new one.
     new_process,   ///< Another server process answers or is listed.
+    unconfirmed,   ///< So many runs have started since the last report that it may have turned cold.
     reported       ///< The server's report says so.
 };
 
@@ -30,6 +32,9 @@
 
 /// Decides whether a server counts as cold, until when, and which rate applies.
 ///
+/// A warm server may turn cold at any moment. A report therefore proves only for as many runs that the server
+/// is warm as a cold one may get in a window of the pacer.
+///
 /// A server of which no report is known counts as cold. If the plan allows no reports, it counts as cold for
 /// the length of a warm-up.
 class warm_up_limiter {
@@ -38,9 +43,6 @@
     /// says otherwise: it may have turned cold again. Periodic reports are read twice per second.
     static constexpr duration confirmation_time = std::chrono::milliseconds{600};
 
-    /// Maximum age of a report that proves that the server is warm when a run starts.
-    static constexpr duration max_report_age = std::chrono::milliseconds{25};
-
     /// @param start start of the owner.
     explicit warm_up_limiter(time_point start);
 
@@ -52,6 +54,18 @@
     /// The server answered a request for its report.
     void on_report(const warm_up_report& report, time_point now);
 
+    /// The server's report is being read.
+    void on_report_requested();
+
+    /// The server's report could not be read.
+    void on_report_failed() { m_report_pending = false; }
+
+    /// A run starts.
+    void on_start();
+
+    /// @return runs that may start after a report before the server counts as cold.
+    [[nodiscard]] std::size_t max_unproved_starts() const;
+
     /// The server's process may have been replaced, or is about to be.
     void on_new_process(warm_up_cause cause, time_point now);
 
@@ -62,7 +76,7 @@
 
     /// @return time at which the server counts as warm without further news; nothing if only a report can
     /// tell.
-    [[nodiscard]] std::optional<time_point> ends_at() const { return m_ends_at; }
+    [[nodiscard]] std::optional<time_point> ends_at() const;
 
     /// @return time at which a report should be read because the reported remaining time is over.
     [[nodiscard]] time_point confirm_at() const;
@@ -73,13 +87,14 @@
     /// @return remaining time of the warm-up; its whole length if it is not known.
     [[nodiscard]] duration remaining(time_point now) const;
 
-    /// @return whether a report has to be read before a run starts at full speed.
+    /// @return whether a report has to be read before the next run starts.
     [[nodiscard]] bool needs_report(time_point now) const;
 
     /// @return why the server counts or last counted as cold.
-    [[nodiscard]] warm_up_cause cause() const { return m_cause; }
+    [[nodiscard]] warm_up_cause cause() const;
 
   private:
+    [[nodiscard]] bool is_unconfirmed() const;
     [[nodiscard]] duration length() const;
     [[nodiscard]] time_point with_confirmation(time_point end) const;
 
@@ -88,6 +103,9 @@
     std::optional<time_point> m_reported_at; ///< Of the current server process; unset: no report yet.
     std::optional<time_point> m_ends_at;     ///< Unset: only a report can tell.
     warm_up_cause m_cause = warm_up_cause::owner_started;
+    bool m_report_pending = false;
+    std::size_t m_starts_since_request = 0; ///< Since the oldest request for a report that was not answered.
+    std::size_t m_unproved_starts = 0;      ///< Since the request for the last report that was answered.
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/admission/warm_up_pacer.cpp
+++ b/src/cornelpier/admission/warm_up_pacer.cpp
@@ -10,17 +10,15 @@
 /// Longest time between two runs. Lower rates have the same effect during a warm-up of at most ten minutes.
 constexpr duration max_step = std::chrono::minutes{10};
 
-/// @return starts that a window may contain: what the rate gives in its length, the burst, and one for the
-/// start at the beginning of the window.
-std::size_t starts_per_window(rate limit) {
-    const double paced = limit.per_second * to_seconds(warm_up_pacer::window);
-    const double whole = std::min(paced, static_cast<double>(warm_up_pacer::max_recorded_starts));
-    return std::min(static_cast<std::size_t>(whole) + warm_up_pacer::burst + 1,
-                    warm_up_pacer::max_recorded_starts);
-}
-
 } // namespace
 
+/// What the rate gives in the length of the window, the burst, and one for the start at its beginning.
+std::size_t warm_up_pacer::starts_per_window(rate limit) {
+    const double paced =
+        std::min(limit.per_second * to_seconds(window), static_cast<double>(max_recorded_starts));
+    return std::min(static_cast<std::size_t>(paced) + burst + 1, max_recorded_starts);
+}
+
 void warm_up_pacer::set_rate(std::optional<rate> limit, time_point now) {
     if (limit == m_rate) {
         return;
--- a/src/cornelpier/admission/warm_up_pacer.hpp
+++ b/src/cornelpier/admission/warm_up_pacer.hpp
@@ -24,6 +24,9 @@
     /// Bounds the memory for starts. Rates above 7,400 a second are paced to as many per window.
     static constexpr std::size_t max_recorded_starts = 8192;
 
+    /// @return starts that a window may contain at this rate.
+    static std::size_t starts_per_window(rate limit);
+
     /// Sets the rate that applies while the server is cold, or none. If more starts count now than were
     /// recorded before, none is allowed for the length of the window: an earlier owner process may have used
     /// all of it.
--- a/src/cornelpier/owner/measurement_scheduler.cpp
+++ b/src/cornelpier/owner/measurement_scheduler.cpp
@@ -72,6 +72,7 @@
 
 void measurement_scheduler::request_report() {
     ++m_state.server_requests.reports;
+    m_state.warm_up.on_report_requested();
     m_state.outbox.increment(metric::measurement);
     m_state.outbox.emit(read_server_report{m_state.service()->report_path});
 }
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -296,6 +296,7 @@
 
 void owner_manager::on_server_report_failed() {
     // A report that cannot be read says nothing about the server's state, so the drain causes stay.
+    m_implementation->m_warm_up.on_report_failed();
     m_implementation->m_gate.on_report();
 }
 
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -103,6 +103,14 @@
     return base + from_seconds(random.unit() * spread);
 }
 
+void owner_state::record_start() {
+    pacer.on_start(now());
+    warm_up.on_start();
+    if (warm_up.is_cold(now()) && !pacer.is_cold(now())) {
+        pacer.set_cold_until(time_point::max(), now());
+    }
+}
+
 void owner_state::send_answer(link_id link, run_response message) {
     if (message.outcome == verdict::not_run) {
         outbox.log(event_number::run_refused, {{"reason", std::string{refusal_name(message.reason)}}});
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -70,6 +70,9 @@
     /// calls of longer runs at other servers, whose work is lost if the nested call fails.
     [[nodiscard]] bool is_short_service_time(duration expected) const;
 
+    /// Counts the start of a run for the pace and for the proof that the server is warm.
+    void record_start();
+
     /// Sends an answer with a current load reading. Logs and counts refusals.
     void send_answer(link_id link, run_response message);
 
@@ -94,7 +97,7 @@
     class_rate_meter class_rates; ///< run_executor.
     suspect_table suspects;       ///< crash_monitor, run_admission.
     run_pacer pacer;              ///< owner_manager, advice_monitor, warm_up_monitor, run_executor.
-    warm_up_limiter warm_up;      ///< warm_up_monitor.
+    warm_up_limiter warm_up;      ///< warm_up_monitor, measurement_scheduler; `record_start`.
     node_state_machine lifecycle; ///< drain_controller.
     time_point started_at;        ///< Start of the process.
     std::optional<time_point> serving_since; ///< Unset unless serving with the server up; drain_controller.
--- a/src/cornelpier/owner/run_executor.cpp
+++ b/src/cornelpier/owner/run_executor.cpp
@@ -213,7 +213,7 @@
     accepted.concurrency_at_start = static_cast<std::uint32_t>(m_state.runs.at_server());
 
     accepted.trace = make_trace(m_state.identity.service, accepted.request);
-    m_state.pacer.on_start(m_state.now());
+    m_state.record_start();
     ++m_state.server_requests.runs;
     m_state.outbox.increment(metric::run_started);
 
--- a/src/cornelpier/owner/warm_up_monitor.cpp
+++ b/src/cornelpier/owner/warm_up_monitor.cpp
@@ -42,6 +42,11 @@
     update();
 }
 
+void warm_up_monitor::on_report_failed() {
+    m_state.warm_up.on_report_failed();
+    update();
+}
+
 void warm_up_monitor::on_server_ended() {
     on_possible_end(warm_up_cause::server_ended);
 }
--- a/src/cornelpier/owner/warm_up_monitor.hpp
+++ b/src/cornelpier/owner/warm_up_monitor.hpp
@@ -25,6 +25,7 @@
     void on_view();
 
     void on_report(const server_report& report);
+    void on_report_failed();
 
     /// The server lost or refused a connection.
     void on_server_ended();
--- a/tests/server_advice/advised_fleet.hpp
+++ b/tests/server_advice/advised_fleet.hpp
@@ -26,6 +26,9 @@
 
     explicit advised_fleet(std::size_t targets);
 
+    /// @param settings describe a fleet of `single_service`.
+    explicit advised_fleet(fleet_settings settings);
+
     [[nodiscard]] fleet& nodes() { return m_fleet; }
     [[nodiscard]] target_id target(std::size_t n) const { return m_fleet.targets().at(n); }
 
--- a/tests/warm_up/start_counter.hpp
+++ b/tests/warm_up/start_counter.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
+#include <iterator>
 #include <vector>
 
 namespace cornelpier {
@@ -22,6 +23,19 @@
     /// @param at not earlier than the previous one.
     void add(time_point at) { m_starts.push_back(at); }
 
+    /// Adds the runs that another process started, on whose clock `at` is the time `zero` of this one.
+    void add_all(const start_counter& other, time_point at, time_point zero) {
+        for (const time_point it : other.m_starts) {
+            m_starts.push_back(zero + (it - at));
+        }
+    }
+
+    /// Adds the runs that another counter has from before a time.
+    void add_until(const start_counter& other, time_point end) {
+        std::ranges::copy_if(other.m_starts, std::back_inserter(m_starts),
+                             [end](time_point it) { return it < end; });
+    }
+
     [[nodiscard]] std::size_t count() const { return m_starts.size(); }
 
     /// @return runs in the second that ends now, with both ends.
