--- a/tests/daemon/metrics_test.cpp
+++ b/tests/daemon/metrics_test.cpp
@@ -16,13 +16,15 @@
 
 TEST_CASE("every counter has a name", "[metrics]") {
     metrics values;
-    for (const metric kind :
-         {metric::retry, metric::run_rate_limited, metric::run_quarantined, metric::server_crashed}) {
+    for (const metric kind : {metric::retry, metric::run_rate_limited, metric::run_quarantined,
+                              metric::server_crashed, metric::run_refused_cold}) {
         values.add({kind, service_id{"s"}, verdict::unknown, 1}, time_point{});
     }
     const std::string text = values.exposition({});
     CHECK(text.find(R"(cornelpier_quarantine_rejections_total{service="s"} 1)") != std::string::npos);
     CHECK(text.find(R"(cornelpier_server_crashes_total{service="s"} 1)") != std::string::npos);
+    CHECK(text.find(R"(cornelpier_runs_refused_cold_total{service="s"} 1)") != std::string::npos);
+    CHECK(text.find("cornelpier_server_warm_up_seconds 0") != std::string::npos);
 }
 
 TEST_CASE("histogram buckets are cumulative and the last one equals the count", "[metrics]") {
--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -558,6 +558,29 @@
     CHECK(std::get<server_report>(it.events.wait(1).at(0)).advice.rate_limit == rate{2.5});
 }
 
+// Guards against a cold server that counts as warm because its report was not understood.
+TEST_CASE("the remaining warm-up time is read from health reports", "[server]") {
+    const auto report_with = [](const std::string& fields) {
+        const std::string body = R"({"healthy": true, "draining": false, "in_flight": 3})";
+        scripted_server server("HTTP/1.1 200 OK\r\n" + fields +
+                               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        client_fixture it(server.address);
+        it.client.read_report();
+        return std::get<server_report>(it.events.wait(1).at(0));
+    };
+    CHECK_FALSE(report_with("").warm_up_remaining);
+    CHECK_FALSE(report_with("").warm_up_malformed);
+    CHECK(report_with("Cornelpier-Warm-Up-Ms: 0\r\n").warm_up_remaining == duration::zero());
+    CHECK(report_with("Cornelpier-Warm-Up-Ms: 2999.5\r\n").warm_up_remaining == duration{2'999'500});
+    CHECK(report_with("Cornelpier-Warm-Up-Ms: 600000\r\n").warm_up_remaining == max_warm_up_length);
+    for (const std::string text : {"", "-1", "nan", "inf", "1e999", "600001", "3s", "abc"}) {
+        INFO(text);
+        const auto report = report_with("Cornelpier-Warm-Up-Ms: " + text + "\r\n");
+        CHECK(report.warm_up_malformed);
+        CHECK_FALSE(report.warm_up_remaining);
+    }
+}
+
 TEST_CASE("an invalid health report counts as failed", "[server]") {
     const std::string good = R"({"healthy": true, "draining": true, "in_flight": 3})";
     const std::string bad = R"({"healthy": "yes", "draining": true, "in_flight": 3})";
--- a/tests/plan/plan_parser_test.cpp
+++ b/tests/plan/plan_parser_test.cpp
@@ -44,6 +44,21 @@
     CHECK(service.targets.at(1).node_address == "[::1]:7102");
 }
 
+// Guards against a limit for services that did not ask for one.
+TEST_CASE("a service has a warm-up only if the sheet states its rate", "[plan]") {
+    const auto warm_up_of = [](const nlohmann::json& document) {
+        return std::get<plan>(parse_plan(document.dump())).services.at(0).warm_up;
+    };
+    auto document = example();
+    CHECK_FALSE(warm_up_of(document));
+    document["services"][0]["warm_up_ms"] = 3000;
+    CHECK_FALSE(warm_up_of(document));
+    document["services"][0]["warm_up_rate_per_second"] = 0;
+    CHECK_FALSE(warm_up_of(document));
+    document["services"][0]["warm_up_rate_per_second"] = 5.3;
+    CHECK(warm_up_of(document) == warm_up_plan{std::chrono::seconds{3}, rate{5.3}});
+}
+
 TEST_CASE("an error in a plan sheet is reported with its place and reason", "[plan]") {
     using invalid_case = std::tuple<const char*, nlohmann::json, const char*>;
     const auto [place, value, reason] = GENERATE(table<const char*, nlohmann::json, const char*>({
@@ -66,6 +81,10 @@
         invalid_case{"/services/0/targets/0/node", "127.0.0.256:1", "expected IP:port"},
         invalid_case{"/services/0/targets/0/node", "[::1:1", "expected IP:port"},
         invalid_case{"/services/0/targets/0/vm", "", "must not be empty"},
+        invalid_case{"/services/0/warm_up_ms", 600'001, "expected at most 600000"},
+        invalid_case{"/services/0/warm_up_ms", -1, "expected at least 0"},
+        invalid_case{"/services/0/warm_up_rate_per_second", 1'000'000.5, "expected at most 1000000"},
+        invalid_case{"/services/0/warm_up_rate_per_second", -0.1, "expected at least 0"},
         invalid_case{"/services", nlohmann::json::object(), "expected array"},
     }));
 
--- a/tests/warm_up/cold_owner_test.cpp
+++ b/tests/warm_up/cold_owner_test.cpp
@@ -118,6 +118,42 @@
     CHECK(started <= allowed);
 }
 
+// Guards against queued runs being paced at a warm server because nothing reads its report.
+TEST_CASE("queued runs of a warm server start as slots become free", "[warm-up][owner]") {
+    cold_owner it;
+    it.become_warm();
+    for (std::uint64_t n = 1; n <= 40; ++n) {
+        it.receive(it.lookup(n));
+        it.answer_reports();
+    }
+    std::size_t finished = 0;
+    for (int n = 0; n < 20; ++n) {
+        it.advance(milliseconds{20});
+        finished += it.finish_runs();
+        it.answer_reports();
+    }
+    CHECK(finished == 40);
+}
+
+// Guards against queued runs that wait for a server that has turned cold until their time is over.
+TEST_CASE("queued runs that a cold server cannot serve in time are refused as it turns cold",
+          "[warm-up][owner]") {
+    cold_owner it;
+    it.become_warm();
+    for (std::uint64_t n = 1; n <= 30; ++n) {
+        it.receive(it.lookup(n));
+        it.answer_reports();
+    }
+    it.take_sent<run_response>();
+    it.report(seconds{3});
+    const auto refused = it.take_sent<run_response>();
+    CHECK(refused.size() >= 5);
+    for (const auto& reply : refused) {
+        CHECK(reply.reason == refusal::rate_limited);
+        CHECK(reply.retry_after > duration::zero());
+    }
+}
+
 // Guards against a limit that lasts longer than the warm-up while no run arrives.
 TEST_CASE("the report is read when the time that it stated is over", "[warm-up][owner]") {
     cold_owner it;
