--- a/tests/platform/store_fleet_source_test.cpp
+++ b/tests/platform/store_fleet_source_test.cpp
@@ -166,6 +166,26 @@
     CHECK(in_force);
 }
 
+// Guards against a malformed rate that lifts the limit in force.
+TEST_CASE("the warm-up of a service comes from the manifest and stays if a new one is malformed",
+          "[platform][warm-up]") {
+    const std::string address = test::loopback_address(1);
+    source_fleet fleet;
+    register_all(fleet, {address});
+    auto& node = fleet.start_node(address);
+    REQUIRE(becomes_true(start_time, [&] { return node.plan_version() == 1; }));
+    CHECK_FALSE(node.warm_up());
+
+    const auto limited = warm_up_plan{std::chrono::seconds{3}, rate{5.3}};
+    fleet.put("op/config", test::source_manifest(2, limited.limit.per_second));
+    REQUIRE(becomes_true(propagation_limit, [&] { return node.plan_version() == 2; }));
+    CHECK(node.warm_up() == limited);
+
+    fleet.put("op/config", test::source_manifest(3, -1));
+    CHECK_FALSE(becomes_true(propagation_limit, [&] { return node.plan_version() != 2; }));
+    CHECK(node.warm_up() == limited);
+}
+
 TEST_CASE("an update that is older than the node's state does not bring back a server that has left",
           "[platform][drain][field-reports]") {
     const auto members = test::find_members(2, [](const auto& it) { return it.reader == it.nodes.front(); });
--- a/tests/platform/support/source_documents.cpp
+++ b/tests/platform/support/source_documents.cpp
@@ -30,6 +30,14 @@
     return manifest_json(version, rows, source_service);
 }
 
+std::string source_manifest(int version, double warm_up_rate) {
+    auto document = nlohmann::json::parse(source_manifest(version));
+    auto& services = document["services"];
+    services["columns"].insert(services["columns"].end(), {"cold_start", "cold_per_s"});
+    services["rows"][0].insert(services["rows"][0].end(), {"3s", warm_up_rate});
+    return document.dump();
+}
+
 std::string loopback_address(int host) {
     return "127.12." + std::to_string(getpid() % 250) + '.' + std::to_string(host);
 }
--- a/tests/platform/support/source_documents.hpp
+++ b/tests/platform/support/source_documents.hpp
@@ -24,6 +24,9 @@
 /// @return the operator's configuration with one service.
 std::string source_manifest(int version);
 
+/// @return the same with the warm-up rate of the service.
+std::string source_manifest(int version, double warm_up_rate);
+
 /// Port of the links between nodes.
 inline constexpr std::uint16_t source_node_port = 28124;
 
--- a/tests/platform/support/source_node.cpp
+++ b/tests/platform/support/source_node.cpp
@@ -68,4 +68,12 @@
     return m_view ? m_view->current_plan->version : 0;
 }
 
+std::optional<warm_up_plan> source_node::warm_up() const {
+    const std::lock_guard lock(m_mutex);
+    if (!m_view || m_view->current_plan->services.empty()) {
+        return std::nullopt;
+    }
+    return m_view->current_plan->services.front().warm_up;
+}
+
 } // namespace cornelpier::test
--- a/tests/platform/support/source_node.hpp
+++ b/tests/platform/support/source_node.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace cornelpier::test {
@@ -32,6 +33,9 @@
     /// @return version of the plan that the source published last, 0 if there is none. Thread-safe.
     [[nodiscard]] std::uint64_t plan_version() const;
 
+    /// @return the warm-up of the service in that plan; nothing if there is no plan or no limit. Thread-safe.
+    [[nodiscard]] std::optional<warm_up_plan> warm_up() const;
+
   private:
     node_identity m_identity;
     std::string m_node_address;
