--- a/src/cornelpier/node/traffic_actions.hpp
+++ b/src/cornelpier/node/traffic_actions.hpp
@@ -87,7 +87,8 @@
     run_quarantined,  ///< Count of runs and calls rejected because of a quarantine.
     server_crashed,   ///< Count of ends of the server process with runs in progress.
     call_spilled,     ///< Count of calls that ran in a far data centre although the own one had targets.
-    run_evacuated     ///< Count of runs refused because the data centre is evacuated.
+    run_evacuated,    ///< Count of runs refused because the data centre is evacuated.
+    run_refused_cold  ///< Count of runs refused because of the rate while the server was cold.
 };
 
 /// Records a value of a metric.
--- a/tests/platform/support/source_node.cpp
+++ b/tests/platform/support/source_node.cpp
@@ -91,4 +91,12 @@
     ++m_logged[record.number];
 }
 
+std::optional<warm_up_plan> source_node::warm_up() const {
+    const std::lock_guard lock(m_mutex);
+    if (!m_view || m_view->current_plan->services.empty()) {
+        return std::nullopt;
+    }
+    return m_view->current_plan->services.front().warm_up;
+}
+
 } // namespace cornelpier::test
--- a/tests/platform/support/source_node.hpp
+++ b/tests/platform/support/source_node.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
     /// @return the number of events of this kind that the source logged. Thread-safe.
     [[nodiscard]] std::size_t logged(event_number number) const;
 
+    /// @return the warm-up of the service in that plan; nothing if there is no plan or no limit. Thread-safe.
+    [[nodiscard]] std::optional<warm_up_plan> warm_up() const;
+
   private:
     void record(const event_record& record);
 
