Let a new owner serve a server at once that turned cold after its predecessor

Callers: after a loss of power, servers and nodes start together, and each owner held all runs for 1.1 s because an earlier owner might have used the rate. If the server reports that it turned cold after this process was started, there is none.

Tests: warm-up and core passed, with a new section for the case.

--- a/src/cornelpier/admission/run_pacer.hpp
+++ b/src/cornelpier/admission/run_pacer.hpp
@@ -33,6 +33,9 @@
     /// Sets the rate that applies while the server is cold, or none.
     void set_warm_up_rate(std::optional<rate> limit, time_point now);
 
+    /// No earlier owner process can have sent the cold server runs.
+    void end_warm_up_hold(time_point now) { m_warm_up.end_hold(now); }
+
     /// Sets whether the server is cold. The end takes effect at once: a warm server stands full traffic.
     /// @param until time at which it counts as warm without further news; `time_point::max()` if only its
     /// report can tell; a time that has passed if it is warm.
--- a/src/cornelpier/admission/warm_up_limiter.cpp
+++ b/src/cornelpier/admission/warm_up_limiter.cpp
@@ -56,8 +56,11 @@
     const duration remaining = report.remaining.value_or(duration::zero());
     if (remaining == duration::zero()) {
         m_ends_at = now;
+        m_cold_since.reset();
         return;
     }
+    // A longer time than the plan's says nothing about the beginning.
+    m_cold_since = remaining <= length() ? std::optional{now - (length() - remaining)} : std::nullopt;
     m_ends_at = with_confirmation(now + remaining);
     m_cause = warm_up_cause::reported;
 }
@@ -65,6 +68,7 @@
 void warm_up_limiter::on_new_process(warm_up_cause cause, time_point now) {
     m_cause = cause;
     m_reported_at.reset();
+    m_cold_since.reset();
     m_ends_at = m_reports_expected ? std::nullopt : std::optional{now + length()};
 }
 
--- a/src/cornelpier/admission/warm_up_limiter.hpp
+++ b/src/cornelpier/admission/warm_up_limiter.hpp
@@ -76,6 +76,9 @@
 
     /// @return time at which the server counts as warm without further news; nothing if only a report can
     /// tell.
+    /// @return when the server turned cold by its last report; nothing if it is warm or has not reported.
+    [[nodiscard]] std::optional<time_point> cold_since() const { return m_cold_since; }
+
     [[nodiscard]] std::optional<time_point> ends_at() const;
 
     /// @return time at which a report should be read because the reported remaining time is over.
@@ -101,6 +104,7 @@
     std::optional<warm_up_plan> m_plan;
     bool m_reports_expected = false;
     std::optional<time_point> m_reported_at; ///< Of the current server process; unset: no report yet.
+    std::optional<time_point> m_cold_since;  ///< By the last report.
     std::optional<time_point> m_ends_at;     ///< Unset: only a report can tell.
     warm_up_cause m_cause = warm_up_cause::owner_started;
     bool m_report_pending = false;
--- a/src/cornelpier/admission/warm_up_pacer.cpp
+++ b/src/cornelpier/admission/warm_up_pacer.cpp
@@ -33,6 +33,13 @@
     }
 }
 
+void warm_up_pacer::end_hold(time_point now) {
+    if (m_hold_until > now) {
+        m_hold_until = now;
+        m_next = std::min(m_next, now);
+    }
+}
+
 void warm_up_pacer::begin(time_point now) {
     m_next = std::max(now, m_hold_until);
 }
--- a/src/cornelpier/admission/warm_up_pacer.hpp
+++ b/src/cornelpier/admission/warm_up_pacer.hpp
@@ -32,6 +32,9 @@
     /// all of it.
     void set_rate(std::optional<rate> limit, time_point now);
 
+    /// No earlier owner process can have sent the cold server runs that count.
+    void end_hold(time_point now);
+
     /// The server turned cold. Only the window limits the first runs.
     void begin(time_point now);
 
--- a/src/cornelpier/owner/warm_up_monitor.cpp
+++ b/src/cornelpier/owner/warm_up_monitor.cpp
@@ -1,9 +1,17 @@
 #include "cornelpier/owner/warm_up_monitor.hpp"
 
+#include <chrono>
 #include <utility>
 
 namespace cornelpier {
 
+namespace {
+
+/// Before a process serves, it is loaded and reads its settings. Its predecessor had ended by then.
+constexpr duration min_process_start_time = std::chrono::milliseconds{20};
+
+} // namespace
+
 void warm_up_monitor::set_handlers(std::function<void()> on_changed, std::function<void()> request_report) {
     m_on_changed = std::move(on_changed);
     m_request_report = std::move(request_report);
@@ -39,6 +47,11 @@
     }
     m_state.warm_up.on_report({report.warm_up_remaining, report.healthy, report.warm_up_malformed},
                               m_state.now());
+    // Runs of an earlier owner process count only if they reached the server after it had turned cold.
+    const auto cold_since = m_state.warm_up.cold_since();
+    if (cold_since && *cold_since >= m_state.started_at - min_process_start_time) {
+        m_state.pacer.end_warm_up_hold(m_state.now());
+    }
     update();
 }
 
--- a/tests/warm_up/cold_owner_test.cpp
+++ b/tests/warm_up/cold_owner_test.cpp
@@ -25,6 +25,10 @@
         it.report(std::nullopt);
         CHECK(it.take_actions<start_run>().size() == 1);
     }
+    SECTION("the server turned cold after the predecessor had ended") {
+        it.report(seconds{3});
+        CHECK(it.take_actions<start_run>().size() == 1);
+    }
     SECTION("the server is cold and may have got runs from the predecessor") {
         it.report(seconds{2});
         it.advance(milliseconds{1090});
