--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -66,6 +66,19 @@
     }
 }
 
+// A download that counts as an order is not repeated after a lost link, and its caller gets an error.
+TEST_CASE("routes of the kinds safe and download are idempotent, all others are not", "[platform]") {
+    for (const auto& [kind, idempotent] : std::initializer_list<std::pair<const char*, bool>>{
+             {"safe", true}, {"download", true}, {"unsafe", false}, {"upload", false}, {"", false}}) {
+        INFO(kind);
+        auto document = manifest_example();
+        document[nlohmann::json::json_pointer{"/routes/rows/0/3"}] = kind;
+        const auto outcome = decode_manifest(document.dump());
+        REQUIRE(has_value(outcome));
+        CHECK(std::get<manifest>(outcome).routes->find("a.example", "/o/1")->idempotent == idempotent);
+    }
+}
+
 TEST_CASE("a manifest is decoded into routes, services and limits", "[platform]") {
     const auto outcome = decode_manifest(manifest_example().dump());
     REQUIRE(has_value(outcome));
