Send large node messages in fragments and raise the body limit

A message was one frame of at most 2 MiB, which delayed every other message of its link: 540 KB take 430 ms at 10 Mbit/s, and a link without a message for 500 ms counts as silent. Callers' bodies above 1 MiB got 413 although the limits of the manifest allow 64 MiB.

Messages above 32 KiB are now sent in fragments of 16 KiB, which are handed over as the socket takes them. Small messages overtake them except for those of the same attempt; a cancelled request is not sent on. Bodies travel beside the CBOR message and are not copied before they are cut. A received fragment counts as progress of its link. The receiver bounds incomplete messages by number, size and sum over all links (events 610, 620, 621). The body limit follows the plan for callers, links and server responses; bodies grow in steps without reserving the announced length at once. The key fingerprint no longer copies the body.

--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -68,6 +68,8 @@
     link_message_malformed = 610,
     link_queue_full = 611,
     gossip_malformed = 612,
+    link_assembly_full = 620,
+    link_message_incomplete = 621,
     settings_invalid = 700,
     settings_reloaded = 701,
 };
--- a/src/cornelpier/entry/entry_manager.cpp
+++ b/src/cornelpier/entry/entry_manager.cpp
@@ -211,6 +211,10 @@
     m_implementation->fate_requests.on_abandoned(event.call);
 }
 
+void entry_manager::on_link_progress(link_id link) {
+    m_implementation->links.on_progress(link);
+}
+
 void entry_manager::on_link_opened(link_id link) {
     m_implementation->links.on_opened(link);
 }
--- a/src/cornelpier/entry/entry_manager.hpp
+++ b/src/cornelpier/entry/entry_manager.hpp
@@ -33,6 +33,7 @@
     void on_fate_requested(const call_fate_requested& event);
     void on_abandoned(const call_abandoned& event);
     void on_link_opened(link_id link);
+    void on_link_progress(link_id link);
     void on_link_closed(link_id link);
     void on_message(link_id link, const traffic_message& message);
     void on_fleet(const shared_fleet_view& view);
--- a/src/cornelpier/entry/link_set.cpp
+++ b/src/cornelpier/entry/link_set.cpp
@@ -132,11 +132,21 @@
     if (std::holds_alternative<pong>(message) && state.awaits_pong) {
         m_callbacks.on_round_trip(it->second, now - state.pinged_at);
     }
-    state.progress_at = now;
+    note_progress(state);
+    return &it->second;
+}
+
+void link_set::on_progress(link_id link) {
+    if (const auto it = m_targets.find(link); it != m_targets.end()) {
+        note_progress(m_links[it->second]);
+    }
+}
+
+void link_set::note_progress(link_state& state) {
+    state.progress_at = m_context.now();
     state.awaits_pong = false;
     state.has_received = true;
     state.failures = 0;
-    return &it->second;
 }
 
 void link_set::reset(const target_id& target, link_loss cause) {
--- a/src/cornelpier/entry/link_set.hpp
+++ b/src/cornelpier/entry/link_set.hpp
@@ -52,6 +52,9 @@
     /// @return the target at its other end, or nullptr if the link is not in this set.
     const target_id* on_received(link_id link, const traffic_message& message);
 
+    /// Records that part of a message was received on a link.
+    void on_progress(link_id link);
+
     /// Closes the link of a target, if there is one.
     void reset(const target_id& target, link_loss cause);
 
@@ -85,6 +88,7 @@
         std::uint32_t failures = 0;
     };
 
+    void note_progress(link_state& state);
     void start_opening(const target_id& target);
     void schedule_progress_check(const target_id& target, link_state& state, time_point due);
     void check_progress(const target_id& target);
--- a/src/cornelpier/execution/key_ledger.cpp
+++ b/src/cornelpier/execution/key_ledger.cpp
@@ -12,11 +12,8 @@
 
 std::uint64_t fingerprint(const http_request& request) {
     // Neither method nor path can contain a line feed, so different requests never yield the same text.
-    std::string text = request.method + "\n" + request.path + "\n";
-    if (request.body) {
-        text += *request.body;
-    }
-    return stable_hash(text);
+    const std::string_view body = request.body ? std::string_view{*request.body} : std::string_view{};
+    return stable_hash({request.method, "\n", request.path, "\n", body});
 }
 
 key_ledger::key_ledger(std::size_t capacity) : m_capacity(capacity), m_storage(max_stored_bytes) {}
--- a/src/cornelpier/node/traffic_core.cpp
+++ b/src/cornelpier/node/traffic_core.cpp
@@ -132,6 +132,13 @@
         m_entry.on_message(event.link, event.message);
     }
 
+    /// The owner needs no progress of accepted links: only the side that opened a link detects silence.
+    void on(const link_progress& event) {
+        if (!is_accepted(event.link)) {
+            m_entry.on_link_progress(event.link);
+        }
+    }
+
     void on(const server_answered& event) { m_owner.on_server_answered(event); }
     void on(const server_failed& event) { m_owner.on_server_failed(event); }
     void on(const server_report& event) { m_owner.on_server_report(event); }
--- a/src/cornelpier/node/traffic_events.hpp
+++ b/src/cornelpier/node/traffic_events.hpp
@@ -51,6 +51,11 @@
     traffic_message message;
 };
 
+/// Part of a large message was received on a link.
+struct link_progress {
+    link_id link;
+};
+
 /// Load that a server reports in a response.
 struct server_load_report {
     std::uint32_t running = 0;
@@ -136,6 +141,6 @@
 using traffic_event =
     std::variant<call_arrived, call_fate_requested, call_abandoned, link_opened, link_closed,
                  message_received, server_answered, server_failed, server_report, server_report_failed,
-                 server_checked, fleet_changed, terminate_requested, stop_deadline_reached, clock_gap>;
+                 server_checked, fleet_changed, terminate_requested, stop_deadline_reached, clock_gap, link_progress>;
 
 } // namespace cornelpier
--- a/src/cornelpier/plan/route.hpp
+++ b/src/cornelpier/plan/route.hpp
@@ -3,6 +3,7 @@
 #include "cornelpier/base/ids.hpp"
 #include "cornelpier/base/units.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -50,6 +51,18 @@
     duration idle_timeout{};   ///< Time limit for a connection without a request.
 };
 
+/// Limit on bodies without a limit in the plan, in bytes.
+inline constexpr std::size_t default_body_limit_bytes = std::size_t{1024} * 1024;
+
+/// Largest limit on bodies that a plan can set, in bytes. Sizes on node links have 32 bits.
+inline constexpr std::size_t max_body_limit_bytes = std::size_t{1024} * 1024 * 1024;
+
+/// @return largest body of a caller's request, in bytes.
+constexpr std::size_t body_limit(const caller_limits& limits) {
+    return limits.max_body_bytes == 0 ? default_body_limit_bytes
+                                      : std::min(limits.max_body_bytes, max_body_limit_bytes);
+}
+
 /// Budget for sending requests of one service again, shared by all entries of the fleet.
 struct fleet_retry_budget {
     double ratio = 0; ///< Additional sends per call.
--- a/src/daemon/caller/caller_context.cpp
+++ b/src/daemon/caller/caller_context.cpp
@@ -12,6 +12,7 @@
 void caller_context::set_limits(const caller_limits& limits) {
     const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(limits.idle_timeout);
     m_max_head_bytes = std::max(min_head_limit_bytes, limits.max_header_bytes);
+    m_max_body_bytes = body_limit(limits);
     m_idle_timeout_ms = std::max(m_options.idle_timeout, idle).count();
 }
 
--- a/src/daemon/caller/caller_context.hpp
+++ b/src/daemon/caller/caller_context.hpp
@@ -73,12 +73,16 @@
     /// @return its session, or nullptr if the call was already removed or the session has ended.
     std::shared_ptr<caller_session> take_call(call_id call);
 
-    /// Applies the plan's limits. They can raise the node's own limits, not lower them.
+    /// Applies the plan's limits. They can raise the node's own limits on the head and on idle connections, not
+    /// lower them; the limit on bodies replaces the default one.
     void set_limits(const caller_limits& limits);
 
     /// @return largest head of a request.
     [[nodiscard]] std::size_t max_head_bytes() const { return m_max_head_bytes; }
 
+    /// @return largest body of a request.
+    [[nodiscard]] std::size_t max_body_bytes() const { return m_max_body_bytes; }
+
     /// @return time after which a connection without a request is closed.
     [[nodiscard]] std::chrono::milliseconds idle_timeout() const {
         return std::chrono::milliseconds{m_idle_timeout_ms.load()};
@@ -96,6 +100,7 @@
     event_sink m_sink;
     std::atomic<bool> m_stopping = false;
     std::atomic<std::size_t> m_max_head_bytes = min_head_limit_bytes;
+    std::atomic<std::size_t> m_max_body_bytes = default_body_limit_bytes;
     std::atomic<std::chrono::milliseconds::rep> m_idle_timeout_ms;
 
     mutable std::mutex m_mutex;
--- a/src/daemon/caller/caller_session.cpp
+++ b/src/daemon/caller/caller_session.cpp
@@ -2,12 +2,12 @@
 
 #include "daemon/caller/response_writer.hpp"
 #include "daemon/net/hop_by_hop.hpp"
+#include "daemon/net/incremental_body.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -66,6 +66,10 @@
     return method == "GET" || method == "HEAD";
 }
 
+request_error body_too_large(std::size_t limit) {
+    return {413, "the body is larger than " + std::to_string(limit) + " bytes"};
+}
+
 template <typename Message>
 request_head copy_head(const Message& message) {
     request_head head;
@@ -81,7 +85,7 @@
 } // namespace
 
 struct caller_session::request_parser {
-    http::request_parser<http::string_body> http;
+    http::request_parser<incremental_body> http;
 };
 
 caller_session::caller_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<caller_context> context)
@@ -215,7 +219,7 @@
     m_parser = std::make_unique<request_parser>();
     auto& parser = m_parser->http;
     parser.header_limit(static_cast<std::uint32_t>(m_context->max_head_bytes() + 1));
-    parser.body_limit(max_body_bytes);
+    parser.body_limit(m_context->max_body_bytes());
     parser.eager(false);
 
     error_code ec;
@@ -250,7 +254,7 @@
         return;
     }
     if (ec == http::error::body_limit) {
-        reject_request({413, "the body is larger than 1 MiB"});
+        reject_request(body_too_large(m_context->max_body_bytes()));
         return;
     }
     reject_request({400, "malformed head: " + ec.message()});
@@ -287,7 +291,7 @@
             return;
         }
         if (ec == http::error::body_limit) {
-            reject_request({413, "the body is larger than 1 MiB"});
+            reject_request(body_too_large(m_context->max_body_bytes()));
             return;
         }
         if (ec) {
--- a/src/daemon/caller/caller_session.hpp
+++ b/src/daemon/caller/caller_session.hpp
@@ -16,9 +16,6 @@
 
 namespace cornelpier {
 
-/// Largest body of a caller's request.
-inline constexpr std::size_t max_body_bytes = std::size_t{1024} * 1024;
-
 /// Concurrent calls per connection.
 inline constexpr std::size_t max_pipelined_calls = 16;
 
--- a/src/daemon/link/link_channel.hpp
+++ b/src/daemon/link/link_channel.hpp
@@ -14,7 +14,8 @@
     link_channel(link_channel&&) = delete;
     link_channel& operator=(link_channel&&) = delete;
 
-    /// Sends a message. Messages of one sender keep their order.
+    /// Sends a message. Messages of one sender keep their order, except that small ones overtake large ones
+    /// of other attempts. A cancelled attempt's request is not sent on.
     virtual void send(node_message message) = 0;
 
     /// Closes the socket without a closing handshake.
--- a/src/daemon/link/link_endpoint_config.hpp
+++ b/src/daemon/link/link_endpoint_config.hpp
@@ -26,7 +26,7 @@
     /// quickly.
     static constexpr long timeout_open_handshake = 500;
     static constexpr long timeout_close_handshake = 100;
-    static constexpr std::size_t max_message_size = max_link_message_bytes;
+    static constexpr std::size_t max_message_size = max_link_frame_bytes;
     static constexpr std::size_t max_http_body_size = 0;
     static constexpr bool drop_on_protocol_error = true;
 
--- a/src/daemon/link/link_manager.cpp
+++ b/src/daemon/link/link_manager.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/link/control_link_table.hpp"
 #include "daemon/link/link_endpoint_config.hpp"
+#include "daemon/link/link_receiver.hpp"
 #include "daemon/link/link_table.hpp"
 #include "daemon/link/websocket_channel.hpp"
 #include "daemon/net/endpoint.hpp"
@@ -11,6 +12,7 @@
 #include <websocketpp/client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <netinet/tcp.h>
 #include <utility>
 
 namespace cornelpier {
@@ -30,10 +32,17 @@
     endpoint.init_asio(&context);
 }
 
+/// Unsent bytes above which the kernel takes no more, in bytes. Without it, the kernel takes up to 4 MiB of a
+/// large message, behind which a small message waits for seconds at 10 Mbit/s.
+constexpr int max_unsent_kernel_bytes = 16 * 1024;
+
+/// Sends small messages without delay and keeps little data in the kernel ahead of them.
 template <typename ConnectionPtr>
-void disable_nagle(const ConnectionPtr& connection) {
+void reduce_delay(const ConnectionPtr& connection) {
+    using unsent_limit = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
     boost::system::error_code ec;
     connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ec);
+    connection->get_raw_socket().set_option(unsent_limit{max_unsent_kernel_bytes}, ec);
 }
 
 std::string format_link_id(link_id link) {
@@ -105,6 +114,10 @@
 
     [[nodiscard]] std::size_t link_count() const { return m_table.size(); }
 
+    void set_body_limit(std::size_t bytes) { m_budget->set_limit(link_message_limit(bytes)); }
+
+    [[nodiscard]] std::size_t bytes_in_assembly() const { return m_budget->in_use(); }
+
     void stop() {
         websocketpp::lib::error_code ec;
         if (m_server.is_listening()) {
@@ -126,7 +139,7 @@
 
         const auto weak = weak_from_this();
         connection->set_open_handler([weak, link, raw = connection.get()](const connection_hdl&) {
-            disable_nagle(raw);
+            reduce_delay(raw);
             if (const auto self = weak.lock()) {
                 self->on_opened(link, raw);
             }
@@ -146,7 +159,7 @@
         if (ec) {
             return;
         }
-        disable_nagle(connection);
+        reduce_delay(connection);
         register_link(m_table.next_accepted(), link_use::accepted, connection);
     }
 
@@ -154,14 +167,15 @@
     template <typename ConnectionPtr>
     void register_link(link_id link, link_use use, const ConnectionPtr& connection) {
         const auto weak = weak_from_this();
-        connection->set_close_handler([weak, link, raw = connection.get()](const connection_hdl&) {
+        const auto receiver = std::make_shared<link_receiver>(m_budget);
+        connection->set_close_handler([weak, link, receiver, raw = connection.get()](const connection_hdl&) {
             if (const auto self = weak.lock()) {
-                self->on_websocket_closed(link, raw->get_local_close_code());
+                self->on_websocket_closed(link, raw->get_local_close_code(), *receiver);
             }
         });
-        connection->set_message_handler([weak, link](const connection_hdl&, const auto& message) {
+        connection->set_message_handler([weak, link, receiver](const connection_hdl&, const auto& message) {
             if (const auto self = weak.lock()) {
-                self->on_message_frame(link, message->get_opcode(), message->get_payload());
+                self->on_message_frame(link, message->get_opcode(), message->get_payload(), *receiver);
             }
         });
         const auto overflow = [weak, link] {
@@ -171,7 +185,9 @@
         };
         m_table.add(
             link,
-            {use, std::make_shared<websocket_channel<ConnectionPtr>>(connection, m_handlers.clock, overflow),
+            {use,
+             std::make_shared<websocket_channel<ConnectionPtr>>(connection, m_handlers.clock, m_budget,
+                                                                overflow),
              false});
     }
 
@@ -194,9 +210,13 @@
         });
     }
 
-    void on_websocket_closed(link_id link, websocketpp::close::status::value code) {
+    void on_websocket_closed(link_id link, websocketpp::close::status::value code, link_receiver& receiver) {
         if (code == websocketpp::close::status::message_too_big) {
-            record_malformed(link, "a message was larger than 2 MiB");
+            record_malformed(link, "a frame was larger than 64 KiB");
+        }
+        if (const std::size_t dropped = receiver.end(); dropped > 0) {
+            m_handlers.record({event_number::link_message_incomplete,
+                               {{"link", format_link_id(link)}, {"messages", std::to_string(dropped)}}});
         }
         on_closed(link);
     }
@@ -219,7 +239,7 @@
     }
 
     void on_message_frame(link_id link, websocketpp::frame::opcode::value opcode,
-                          const std::string& payload) {
+                          const std::string& payload, link_receiver& receiver) {
         const auto entry = m_table.find(link);
         if (!entry) {
             return;
@@ -229,9 +249,13 @@
             return;
         }
 
-        auto outcome = decode_stamped(payload);
-        if (const auto* problem = std::get_if<error>(&outcome)) {
-            close_with_event(link, event_number::link_message_malformed, problem->reason);
+        auto outcome = receiver.receive(payload, link_receiver::clock::now());
+        if (const auto* problem = std::get_if<assembly_error>(&outcome)) {
+            close_with_event(link, problem->number, problem->reason);
+            return;
+        }
+        if (const auto* fragment = std::get_if<fragment_received>(&outcome)) {
+            report_progress(link, *entry, fragment->report);
             return;
         }
         auto& stamped = std::get<stamped_message>(outcome);
@@ -239,6 +263,12 @@
         dispatch_message(link, *entry, std::move(stamped.message));
     }
 
+    void report_progress(link_id link, const link_table::entry& entry, bool report) {
+        if (report && entry.use != link_use::control) {
+            m_handlers.on_progress(link);
+        }
+    }
+
     void dispatch_message(link_id link, const link_table::entry& entry, node_message message) {
         if (auto* control = std::get_if<control_message>(&message)) {
             m_handlers.on_control_message(std::move(*control));
@@ -302,6 +332,7 @@
     }
 
     link_handlers m_handlers;
+    std::shared_ptr<assembly_budget> m_budget = std::make_shared<assembly_budget>(max_link_message_bytes);
     boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
     boost::asio::steady_timer m_idle_timer;
     server_endpoint m_server;
@@ -343,6 +374,14 @@
     return m_implementation->link_count();
 }
 
+void link_manager::set_body_limit(std::size_t bytes) {
+    m_implementation->set_body_limit(bytes);
+}
+
+std::size_t link_manager::bytes_in_assembly() const {
+    return m_implementation->bytes_in_assembly();
+}
+
 void link_manager::stop() {
     m_implementation->stop();
 }
--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -146,6 +146,8 @@
         write_gauge(out, "ledger_records", "Requests remembered.",
                     static_cast<double>(traffic.ledger_records));
         write_gauge(out, "open_links", "Links to owners.", static_cast<double>(traffic.open_links));
+        write_gauge(out, "link_assembly_bytes", "Bytes of incomplete large messages from other nodes.",
+                    static_cast<double>(gauges.link_bytes_in_assembly));
         write_gauge(out, "measurements_last_second", "Measurements of the last second.",
                     traffic.measurements_last_second);
         write_gauge(out, "measuring_budget", "Measurements allowed per second.", gauges.measuring_budget);
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -298,6 +298,7 @@
                 },
                 [this](control_message message) { m_source->on_message(std::move(message)); },
                 log_sink(),
+                [this](link_id link) { m_traffic.post(link_progress{link}); },
                 m_clock};
     }
 
@@ -307,7 +308,8 @@
                 [this](auto on_taken) { m_traffic.snapshot(std::move(on_taken)); },
                 [this](auto on_taken) { m_source->snapshot(std::move(on_taken)); },
                 m_metrics,
-                *m_recent};
+                *m_recent,
+                [this] { return m_links.bytes_in_assembly(); }};
     }
 
     traffic_outputs make_traffic_outputs() {
@@ -333,10 +335,14 @@
             random_uint64());
     }
 
+    void apply_limits(const caller_limits& limits) {
+        m_callers.set_limits(limits);
+        m_links.set_body_limit(body_limit(limits));
+        m_server.set_body_limit(body_limit(limits));
+    }
+
     void apply_view(shared_fleet_view view) {
-        if (view->current_plan->limits) {
-            m_callers.set_limits(*view->current_plan->limits);
-        }
+        apply_limits(view->current_plan->limits.value_or(caller_limits{}));
         m_has_view = true;
         m_pages.set_view(view);
         m_traffic.post(fleet_changed{std::move(view)});
--- a/src/daemon/server/server_client.cpp
+++ b/src/daemon/server/server_client.cpp
@@ -89,7 +89,7 @@
                 self->on_exchange_done(run, std::move(result), std::move(connection));
             },
             server_exchange::response_rules{m_options.names.request_id, m_options.names.response_seal,
-                                            m_options.names.close_delimited_responses});
+                                            m_options.names.close_delimited_responses, m_body_limit});
         m_runs.insert_or_assign(run, exchange);
         start_exchange(*exchange, action.fresh_connection, action.timeout);
     }
@@ -130,6 +130,8 @@
         connecting->start(m_server);
     }
 
+    void set_body_limit(std::size_t bytes) { m_body_limit = std::max(bytes, default_body_limit_bytes); }
+
     void stop() {
         for (const auto& [run, exchange] : m_runs) {
             exchange->cancel();
@@ -251,6 +253,7 @@
     boost::asio::ip::tcp::endpoint m_server;
     connection_pool m_pool;
     std::unordered_map<run_id, std::shared_ptr<server_exchange>> m_runs;
+    std::size_t m_body_limit = default_body_limit_bytes;
     bool m_stopped = false;
 };
 
@@ -277,6 +280,10 @@
     m_implementation->post([](auto& it) { it.check(); });
 }
 
+void server_client::set_body_limit(std::size_t bytes) {
+    m_implementation->post([bytes](auto& it) { it.set_body_limit(bytes); });
+}
+
 void server_client::stop() {
     m_implementation->post([](auto& it) { it.stop(); });
 }
--- a/src/daemon/server/server_client.hpp
+++ b/src/daemon/server/server_client.hpp
@@ -14,9 +14,6 @@
 
 namespace cornelpier {
 
-/// Largest response body; a larger one counts as an incomplete response.
-inline constexpr std::size_t max_response_body_bytes = std::size_t{1024} * 1024;
-
 /// Address of the server, its report and the header fields it uses.
 struct server_client_options {
     std::string address;     ///< `IP:port`.
@@ -58,6 +55,10 @@
     /// Opens a connection to learn whether the server listens. Exactly one `server_checked` follows.
     void check();
 
+    /// Sets the largest response body of later runs. It is never below `default_body_limit_bytes`; a larger
+    /// response counts as incomplete.
+    void set_body_limit(std::size_t bytes);
+
     /// Cancels all runs and closes idle connections. No event of a run follows; a report that was requested
     /// may still follow.
     void stop();
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -1,6 +1,7 @@
 #include "daemon/server/server_exchange.hpp"
 
 #include "daemon/net/hop_by_hop.hpp"
+#include "daemon/net/incremental_body.hpp"
 #include "daemon/net/read_head.hpp"
 #include "daemon/net/response_limits.hpp"
 #include "daemon/server/server_client.hpp"
@@ -10,7 +11,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -99,7 +99,7 @@
     http::request<http::span_body<const char>> message;
     http::request_serializer<http::span_body<const char>> serializer;
     boost::beast::flat_buffer buffer{max_unparsed_response_bytes};
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<http::response_parser<incremental_body>> parser;
 };
 
 server_exchange::server_exchange(const executor& strand, http_request request, callback on_done,
@@ -155,7 +155,7 @@
 void server_exchange::read() {
     m_http->parser.emplace();
     m_http->parser->header_limit(max_response_header_bytes);
-    m_http->parser->body_limit(max_response_body_bytes);
+    m_http->parser->body_limit(m_rules.max_body_bytes);
     m_http->parser->skip(m_request.method == "HEAD");
     // Beast 1.74 ignores the body limit when header and body are parsed in one step.
     async_read_head(*m_socket, m_http->buffer, *m_http->parser, max_response_header_bytes,
--- a/src/daemon/server/server_exchange.hpp
+++ b/src/daemon/server/server_exchange.hpp
@@ -32,6 +32,7 @@
         std::string request_id_field; ///< Echoed by the server; empty: not checked.
         std::string seal_field;       ///< Present on every successful response; empty: not checked.
         bool allow_unframed = false;  ///< The end of the connection may delimit a response.
+        std::size_t max_body_bytes = default_body_limit_bytes; ///< A larger response counts as incomplete.
     };
 
     /// Timeout for opening a connection.
