--- a/src/daemon/link/fragment_format.cpp
+++ b/src/daemon/link/fragment_format.cpp
@@ -1,20 +1,25 @@
 #include "daemon/link/fragment_format.hpp"
 
-#include <boost/endian/conversion.hpp>
-
 namespace cornelpier {
 
 namespace {
 
 constexpr std::size_t number_bytes = sizeof(std::uint32_t);
+constexpr unsigned bits_per_byte = 8;
+constexpr std::uint32_t byte_mask = 0xff;
 
 void append_number(std::string& frame, std::uint32_t value) {
-    const std::uint32_t encoded = boost::endian::native_to_big(value);
-    frame.append(reinterpret_cast<const char*>(&encoded), number_bytes);
+    for (unsigned n = number_bytes; n > 0; --n) {
+        frame.push_back(static_cast<char>((value >> ((n - 1) * bits_per_byte)) & byte_mask));
+    }
 }
 
 std::uint32_t number_at(std::string_view frame, std::size_t position) {
-    return boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(frame.data()) + position);
+    std::uint32_t value = 0;
+    for (const char it : frame.substr(position, number_bytes)) {
+        value = (value << bits_per_byte) | static_cast<std::uint8_t>(it);
+    }
+    return value;
 }
 
 } // namespace
--- a/src/daemon/link/link_manager.cpp
+++ b/src/daemon/link/link_manager.cpp
@@ -118,6 +118,8 @@
 
     [[nodiscard]] std::size_t bytes_in_assembly() const { return m_budget->in_use(); }
 
+    [[nodiscard]] std::size_t bytes_unsent() const { return *m_unsent; }
+
     void stop() {
         websocketpp::lib::error_code ec;
         if (m_server.is_listening()) {
@@ -185,7 +187,7 @@
         };
         m_table.add(link, {use,
                            std::make_shared<websocket_channel<ConnectionPtr>>(connection, m_handlers.clock,
-                                                                              m_budget, overflow),
+                                                                              m_budget, m_unsent, overflow),
                            false});
     }
 
@@ -221,6 +223,9 @@
 
     void on_closed(link_id link) {
         if (const auto it = m_table.remove(link)) {
+            // Websocketpp leaves the socket open. Asio skips a wait that is queued behind a failed write, so
+            // that the wait would keep the channel and its queue for good.
+            it->channel->close();
             notify_closed(link, *it);
         }
     }
@@ -331,6 +336,7 @@
 
     link_handlers m_handlers;
     std::shared_ptr<assembly_budget> m_budget = std::make_shared<assembly_budget>(max_link_message_bytes);
+    unsent_bytes::counter m_unsent = std::make_shared<std::atomic<std::size_t>>(0);
     boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
     boost::asio::steady_timer m_idle_timer;
     server_endpoint m_server;
@@ -380,6 +386,10 @@
     return m_implementation->bytes_in_assembly();
 }
 
+std::size_t link_manager::bytes_unsent() const {
+    return m_implementation->bytes_unsent();
+}
+
 void link_manager::stop() {
     m_implementation->stop();
 }
--- a/src/daemon/link/link_manager.hpp
+++ b/src/daemon/link/link_manager.hpp
@@ -100,6 +100,9 @@
     /// @return bytes of incomplete large messages that the links hold.
     [[nodiscard]] std::size_t bytes_in_assembly() const;
 
+    /// @return bytes of large messages that wait to be sent, on all links.
+    [[nodiscard]] std::size_t bytes_unsent() const;
+
     /// Stops accepting and closes all links.
     void stop();
 
--- a/src/daemon/link/message_fragmenter.cpp
+++ b/src/daemon/link/message_fragmenter.cpp
@@ -108,7 +108,7 @@
     return frame;
 }
 
-void message_fragmenter::remove(std::deque<large_message>::iterator it) {
+void message_fragmenter::remove(const std::deque<large_message>::iterator& it) {
     m_queued_bytes -= it->bytes_left();
     m_open.erase(it);
     if (!m_waiting.empty()) {
--- a/src/daemon/link/message_fragmenter.hpp
+++ b/src/daemon/link/message_fragmenter.hpp
@@ -62,7 +62,7 @@
     large_message* find(const attempt_id& attempt);
     void push_small(std::string frame);
     void release_followers(large_message& message);
-    void remove(std::deque<large_message>::iterator it);
+    void remove(const std::deque<large_message>::iterator& it);
     static std::string make_fragment(large_message& message);
 
     std::deque<large_message> m_open;    ///< The first one sends the next fragment.
--- a/src/daemon/link/websocket_channel.hpp
+++ b/src/daemon/link/websocket_channel.hpp
@@ -7,6 +7,7 @@
 #include "daemon/link/link_channel.hpp"
 #include "daemon/link/link_manager.hpp"
 #include "daemon/link/message_fragmenter.hpp"
+#include "daemon/link/unsent_bytes.hpp"
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
@@ -30,12 +31,14 @@
     /// @param connection may still be opening.
     /// @param clock source of the stamps of messages.
     /// @param budget names the limit on the size of a message.
+    /// @param unsent counts the bytes of large messages that wait here.
     /// @param on_overflow called when a message is above that limit or would raise the unsent data above
     /// `link_queue_limit`; all unsent messages are dropped.
     websocket_channel(ConnectionPtr connection, std::shared_ptr<event_clock> clock,
-                      std::shared_ptr<const assembly_budget> budget, std::function<void()> on_overflow)
+                      std::shared_ptr<const assembly_budget> budget, unsent_bytes::counter unsent,
+                      std::function<void()> on_overflow)
         : m_connection(std::move(connection)), m_clock(std::move(clock)), m_budget(std::move(budget)),
-          m_on_overflow(std::move(on_overflow)) {}
+          m_unsent(std::move(unsent)), m_on_overflow(std::move(on_overflow)) {}
 
     void send(node_message message) override {
         // Encodes on the strand of the connection, to keep the work off the strand of the traffic core.
@@ -47,7 +50,7 @@
 
     void close() override {
         boost::asio::post(*m_connection->get_strand(), [self = this->shared_from_this()] {
-            self->m_queue.clear();
+            self->drop_queue();
             boost::system::error_code ec;
             self->m_connection->get_raw_socket().close(ec);
         });
@@ -71,7 +74,7 @@
         const std::size_t size = outgoing.size();
         const std::size_t queued = m_connection->get_buffered_amount() + m_queue.queued_bytes();
         if (size > m_budget->limit() || queued + size > link_queue_limit(m_budget->limit())) {
-            m_queue.clear();
+            drop_queue();
             m_on_overflow();
             return;
         }
@@ -89,11 +92,17 @@
             m_connection->send(*m_queue.next_fragment(), websocketpp::frame::opcode::binary);
             transmit_small_frames();
         }
+        m_unsent.set(m_queue.queued_bytes());
         if (m_queue.has_fragments() && !m_waiting) {
             wait_until_writable();
         }
     }
 
+    void drop_queue() {
+        m_queue.clear();
+        m_unsent.set(0);
+    }
+
     void transmit_small_frames() {
         while (auto frame = m_queue.next_small_frame()) {
             m_connection->send(*frame, websocketpp::frame::opcode::binary);
@@ -110,7 +119,7 @@
                                        [self = this->shared_from_this()](boost::system::error_code ec) {
                                            self->m_waiting = false;
                                            if (ec || !self->is_open()) {
-                                               self->m_queue.clear();
+                                               self->drop_queue();
                                                return;
                                            }
                                            self->transmit();
@@ -120,6 +129,7 @@
     ConnectionPtr m_connection;
     std::shared_ptr<event_clock> m_clock;
     std::shared_ptr<const assembly_budget> m_budget;
+    unsent_bytes m_unsent;
     std::function<void()> m_on_overflow;
     message_fragmenter m_queue; ///< Used on the strand of the connection, like the member below.
     bool m_waiting = false;
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -41,6 +41,10 @@
 /// Delay before the links are closed, so that responses queued on them reach the kernel.
 constexpr std::chrono::milliseconds link_flush_delay{100};
 
+/// Largest time that large responses on links may take to be sent before the process ends. At 10 Mbit/s it
+/// covers four downloads of 540 KB.
+constexpr std::chrono::seconds max_link_flush_time{2};
+
 /// Part of the shutdown timeout that is reserved for writing responses to callers that still wait.
 constexpr std::chrono::milliseconds caller_answer_reserve{350};
 
@@ -237,14 +241,26 @@
         });
     }
 
-    /// Stops the process after `link_flush_delay` once the target has drained and the caller connections are
-    /// shut down.
+    /// Stops the process once the target has drained, the caller connections are shut down, and the links
+    /// have had nothing to send for `link_flush_delay`.
     void stop_if_done() {
         if (!m_drained || !m_callers_stopped) {
             return;
         }
+        stop_when_flushed(m_links.bytes_unsent() == 0,
+                          std::chrono::steady_clock::now() + max_link_flush_time);
+    }
+
+    void stop_when_flushed(bool was_empty, std::chrono::steady_clock::time_point limit) {
         m_stop_timer.expires_after(link_flush_delay);
-        m_stop_timer.async_wait([this](error_code) { stop("done"); });
+        m_stop_timer.async_wait([this, was_empty, limit](error_code) {
+            const bool is_empty = m_links.bytes_unsent() == 0;
+            if ((was_empty && is_empty) || std::chrono::steady_clock::now() >= limit) {
+                stop("done");
+                return;
+            }
+            stop_when_flushed(is_empty, limit);
+        });
     }
 
     void stop(const char* cause) {
--- a/tests/large_messages/link_test.cpp
+++ b/tests/large_messages/link_test.cpp
@@ -210,6 +210,21 @@
     CHECK(it.owner.closed.wait(1, 0ms).empty());
 }
 
+// A node that stops would close its links in the middle of large responses if it did not know of them.
+TEST_CASE("bytes that wait to be sent are counted until they are sent or dropped", "[large-messages][link]") {
+    slow_link it;
+    it.owner.links.send(it.accepted, response_with_body(540 * kib));
+    REQUIRE(it.entry.progress.wait(1).size() == 1);
+    CHECK(it.owner.links.bytes_unsent() > 0);
+    REQUIRE(it.entry.received.wait(1, 10s).size() == 1);
+    CHECK(it.owner.links.bytes_unsent() == 0);
+
+    it.owner.links.send(it.accepted, response_with_body(540 * kib));
+    REQUIRE(test::becomes_true(3s, [&] { return it.owner.links.bytes_unsent() > 0; }));
+    it.relay.cut();
+    CHECK(test::becomes_true(3s, [&] { return it.owner.links.bytes_unsent() == 0; }));
+}
+
 // Bodies that wait for a peer that does not read must not fill the memory.
 TEST_CASE("a link is closed when the bodies queued for a peer exceed the bound", "[large-messages][link]") {
     link_peer owner;
