--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -73,6 +73,8 @@
     gossip_malformed = 612,
     warm_up_value_refused = 613,
     server_warm_up = 614,
+    link_assembly_full = 620,
+    link_message_incomplete = 621,
     settings_invalid = 700,
     settings_reloaded = 701,
 };
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -41,6 +41,10 @@
 /// Delay before the links are closed, so that responses queued on them reach the kernel.
 constexpr std::chrono::milliseconds link_flush_delay{100};
 
+/// Largest time that large responses on links may take to be sent before the process ends. At 10 Mbit/s it
+/// covers four downloads of 540 KB.
+constexpr std::chrono::seconds max_link_flush_time{2};
+
 /// Part of the shutdown timeout that is reserved for writing responses to callers that still wait.
 constexpr std::chrono::milliseconds caller_answer_reserve{350};
 
@@ -243,14 +247,26 @@
         });
     }
 
-    /// Stops the process after `link_flush_delay` once the target has drained and the caller connections are
-    /// shut down.
+    /// Stops the process once the target has drained, the caller connections are shut down, and the links
+    /// have had nothing to send for `link_flush_delay`.
     void stop_if_done() {
         if (!m_drained || !m_callers_stopped) {
             return;
         }
+        stop_when_flushed(m_links.bytes_unsent() == 0,
+                          std::chrono::steady_clock::now() + max_link_flush_time);
+    }
+
+    void stop_when_flushed(bool was_empty, std::chrono::steady_clock::time_point limit) {
         m_stop_timer.expires_after(link_flush_delay);
-        m_stop_timer.async_wait([this](error_code) { stop("done"); });
+        m_stop_timer.async_wait([this, was_empty, limit](error_code) {
+            const bool is_empty = m_links.bytes_unsent() == 0;
+            if ((was_empty && is_empty) || std::chrono::steady_clock::now() >= limit) {
+                stop("done");
+                return;
+            }
+            stop_when_flushed(is_empty, limit);
+        });
     }
 
     void stop(const char* cause) {
@@ -304,6 +320,7 @@
                 },
                 [this](control_message message) { m_source->on_message(std::move(message)); },
                 log_sink(),
+                [this](link_id link) { m_traffic.post(link_progress{link}); },
                 m_clock};
     }
 
@@ -313,7 +330,8 @@
                 [this](auto on_taken) { m_traffic.snapshot(std::move(on_taken)); },
                 [this](auto on_taken) { m_source->snapshot(std::move(on_taken)); },
                 m_metrics,
-                *m_recent};
+                *m_recent,
+                [this] { return m_links.bytes_in_assembly(); }};
     }
 
     traffic_outputs make_traffic_outputs() {
@@ -339,10 +357,14 @@
             random_uint64());
     }
 
+    void apply_limits(const caller_limits& limits) {
+        m_callers.set_limits(limits);
+        m_links.set_body_limit(body_limit(limits));
+        m_server.set_body_limit(body_limit(limits));
+    }
+
     void apply_view(shared_fleet_view view) {
-        if (view->current_plan->limits) {
-            m_callers.set_limits(*view->current_plan->limits);
-        }
+        apply_limits(view->current_plan->limits.value_or(caller_limits{}));
         m_has_view = true;
         m_pages.set_view(view);
         m_traffic.post(fleet_changed{std::move(view)});
