Treat a response with an invalid status as no response

kind_of_status in daemon/net/response_status.hpp defines which statuses are interim (100 to 199 except 101), final (200 to 599) or invalid. An exchange with the server ends as response_incomplete as soon as it has read a head with an invalid status: the verdict is unknown and the connection is closed, since the rest of its bytes cannot be attributed. A health check fails, http_get reports no response, so that a call of the store fails as unreachable, and response_writer replaces the status by 502.

http_get treats interim responses as none as well; it passed them on as final before, which its users counted as failures.

--- a/src/daemon/caller/response_writer.cpp
+++ b/src/daemon/caller/response_writer.cpp
@@ -1,6 +1,7 @@
 #include "daemon/caller/response_writer.hpp"
 
 #include "daemon/net/hop_by_hop.hpp"
+#include "daemon/net/response_status.hpp"
 
 #include <boost/beast/core/string.hpp>
 
@@ -12,14 +13,12 @@
 
 namespace http = boost::beast::http;
 
-constexpr int lowest_final_status = 200;
-constexpr int highest_status = 999;
 constexpr int no_content = 204;
 constexpr int not_modified = 304;
 
 int status_or_bad_gateway(int status) {
     constexpr int bad_gateway = 502;
-    return status >= lowest_final_status && status <= highest_status ? status : bad_gateway;
+    return kind_of_status(status) == status_kind::final ? status : bad_gateway;
 }
 
 bool has_no_body(int status) {
--- a/src/daemon/platform/http_get.cpp
+++ b/src/daemon/platform/http_get.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/net/read_head.hpp"
 #include "daemon/net/response_limits.hpp"
+#include "daemon/net/response_status.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -64,7 +65,9 @@
         // Beast 1.74 ignores the body limit when header and body are parsed in one step.
         async_read_head(m_stream, m_buffer, m_parser, max_response_header_bytes,
                         [self = shared_from_this()](error_code ec) {
-                            if (ec) {
+                            // A body that may never arrive is not awaited. Interim responses are not expected
+                            // without Expect.
+                            if (ec || !self->has_final_status()) {
                                 self->m_on_done({});
                                 return;
                             }
@@ -72,6 +75,10 @@
                         });
     }
 
+    [[nodiscard]] bool has_final_status() const {
+        return kind_of_status(static_cast<int>(m_parser.get().result_int())) == status_kind::final;
+    }
+
     void read_body() {
         http::async_read(m_stream, m_buffer, m_parser,
                          [self = shared_from_this()](error_code ec, std::size_t) { self->on_read(ec); });
--- a/src/daemon/platform/http_get.hpp
+++ b/src/daemon/platform/http_get.hpp
@@ -12,7 +12,7 @@
 
 /// Result of a GET request.
 struct http_get_outcome {
-    int status = 0; ///< 0: no complete response.
+    int status = 0; ///< 200 to 599; 0: no complete response with such a status.
     std::string body;
     std::optional<std::string> field; ///< Value of the requested header field; unset: absent.
 };
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -3,6 +3,7 @@
 #include "daemon/net/hop_by_hop.hpp"
 #include "daemon/net/read_head.hpp"
 #include "daemon/net/response_limits.hpp"
+#include "daemon/net/response_status.hpp"
 #include "daemon/server/server_client.hpp"
 
 #include <boost/asio/bind_executor.hpp>
@@ -31,8 +32,6 @@
 /// needed because a faulty server may repeat them endlessly.
 constexpr std::uint32_t max_skipped_responses = 16;
 
-constexpr int first_final_status = 200;
-constexpr int switching_protocols = 101;
 constexpr int first_error_status = 400;
 
 /// Subtracted from the server's idle timeout to cover the transit time of the response and the next request.
@@ -170,6 +169,11 @@
         fail(failure_of(ec));
         return;
     }
+    // A body that may never arrive is not awaited.
+    if (status_kind_of_response() == status_kind::invalid) {
+        fail(server_failure::response_incomplete);
+        return;
+    }
     http::async_read(
         *m_socket, m_http->buffer, *m_http->parser,
         [self = shared_from_this()](error_code failure, std::size_t) { self->on_response_read(failure); });
@@ -190,12 +194,7 @@
         return;
     }
 
-    const auto status = static_cast<int>(parser.get().result_int());
-    if (status == switching_protocols) {
-        fail(server_failure::response_incomplete);
-        return;
-    }
-    if (status < first_final_status) {
+    if (status_kind_of_response() == status_kind::interim) {
         skip_response();
         return;
     }
@@ -230,6 +229,10 @@
     finish(std::move(response), std::move(connection));
 }
 
+status_kind server_exchange::status_kind_of_response() const {
+    return kind_of_status(static_cast<int>(m_http->parser->get().result_int()));
+}
+
 void server_exchange::skip_response() {
     if (++m_skipped_responses > max_skipped_responses) {
         fail(server_failure::response_incomplete);
--- a/src/daemon/server/server_exchange.hpp
+++ b/src/daemon/server/server_exchange.hpp
@@ -4,6 +4,7 @@
 #include "cornelpier/node/traffic_events.hpp"
 
 #include "daemon/net/lazy_deadline.hpp"
+#include "daemon/net/response_status.hpp"
 #include "daemon/server/connection_pool.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -67,6 +68,7 @@
     void on_header_read(boost::system::error_code ec);
     void on_response_read(boost::system::error_code ec);
     void process_response();
+    [[nodiscard]] status_kind status_kind_of_response() const;
     /// Discards an interim response or one to another request and reads the next.
     void skip_response();
     [[nodiscard]] bool is_unmatched(const http_response& response) const;
