--- a/src/cornelpier/entry/service_table.cpp
+++ b/src/cornelpier/entry/service_table.cpp
@@ -41,9 +41,8 @@
         current_plan.routes != nullptr || std::ranges::any_of(service.rules, &request_rule::idempotent);
     state.hedges_use_retry_budget = current_plan.retry_budget.has_value();
     if (current_plan.retry_budget) {
-        const auto node_count = static_cast<double>(std::max<std::size_t>(m_subset_entries.size(), 1));
         state.retries.configure(current_plan.retry_budget->ratio,
-                                std::max(1.0, current_plan.retry_budget->slack / node_count));
+                                current_plan.retry_budget->capacity_per_entry(m_subset_entries.size()));
     }
     const auto& identity = m_context.identity;
     for (const auto i : choose_subset(service, m_subset_entries, identity.self, identity.data_centre)) {
--- a/src/cornelpier/plan/plan_manager.cpp
+++ b/src/cornelpier/plan/plan_manager.cpp
@@ -61,6 +61,13 @@
 
 } // namespace
 
+plan_outcome outcome_of(std::uint64_t version, std::uint64_t in_force, bool same_content) {
+    if (version != in_force) {
+        return version > in_force ? plan_outcome::accepted : plan_outcome::older;
+    }
+    return same_content ? plan_outcome::unchanged : plan_outcome::conflict;
+}
+
 plan_manager::plan_manager(plan_parse_function parse) : m_parse(std::move(parse)) {
     if (!m_parse) {
         m_parse = parse_shared_plan;
@@ -96,11 +103,13 @@
 
 plan_decision plan_manager::apply_if_newer(const shared_plan& candidate, std::string_view source) {
     const std::uint64_t in_force = digest().version;
-    if (candidate->version < in_force) {
+    // The same content was recognized before it was parsed.
+    const plan_outcome outcome = outcome_of(candidate->version, in_force, false);
+    if (outcome == plan_outcome::older) {
         return refuse(candidate->content_hash,
                       {plan_outcome::older, older_event(candidate->version, in_force, source)});
     }
-    if (m_current && candidate->version == in_force) {
+    if (m_current && outcome == plan_outcome::conflict) {
         auto event = record_conflict({candidate->version, candidate->content_hash}, source);
         refuse(candidate->content_hash, {plan_outcome::conflict, {}});
         return {plan_outcome::conflict, std::move(event)};
--- a/src/cornelpier/plan/plan_manager.hpp
+++ b/src/cornelpier/plan/plan_manager.hpp
@@ -24,6 +24,13 @@
 /// Result of submitting a plan sheet.
 enum class plan_outcome : std::uint8_t { accepted, unchanged, older, conflict, invalid, too_large };
 
+/// The rule by which a plan replaces the one in force: a higher version does; the same version with other
+/// content is a conflict.
+/// @param in_force version in force; 0: none.
+/// @param same_content whether the plan has the content of the one in force.
+/// @return `accepted`, `unchanged`, `older` or `conflict`.
+plan_outcome outcome_of(std::uint64_t version, std::uint64_t in_force, bool same_content);
+
 /// Result of submitting a plan sheet, with the event to log, if any.
 struct plan_decision {
     plan_outcome outcome = plan_outcome::unchanged;
--- a/src/cornelpier/plan/plan_parser.cpp
+++ b/src/cornelpier/plan/plan_parser.cpp
@@ -7,7 +7,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -64,24 +67,65 @@
     return service;
 }
 
-plan parse_plan_document(const json& document, std::string_view sheet) {
-    plan result;
-    result.version = document.at("version").get<std::uint64_t>();
-    result.deployment = document.at("deployment").get<std::string>();
-    for (const auto& it : document.at("services")) {
-        result.services.push_back(parse_service(it));
+/// @return the service, or nothing if it breaks the schema.
+std::optional<service_plan> read_service(const json& item) {
+    try {
+        return parse_service(item);
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+/// @return the positions of the services to which errors belong.
+std::unordered_set<std::string> invalid_positions(const std::vector<error>& errors) {
+    constexpr std::string_view services = "/services/";
+    std::unordered_set<std::string> result;
+    for (const auto& it : errors) {
+        if (it.place.starts_with(services)) {
+            const auto position = it.place.substr(services.size());
+            result.insert(position.substr(0, position.find('/')));
+        }
     }
-    result.sheet = sheet;
-    result.content_hash = stable_hash(sheet);
     return result;
 }
 
+void read_services(const json& document, plan_sheet_reading& reading) {
+    const auto list = document.find("services");
+    if (list == document.end() || !list->is_array()) {
+        return;
+    }
+    const auto invalid = invalid_positions(reading.errors);
+    for (std::size_t n = 0; n < list->size(); ++n) {
+        auto service = invalid.contains(std::to_string(n)) ? std::nullopt : read_service((*list)[n]);
+        if (service) {
+            reading.content.services.push_back(*std::move(service));
+            reading.service_positions.push_back(n);
+        }
+    }
+}
+
+void read_document(const json& document, plan_sheet_reading& reading) {
+    if (!document.is_object()) {
+        return;
+    }
+    const auto version = document.find("version");
+    if (version != document.end() && version->is_number_unsigned()) {
+        reading.content.version = version->get<std::uint64_t>();
+    }
+    const auto deployment = document.find("deployment");
+    if (deployment != document.end() && deployment->is_string()) {
+        reading.content.deployment = deployment->get<std::string>();
+    }
+    read_services(document, reading);
+}
+
 /// Checks constraints that JSON Schema cannot express, such as uniqueness across services.
 class plan_validator {
   public:
-    std::vector<error> check(const plan& checked) {
-        for (std::size_t n = 0; n < checked.services.size(); ++n) {
-            check_service(checked.services[n], "/services/" + std::to_string(n));
+    std::vector<error> check(const plan_sheet_reading& reading) {
+        for (std::size_t n = 0; n < reading.content.services.size(); ++n) {
+            check_service(reading.content.services[n],
+                          "/services/" + std::to_string(reading.service_positions[n]));
         }
         return std::move(m_errors);
     }
@@ -127,24 +171,30 @@
 
 } // namespace
 
-checked_result<plan> parse_plan(std::string_view sheet) {
+plan_sheet_reading read_plan_sheet(std::string_view sheet, std::size_t max_errors) {
+    plan_sheet_reading reading;
     const auto parsed = parse_json(sheet);
     if (const auto* problem = std::get_if<error>(&parsed)) {
-        return std::vector{*problem};
+        reading.errors.push_back(*problem);
+        return reading;
     }
 
+    reading.is_json = true;
     const auto& document = std::get<json>(parsed);
-    auto errors = validate_json(document, plan_schema());
-    if (!errors.empty()) {
-        return errors;
-    }
+    reading.errors = validate_json(document, plan_schema(), max_errors);
+    read_document(document, reading);
+    std::ranges::move(plan_validator{}.check(reading), std::back_inserter(reading.errors));
+    reading.content.sheet = sheet;
+    reading.content.content_hash = stable_hash(sheet);
+    return reading;
+}
 
-    plan result = parse_plan_document(document, sheet);
-    errors = plan_validator{}.check(result);
-    if (!errors.empty()) {
-        return errors;
+checked_result<plan> parse_plan(std::string_view sheet) {
+    plan_sheet_reading reading = read_plan_sheet(sheet);
+    if (!reading.errors.empty()) {
+        return std::move(reading.errors);
     }
-    return result;
+    return std::move(reading.content);
 }
 
 } // namespace cornelpier
--- a/src/cornelpier/plan/route.cpp
+++ b/src/cornelpier/plan/route.cpp
@@ -7,17 +7,21 @@
 
 namespace cornelpier {
 
-namespace {
-
-std::string host_name(std::string_view host) {
+std::string normalized_host(std::string_view host) {
     return to_lower_case(host.substr(0, host.rfind(':')));
 }
 
-} // namespace
+bool has_positive_weight(const std::vector<weighted_service>& services) {
+    return std::ranges::any_of(services, [](const weighted_service& it) { return it.weight > 0; });
+}
+
+double fleet_retry_budget::capacity_per_entry(std::size_t entry_count) const {
+    return std::max(1.0, slack / static_cast<double>(std::max<std::size_t>(entry_count, 1)));
+}
 
 route_table::route_table(std::vector<route> routes) : m_size(routes.size()) {
     for (auto& it : routes) {
-        auto& list = m_hosts[host_name(it.host)];
+        auto& list = m_hosts[normalized_host(it.host)];
         list.push_back(std::move(it));
     }
     for (auto& [host, list] : m_hosts) {
@@ -27,7 +31,7 @@
 }
 
 const route* route_table::find(std::string_view host, std::string_view path) const {
-    const auto found = m_hosts.find(host_name(host));
+    const auto found = m_hosts.find(normalized_host(host));
     if (found == m_hosts.end()) {
         return nullptr;
     }
--- a/src/cornelpier/plan/route.hpp
+++ b/src/cornelpier/plan/route.hpp
@@ -42,6 +42,12 @@
     std::vector<weighted_service> weighted_services; ///< At least one.
 };
 
+/// @return the name by which hosts are compared: in lower case, without port.
+std::string normalized_host(std::string_view host);
+
+/// @return whether any service of a route receives traffic.
+bool has_positive_weight(const std::vector<weighted_service>& services);
+
 /// Limits on the requests and connections of callers.
 struct caller_limits {
     std::size_t max_header_bytes = 0;
@@ -54,6 +60,10 @@
 struct fleet_retry_budget {
     double ratio = 0; ///< Additional sends per call.
     double slack = 0; ///< Additional sends on top of the ratio, per window of the fleet's budget.
+
+    /// @param entry_count number of entries that share the budget.
+    /// @return the most additional sends that one entry can make at once.
+    [[nodiscard]] double capacity_per_entry(std::size_t entry_count) const;
 };
 
 /// Finds the route of a request by its host and the longest matching path prefix.
--- a/src/cornelpier/validation/json_validator.cpp
+++ b/src/cornelpier/validation/json_validator.cpp
@@ -19,9 +19,6 @@
 
 using nlohmann::json;
 
-/// Checking stops after this many errors, which bounds the length of the report.
-constexpr std::size_t max_errors = 50;
-
 std::string escaped(std::string_view key) {
     std::string result;
     for (const char it : key) {
@@ -118,7 +115,8 @@
            description.starts_with("Object contains a property that could not be validated");
 }
 
-void add_schema_errors(const json& document, const json& schema_document, std::vector<error>& errors) {
+void add_schema_errors(const json& document, const json& schema_document, std::size_t max_errors,
+                       std::vector<error>& errors) {
     valijson::Schema schema;
     valijson::SchemaParser parser;
     parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(schema_document), schema);
@@ -140,11 +138,11 @@
     }
 }
 
-void add_unknown_keys(const json& value, const json& schema, const std::string& place,
+void add_unknown_keys(const json& value, const json& schema, const std::string& place, std::size_t max_errors,
                       std::vector<error>& errors);
 
 void add_unknown_keys_of_object(const json& value, const json& properties, const std::string& place,
-                                std::vector<error>& errors) {
+                                std::size_t max_errors, std::vector<error>& errors) {
     std::vector<std::string> known;
     for (const auto& it : properties.items()) {
         known.push_back(it.key());
@@ -156,25 +154,25 @@
         }
         const std::string member_place = place + "/" + escaped(key);
         if (properties.contains(key)) {
-            add_unknown_keys(member, properties.at(key), member_place, errors);
+            add_unknown_keys(member, properties.at(key), member_place, max_errors, errors);
         } else {
-            errors.push_back(
-                {member_place, "unknown key; the nearest known key is " + nearest_word(key, known)});
+            errors.push_back({member_place, std::string{unknown_key_reason} + "; the nearest known key is " +
+                                                nearest_word(key, known)});
         }
     }
 }
 
-void add_unknown_keys(const json& value, const json& schema, const std::string& place,
+void add_unknown_keys(const json& value, const json& schema, const std::string& place, std::size_t max_errors,
                       std::vector<error>& errors) {
     if (value.is_object() && schema.contains("properties")) {
-        add_unknown_keys_of_object(value, schema.at("properties"), place, errors);
+        add_unknown_keys_of_object(value, schema.at("properties"), place, max_errors, errors);
         return;
     }
     if (!value.is_array() || !schema.contains("items")) {
         return;
     }
     for (std::size_t n = 0; n < value.size(); ++n) {
-        add_unknown_keys(value[n], schema.at("items"), place + "/" + std::to_string(n), errors);
+        add_unknown_keys(value[n], schema.at("items"), place + "/" + std::to_string(n), max_errors, errors);
     }
 }
 
@@ -210,11 +208,11 @@
     return json::parse(text, nullptr, false);
 }
 
-std::vector<error> validate_json(const json& document, std::string_view schema_text) {
+std::vector<error> validate_json(const json& document, std::string_view schema_text, std::size_t max_errors) {
     const json schema = json::parse(schema_text);
     std::vector<error> errors;
-    add_unknown_keys(document, schema, "", errors);
-    add_schema_errors(document, schema, errors);
+    add_unknown_keys(document, schema, "", max_errors, errors);
+    add_schema_errors(document, schema, max_errors, errors);
     return errors;
 }
 
--- a/src/daemon/caller/request_validation.cpp
+++ b/src/daemon/caller/request_validation.cpp
@@ -1,5 +1,7 @@
 #include "daemon/caller/request_validation.hpp"
 
+#include "cornelpier/validation/request_syntax.hpp"
+
 #include "daemon/net/hop_by_hop.hpp"
 
 #include <algorithm>
@@ -52,9 +54,7 @@
     if (path.empty() || path.front() != '/') {
         return bad_request("the request target is not in origin form");
     }
-    const bool all_allowed =
-        std::ranges::all_of(path, [](char c) { return c > ' ' && c < '\x7f' && c != '#' && c != '\\'; });
-    return all_allowed ? std::nullopt : bad_request("the request target has forbidden characters");
+    return is_target_prefix(path) ? std::nullopt : bad_request("the request target has forbidden characters");
 }
 
 /// Removes a field from the request.
@@ -90,10 +90,7 @@
 
     const std::string_view name = std::string_view{*host}.substr(0, host->rfind(':'));
     const std::string label = to_lower_case(name.substr(0, name.find('.')));
-    const bool all_allowed = std::ranges::all_of(label, [](char c) {
-        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
-    });
-    if (label.empty() || !all_allowed) {
+    if (!is_host_label(label)) {
         return bad_request("malformed Host");
     }
     result.service = service_id{label};
