--- a/tests/plan_check/difference_test.cpp
+++ b/tests/plan_check/difference_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -41,9 +43,9 @@
 
 std::vector<std::string> lines_of(const std::vector<plan_change>& changes) {
     std::vector<std::string> lines;
-    for (const auto& it : changes) {
-        lines.push_back(std::string{to_string(it.kind)} + ' ' + it.entry + ' ' + it.name);
-    }
+    std::ranges::transform(changes, std::back_inserter(lines), [](const plan_change& it) {
+        return std::string{to_string(it.kind)} + ' ' + it.entry + ' ' + it.name;
+    });
     return lines;
 }
 
