--- a/src/cornelpier/plan/plan_parser.cpp
+++ b/src/cornelpier/plan/plan_parser.cpp
@@ -7,9 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <chrono>
-#include <iterator>
 #include <optional>
 #include <string>
 #include <unordered_set>
@@ -183,7 +181,8 @@
     const auto& document = std::get<json>(parsed);
     reading.errors = validate_json(document, plan_schema(), max_errors);
     read_document(document, reading);
-    std::ranges::move(plan_validator{}.check(reading), std::back_inserter(reading.errors));
+    const auto further_errors = plan_validator{}.check(reading);
+    reading.errors.insert(reading.errors.end(), further_errors.begin(), further_errors.end());
     reading.content.sheet = sheet;
     reading.content.content_hash = stable_hash(sheet);
     return reading;
