--- a/tests/daemon/invalid_status_test.cpp
+++ b/tests/daemon/invalid_status_test.cpp
@@ -138,7 +138,7 @@
 // A faulty server responded with status 000, and the caller received it. An order that such a server may have
 // run must not appear as completed, and must not wait for its timeout either.
 TEST_CASE("a response with an invalid status ends the run at once as incomplete",
-          "[server][invalid-status]") {
+          "[server][invalid-status][field-reports]") {
     for (const auto& names : {wire_names{}, adapter_names()}) {
         for (const std::string method : {"GET", "POST", "HEAD"}) {
             for (const auto& status : test::invalid_statuses) {
@@ -155,7 +155,7 @@
     }
 }
 
-TEST_CASE("a refusal with an invalid status proves nothing", "[server][invalid-status]") {
+TEST_CASE("a refusal with an invalid status proves nothing", "[server][invalid-status][field-reports]") {
     for (const auto& status : test::invalid_statuses) {
         INFO(status);
         client_fixture client("HTTP/1.1 " + status + " Odd\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
@@ -164,7 +164,7 @@
     }
 }
 
-TEST_CASE("a health report with an invalid status is no report", "[server][invalid-status]") {
+TEST_CASE("a health report with an invalid status is no report", "[server][invalid-status][field-reports]") {
     for (const auto& names : {wire_names{}, adapter_names()}) {
         for (const auto& status : test::invalid_statuses) {
             for (const auto& it : test::make_invalid_responses(status, valid_report)) {
@@ -179,7 +179,7 @@
 }
 
 TEST_CASE("the first and last statuses of the valid range and interim responses are accepted",
-          "[server][invalid-status]") {
+          "[server][invalid-status][field-reports]") {
     for (const std::string status : {"200", "299", "404", "599"}) {
         INFO(status);
         client_fixture client("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok", {});
@@ -199,7 +199,7 @@
     CHECK(outcome_text(valid_for_adapter.read_report()) == "healthy report");
 }
 
-TEST_CASE("a GET that gets an invalid status gets no response", "[store][invalid-status]") {
+TEST_CASE("a GET that gets an invalid status gets no response", "[store][invalid-status][field-reports]") {
     for (const auto& status : test::invalid_statuses) {
         for (const auto& it : test::make_invalid_responses(status, valid_response)) {
             INFO(it.name);
@@ -208,7 +208,7 @@
     }
 }
 
-TEST_CASE("no caller receives an invalid status", "[caller][invalid-status]") {
+TEST_CASE("no caller receives an invalid status", "[caller][invalid-status][field-reports]") {
     const auto written_status = [](int status) {
         answer_caller answer;
         answer.response.status = status;
--- a/tests/platform/invalid_status_test.cpp
+++ b/tests/platform/invalid_status_test.cpp
@@ -66,7 +66,7 @@
 
 // A faulty store or a proxy before it may respond with a status that no response has. Nothing may be derived
 // from such a response, and a watch must not wait for its timeout of 11 s.
-TEST_CASE("a call of the store that gets an invalid status fails", "[store][invalid-status]") {
+TEST_CASE("a call of the store that gets an invalid status fails", "[store][invalid-status][field-reports]") {
     for (const auto& status : test::invalid_statuses) {
         for (const auto& it : test::make_invalid_responses(status, valid_page)) {
             INFO("list " << it.name);
@@ -79,7 +79,7 @@
     }
 }
 
-TEST_CASE("valid responses of the store are read", "[store][invalid-status]") {
+TEST_CASE("valid responses of the store are read", "[store][invalid-status][field-reports]") {
     CHECK(store_fixture(valid_page).list() == "valid");
     CHECK(store_fixture(valid_changes).watch() == "valid");
 }
