--- a/src/cornelpier/entry/call_driver.hpp
+++ b/src/cornelpier/entry/call_driver.hpp
@@ -7,6 +7,7 @@
 #include "cornelpier/entry/probe_scheduler.hpp"
 #include "cornelpier/entry/quarantine_gate.hpp"
 #include "cornelpier/entry/service_table.hpp"
+#include "cornelpier/entry/spill_controller.hpp"
 #include "cornelpier/entry/target_selector.hpp"
 #include "cornelpier/entry/traffic_splitter.hpp"
 
@@ -24,6 +25,7 @@
     probe_scheduler& probes;
     health_reporter& health;
     quarantine_gate& quarantine;
+    spill_controller& spill;
 };
 
 /// Drives each call from its arrival to exactly one final answer: decides which attempts are made and when
@@ -70,6 +72,7 @@
     bool try_consume_retry(call_state& call);
     void log_retry_budget_exhausted(const service_id& service, service_state& state);
     void record_result(call_state& call, const attempt_state& attempt, const attempt_result& result);
+    void exclude_data_centre(call_state& call, const data_centre_id& data_centre) const;
     void schedule_hedge(call_state& call, service_state& service);
     void on_hedge_due(const request_id& request);
     void on_deadline(const request_id& request);
--- a/src/cornelpier/entry/service_table.cpp
+++ b/src/cornelpier/entry/service_table.cpp
@@ -45,7 +45,8 @@
                                 current_plan.retry_budget->capacity_per_entry(m_subset_entries.size()));
     }
     const auto& identity = m_context.identity;
-    for (const auto i : choose_subset(service, m_subset_entries, identity.self, identity.data_centre)) {
+    for (const auto i : choose_subset(service, m_subset_entries, identity.self, identity.data_centre,
+                                      current_plan.evacuated_data_centres)) {
         state.subset.push_back(service.targets[i].id);
         state.data_centres.push_back(service.targets[i].data_centre);
         state.addresses.push_back(service.targets[i].node_address);
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -106,6 +106,7 @@
     visit(it.objective);
     visit(it.rate_limit);
     visit(it.confined);
+    visit(it.spilled);
 }
 
 template <typename Message, typename Visitor>
@@ -238,7 +239,7 @@
 }
 
 constexpr refusal max_enumerator(refusal /*tag*/) {
-    return refusal::suspected;
+    return refusal::evacuated;
 }
 
 constexpr update_evidence max_enumerator(update_evidence /*tag*/) {
--- a/src/cornelpier/message/traffic_messages.hpp
+++ b/src/cornelpier/message/traffic_messages.hpp
@@ -103,6 +103,7 @@
     /// it until the server's first response.
     std::optional<rate> rate_limit;
     bool confined = false; ///< The entry chose the target knowing that the request is suspected.
+    bool spilled = false;  ///< The entry's data centre is far away and has usable targets of its own.
 };
 
 /// Reason for which an owner refused a run.
@@ -126,6 +127,7 @@
     rate_limited, ///< The server's rate limit does not allow the run to start in time.
     quarantined,  ///< Requests like this one ended servers.
     suspected,    ///< Requests like this one may have ended a server; the entry did not know that.
+    evacuated,    ///< The data centre is evacuated; the entry did not know that.
 };
 
 /// Final result of an attempt, sent by the owner.
--- a/src/cornelpier/node/traffic_core.hpp
+++ b/src/cornelpier/node/traffic_core.hpp
@@ -19,7 +19,8 @@
     std::size_t runs_at_server = 0;
     std::size_t runs_queued = 0;
     std::uint32_t concurrency_limit = 0;
-    std::optional<rate> server_rate_limit; ///< Named by the server; unset: no limit.
+    std::optional<rate> server_rate_limit; ///< Named by the server or for its warm-up; unset: no limit.
+    duration warm_up_remaining{};          ///< Zero: the server is warm or its service has no warm-up rate.
     duration service_time{};
     std::size_t ledger_records = 0;
     std::size_t open_links = 0;
@@ -27,6 +28,7 @@
     std::uint64_t server_crashes = 0;   ///< Ends of the server with runs in progress.
     std::size_t suspected_requests = 0; ///< Known to the owner, with those in quarantine.
     std::size_t quarantined_requests = 0;
+    std::size_t evacuated_data_centres = 0; ///< In force at this node.
 };
 
 /// Entry and owner of one node. Performs no I/O: it consumes events and emits actions. Not thread-safe; calls
--- a/src/cornelpier/owner/fresh_report_gate.hpp
+++ b/src/cornelpier/owner/fresh_report_gate.hpp
@@ -9,8 +9,9 @@
 
 namespace cornelpier {
 
-/// Delays the admission of runs until the server has reported its current slowness, which takes about a
-/// millisecond. Without this, a slowdown that begins between two responses of the server would go unnoticed.
+/// Delays the admission of runs until the server has reported its current slowness and whether it is cold,
+/// which takes about a millisecond. Without this, a slowdown that begins between two responses of the server
+/// would go unnoticed, and so would a server that has turned cold.
 class fresh_report_gate {
   public:
     /// Time after which a run is passed on without a fresh report.
@@ -39,6 +40,9 @@
     /// the waiting runs are passed on at once.
     void request_report();
 
+    /// Passes on the waiting runs at once.
+    void forward_waiting();
+
   private:
     struct waiting_run {
         link_id link;
@@ -46,8 +50,6 @@
         time_point arrived_at;
     };
 
-    void forward_waiting();
-
     owner_state& m_state;
     run_admission& m_admission;
     measurement_scheduler& m_measurements;
--- a/src/cornelpier/owner/owner_manager.cpp
+++ b/src/cornelpier/owner/owner_manager.cpp
@@ -3,12 +3,14 @@
 #include "cornelpier/owner/advice_monitor.hpp"
 #include "cornelpier/owner/crash_monitor.hpp"
 #include "cornelpier/owner/drain_controller.hpp"
+#include "cornelpier/owner/evacuation_monitor.hpp"
 #include "cornelpier/owner/fate_responder.hpp"
 #include "cornelpier/owner/fresh_report_gate.hpp"
 #include "cornelpier/owner/measurement_scheduler.hpp"
 #include "cornelpier/owner/owner_state.hpp"
 #include "cornelpier/owner/run_admission.hpp"
 #include "cornelpier/owner/run_executor.hpp"
+#include "cornelpier/owner/warm_up_monitor.hpp"
 
 #include <utility>
 #include <variant>
@@ -24,6 +26,7 @@
 constexpr duration trial_run_interval = std::chrono::seconds{10};
 
 constexpr int first_server_error_status = 500;
+constexpr int status_misdirected_request = 421;
 
 /// Poll interval while runs wait for a slowdown to end. Slowdowns last some hundred milliseconds.
 constexpr duration deferred_poll_period = std::chrono::milliseconds{25};
@@ -35,11 +38,13 @@
   public:
     implementation(const node_identity& identity, timer_service& timers, random_source random,
                    const owner_options& options)
-        : m_state(identity, timers, random), m_advice(m_state), m_drain(m_state, options.drain_timeout),
-          m_executor(m_state, m_drain), m_crashes(m_state, m_executor), m_admission(m_state, m_executor),
-          m_fates(m_state), m_measurements(m_state), m_gate(m_state, m_admission, m_measurements),
-          m_drain_delay(options.drain_delay) {
+        : m_state(identity, timers, random), m_advice(m_state), m_warm_up(m_state),
+          m_drain(m_state, options.drain_timeout), m_executor(m_state, m_drain),
+          m_crashes(m_state, m_executor), m_admission(m_state, m_executor), m_fates(m_state),
+          m_measurements(m_state), m_gate(m_state, m_admission, m_measurements),
+          m_evacuations(m_state.outbox, m_state.view), m_drain_delay(options.drain_delay) {
         m_state.load.set_adaptive(options.adaptive_limit);
+        m_warm_up.set_handlers([this] { on_warm_up_changed(); }, [this] { m_gate.request_report(); });
     }
 
     void on_message(link_id link, const traffic_message& message) {
@@ -64,7 +69,7 @@
             m_state.load.configure(slots, service->deadline);
             m_state.queue.set_capacity(max_queued_per_slot * slots);
         }
-        m_state.placement.update(service, m_state.now());
+        m_state.placement.update(service, m_state.now(), view->current_plan->evacuated_data_centres);
         const rate measuring_rate = service != nullptr ? service->measuring : rate{};
         m_measurements.set_rate(measuring_rate);
         // Without reports, only a run can tell that the server accepts more requests again.
@@ -74,10 +79,16 @@
             // Without reports nothing could remove this cause again.
             set_report_draining(false);
         }
+        m_warm_up.on_view();
         m_drain.on_view();
         // A server may also leave without being reported as leaving; the plan then no longer lists it.
         if (service == nullptr || m_state.lifecycle.has_cause(drain_cause::vm_leaving)) {
-            m_executor.refuse_queued();
+            m_executor.refuse_queued(refusal::draining);
+        }
+        m_evacuations.on_view();
+        if (m_state.is_evacuated()) {
+            m_gate.forward_waiting();
+            m_executor.refuse_queued(refusal::evacuated);
         }
         m_executor.start_queued();
     }
@@ -101,17 +112,20 @@
         snapshot.runs_at_server = m_state.runs.at_server();
         snapshot.runs_queued = m_state.queue.size();
         snapshot.concurrency_limit = m_state.load.limit();
-        snapshot.server_rate_limit = m_state.pacer.limit();
+        snapshot.server_rate_limit = m_state.pacer.rate_in_force(m_state.now());
+        snapshot.warm_up_remaining = m_state.warm_up.remaining(m_state.now());
         snapshot.service_time = m_state.load.current_service_time(load);
         snapshot.server_crashes = m_crashes.count();
         snapshot.suspected_requests = m_state.suspects.size();
         snapshot.quarantined_requests = m_state.suspects.quarantined(m_state.now());
+        snapshot.evacuated_data_centres = m_evacuations.count();
         snapshot.ledger_records = m_state.ledger.size();
         snapshot.measurements_last_second = static_cast<double>(m_measurements.taken_last_second());
     }
 
     owner_state m_state;
     advice_monitor m_advice;
+    warm_up_monitor m_warm_up;
     drain_controller m_drain;
     run_executor m_executor;
     crash_monitor m_crashes;
@@ -119,6 +133,7 @@
     fate_responder m_fates;
     measurement_scheduler m_measurements;
     fresh_report_gate m_gate;
+    evacuation_monitor m_evacuations;
     bool m_report_draining = false; ///< The server's last report says that it drains.
     scoped_timer m_report_poll_timer;
     scoped_timer m_drain_timer;
@@ -151,6 +166,14 @@
         update_server_drain();
     }
 
+    /// Keeps the report fresh while queued runs start: each start may be one too many for a server that has
+    /// just turned cold.
+    void refresh_report() {
+        if (!m_state.queue.empty() && m_state.warm_up.needs_report(m_state.now())) {
+            m_gate.request_report();
+        }
+    }
+
     /// Polls the server's report while runs wait for a slowdown to end, because nothing else reports its end.
     void poll_while_deferring() {
         if (!m_executor.is_deferring()) {
@@ -164,12 +187,19 @@
     }
 
   private:
+    /// The entries choose other targets while the server is cold, and return when it is warm.
+    void on_warm_up_changed() {
+        m_executor.refuse_unservable();
+        m_executor.start_queued();
+        m_state.outbox.broadcast(m_state.make_reading());
+    }
+
     void update_server_drain() {
         const bool was_serving = m_state.lifecycle.state() == node_state::serving;
         m_drain.on_server_draining(m_report_draining || m_state.server_leaving);
         // The queued runs might start only when the server must not get any more.
         if (was_serving && m_state.server_leaving) {
-            m_executor.refuse_queued();
+            m_executor.refuse_queued(refusal::draining);
         }
     }
 
@@ -240,11 +270,19 @@
     m_implementation->note_success(event);
     m_implementation->update_slowness(event.load);
     m_implementation->apply_advice(event.advice, advice_source::run);
+    if (event.response.status == status_misdirected_request) {
+        m_implementation->m_warm_up.on_misdirected();
+    }
     m_implementation->m_executor.on_answered(event);
+    m_implementation->refresh_report();
     m_implementation->poll_while_deferring();
 }
 
 void owner_manager::on_server_failed(const server_failed& event) {
+    // First, so that no queued run starts at full speed at the process that may replace the server.
+    if (event.kind != server_failure::response_incomplete) {
+        m_implementation->m_warm_up.on_server_ended();
+    }
     if (event.kind == server_failure::connection_lost) {
         m_implementation->m_crashes.on_connection_lost(event.run);
         return;
@@ -257,6 +295,7 @@
     m_implementation->set_report_draining(event.draining);
     m_implementation->update_slowness(event.load);
     m_implementation->m_advice.on_instance(event.instance);
+    m_implementation->m_warm_up.on_report(event);
     m_implementation->apply_advice(event.advice, advice_source::report);
     m_implementation->m_gate.on_report();
     m_implementation->m_executor.start_queued();
@@ -265,6 +304,7 @@
 
 void owner_manager::on_server_report_failed() {
     // A report that cannot be read says nothing about the server's state, so the drain causes stay.
+    m_implementation->m_warm_up.on_report_failed();
     m_implementation->m_gate.on_report();
 }
 
--- a/src/cornelpier/owner/owner_state.cpp
+++ b/src/cornelpier/owner/owner_state.cpp
@@ -26,11 +26,15 @@
 
 owner_state::owner_state(const node_identity& node, timer_service& timer, random_source generator)
     : identity(node), timers(timer), random(generator), outbox(timer, node.service), permits(node.process),
-      placement(node.self, timer.now()), started_at(timer.now()) {}
+      placement(node.self, timer.now()), warm_up(timer.now()), started_at(timer.now()) {}
 
 void owner_state::set_view(shared_fleet_view next) {
     view = std::move(next);
-    m_service = view->current_plan->service_of(identity.self);
+    const plan& current_plan = *view->current_plan;
+    m_service = current_plan.service_of(identity.self);
+    const target_plan* own = current_plan.find_target(identity.self);
+    m_is_evacuated = current_plan.is_evacuated(identity.data_centre) ||
+                     (own != nullptr && current_plan.is_evacuated(own->data_centre));
 }
 
 std::uint32_t owner_state::slots() const {
@@ -57,7 +61,7 @@
         result.expected_wait = std::max(expected_start_wait(queue.size()), load.failure_penalty(now()));
     }
     result.expected_wait = std::max(result.expected_wait, pacer.wait(queue.size(), now()));
-    result.rate_limit = pacer.limit();
+    result.rate_limit = pacer.rate_in_force(now());
     result.server_leaving = server_leaving;
     result.advice_known = advice_known;
     return result;
@@ -69,6 +73,14 @@
                                              : contention.best_limit(load.limit()));
 }
 
+/// By Little's law.
+double owner_state::usual_concurrency() const {
+    const duration service_time = route_work.mean() > duration::zero()
+                                      ? route_work.mean()
+                                      : load.current_service_time(runs.load(now()));
+    return class_rates.total(now()).per_second * to_seconds(service_time);
+}
+
 duration owner_state::expected_start_wait(std::size_t ahead) const {
     const duration slot_wait =
         expected_slot_wait(runs.remaining_service_times(now()), effective_limit(), ahead, route_work.mean());
@@ -77,7 +89,7 @@
 
 duration owner_state::expected_pace_wait(request_class priority, std::size_t ahead) const {
     const duration wait = pacer.wait(ahead, now());
-    const auto limit = pacer.limit();
+    const auto limit = pacer.rate_in_force(now());
     if (wait == duration::zero() || !limit || limit->per_second <= 0) {
         return wait;
     }
@@ -103,16 +115,30 @@
     return base + from_seconds(random.unit() * spread);
 }
 
+void owner_state::record_start() {
+    pacer.on_start(now());
+    warm_up.on_start();
+    if (warm_up.is_cold(now()) && !pacer.is_cold(now())) {
+        pacer.set_cold_until(time_point::max(), now());
+    }
+}
+
 void owner_state::send_answer(link_id link, run_response message) {
     if (message.outcome == verdict::not_run) {
         outbox.log(event_number::run_refused, {{"reason", std::string{refusal_name(message.reason)}}});
         outbox.increment(metric::run_refused);
         if (message.reason == refusal::rate_limited) {
             outbox.increment(metric::run_rate_limited);
+            if (pacer.is_cold(now())) {
+                outbox.increment(metric::run_refused_cold);
+            }
         }
         if (message.reason == refusal::quarantined) {
             outbox.increment(metric::run_quarantined);
         }
+        if (message.reason == refusal::evacuated) {
+            outbox.increment(metric::run_evacuated);
+        }
     }
     message.load = make_reading();
     outbox.send(link, std::move(message));
--- a/src/cornelpier/owner/owner_state.hpp
+++ b/src/cornelpier/owner/owner_state.hpp
@@ -8,6 +8,7 @@
 #include "cornelpier/admission/route_work_table.hpp"
 #include "cornelpier/admission/run_pacer.hpp"
 #include "cornelpier/admission/slowness_meter.hpp"
+#include "cornelpier/admission/warm_up_limiter.hpp"
 #include "cornelpier/base/random_source.hpp"
 #include "cornelpier/drain/node_state_machine.hpp"
 #include "cornelpier/execution/attempt_ledger.hpp"
@@ -41,6 +42,9 @@
     /// @return concurrent requests that this target's server can process. `service()` must not be null.
     [[nodiscard]] std::uint32_t slots() const;
 
+    /// @return whether this target's data centre is evacuated, so that the server gets no new work.
+    [[nodiscard]] bool is_evacuated() const { return m_is_evacuated; }
+
     /// Sets the fleet view that came into force.
     void set_view(shared_fleet_view next);
 
@@ -54,6 +58,9 @@
     /// between runs would reduce throughput.
     [[nodiscard]] std::uint32_t effective_limit() const;
 
+    /// @return average number of runs at the server over the last seconds.
+    [[nodiscard]] double usual_concurrency() const;
+
     /// @param ahead number of queued runs that start first.
     /// @return expected time until a new run with a route gets a slot and the server's rate limit allows it.
     [[nodiscard]] duration expected_start_wait(std::size_t ahead) const;
@@ -69,6 +76,9 @@
     /// calls of longer runs at other servers, whose work is lost if the nested call fails.
     [[nodiscard]] bool is_short_service_time(duration expected) const;
 
+    /// Counts the start of a run for the pace and for the proof that the server is warm.
+    void record_start();
+
     /// Sends an answer with a current load reading. Logs and counts refusals.
     void send_answer(link_id link, run_response message);
 
@@ -80,21 +90,22 @@
     shared_fleet_view view; ///< Null before the first one; changed by `set_view`.
     owner_outbox outbox;
     permit_issuer permits;
-    attempt_ledger ledger;                   ///< run_admission, run_executor, fate_responder.
-    key_ledger keys;                         ///< run_admission, run_executor.
-    key_placement placement;                 ///< owner_manager.
-    run_table runs;                          ///< run_executor.
-    admission_queue queue;                   ///< owner_manager, run_executor.
-    load_meter load;                         ///< owner_manager, run_executor.
-    route_work_table route_work;             ///< run_executor.
-    contention_meter contention;             ///< run_executor.
-    on_time_reserve reserve;                 ///< run_executor.
-    slowness_meter slowness;                 ///< owner_manager, run_executor.
-    class_rate_meter class_rates;            ///< run_executor.
-    suspect_table suspects;                  ///< crash_monitor, run_admission.
-    run_pacer pacer;                         ///< owner_manager, advice_monitor, run_executor.
-    node_state_machine lifecycle;            ///< drain_controller.
-    time_point started_at;                   ///< Start of the process.
+    attempt_ledger ledger;        ///< run_admission, run_executor, fate_responder.
+    key_ledger keys;              ///< run_admission, run_executor.
+    key_placement placement;      ///< owner_manager.
+    run_table runs;               ///< run_executor.
+    admission_queue queue;        ///< owner_manager, run_executor.
+    load_meter load;              ///< owner_manager, run_executor.
+    route_work_table route_work;  ///< run_executor.
+    contention_meter contention;  ///< run_executor.
+    on_time_reserve reserve;      ///< run_executor.
+    slowness_meter slowness;      ///< owner_manager, run_executor.
+    class_rate_meter class_rates; ///< run_executor.
+    suspect_table suspects;       ///< crash_monitor, run_admission.
+    run_pacer pacer;              ///< owner_manager, advice_monitor, warm_up_monitor, run_executor.
+    warm_up_limiter warm_up;      ///< warm_up_monitor, measurement_scheduler; `record_start`.
+    node_state_machine lifecycle; ///< drain_controller.
+    time_point started_at;        ///< Start of the process.
     std::optional<time_point> serving_since; ///< Unset unless serving with the server up; drain_controller.
     std::string server_instance; ///< Process last reported by the server; empty: unknown. run_executor.
     /// The server's advice is known: it gave some, gave none in a response to a run, or has just replaced
@@ -106,6 +117,7 @@
 
   private:
     const service_plan* m_service = nullptr;
+    bool m_is_evacuated = false;
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/owner/run_admission.cpp
+++ b/src/cornelpier/owner/run_admission.cpp
@@ -1,6 +1,7 @@
 #include "cornelpier/owner/run_admission.hpp"
 
 #include "cornelpier/admission/queueing_limit.hpp"
+#include "cornelpier/admission/spill_reserve.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -134,6 +135,9 @@
     if (m_state.lifecycle.state() != node_state::serving) {
         return refusal::draining;
     }
+    if (m_state.is_evacuated()) {
+        return refusal::evacuated;
+    }
     const service_plan* service = m_state.service();
     // The plan may still list another service's server that had this address before.
     const bool is_own = message.service == m_state.identity.service;
@@ -159,6 +163,11 @@
     if (left <= duration::zero()) {
         return refusal::deadline;
     }
+    if (message.spilled &&
+        !has_room_for_spilled_run(m_state.runs.at_server(), m_state.queue.size(), m_state.effective_limit(),
+                                  m_state.usual_concurrency())) {
+        return refusal::wait_limit;
+    }
     if (!message.route.empty()) {
         return check_route_load(message, left);
     }
@@ -246,6 +255,9 @@
     } else if (has_retry_after(reason)) {
         retry_after = message.route.empty() ? m_state.jittered_retry_after()
                                             : m_state.expected_start_wait(m_state.queue.size());
+        if (reason == refusal::rate_limited && m_state.pacer.is_cold(m_state.now())) {
+            retry_after = std::max(retry_after, m_state.pacer.wait(m_state.queue.size(), m_state.now()));
+        }
     }
     m_state.send_answer(link, make_answer(message, verdict::not_run, reason, retry_after));
 }
--- a/src/cornelpier/plan/plan.hpp
+++ b/src/cornelpier/plan/plan.hpp
@@ -4,6 +4,7 @@
 #include "cornelpier/base/units.hpp"
 #include "cornelpier/message/http_fields.hpp"
 #include "cornelpier/plan/route.hpp"
+#include "cornelpier/plan/warm_up_plan.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -18,6 +19,9 @@
 /// Size limit of a plan sheet in bytes; larger sheets are refused.
 inline constexpr std::size_t max_plan_bytes = 1'000'000;
 
+/// Maximum number of data centres that are evacuated at a time.
+inline constexpr std::size_t max_evacuated_data_centres = 64;
+
 /// Classifies requests by method and path.
 struct request_rule {
     std::string method;      ///< HTTP method; `*` matches any.
@@ -55,6 +59,8 @@
     std::vector<request_rule> rules; ///< The first match applies; default: not idempotent, class `order`.
     std::vector<target_plan> targets;
     std::string report_path; ///< Path of the servers' own report; empty: the path from the settings.
+    std::optional<warm_up_plan> warm_up =
+        std::nullopt; ///< Unset: cold servers get as many requests as others.
 
     /// @return the first rule that matches, or nullptr.
     [[nodiscard]] const request_rule* match(std::string_view method, std::string_view path) const;
@@ -71,6 +77,8 @@
     std::shared_ptr<const route_table> routes = nullptr;
     std::optional<caller_limits> limits = std::nullopt;            ///< Unset: the node's own limits apply.
     std::optional<fleet_retry_budget> retry_budget = std::nullopt; ///< Unset: each entry uses its own budget.
+    std::vector<data_centre_id> evacuated_data_centres =
+        {}; ///< Sorted, unique. Their servers get no new work.
 
     /// @param request must have a `host` field if the plan has routes.
     /// @return true if the request may run more than once.
@@ -84,6 +92,9 @@
 
     /// @return the target, or nullptr.
     [[nodiscard]] const target_plan* find_target(const target_id& id) const;
+
+    /// @return whether the servers of the data centre get no new work.
+    [[nodiscard]] bool is_evacuated(const data_centre_id& data_centre) const;
 };
 
 } // namespace cornelpier
--- a/src/cornelpier/plan/plan_parser.cpp
+++ b/src/cornelpier/plan/plan_parser.cpp
@@ -4,10 +4,13 @@
 #include "cornelpier/plan/plan_schema.hpp"
 #include "cornelpier/validation/ip_address.hpp"
 #include "cornelpier/validation/json_validator.hpp"
+#include "cornelpier/validation/nearest_word.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <unordered_set>
@@ -41,6 +44,12 @@
     return target;
 }
 
+std::optional<warm_up_plan> parse_warm_up(const json& item) {
+    const warm_up_plan result{std::chrono::milliseconds{item.value("warm_up_ms", std::int64_t{0})},
+                              rate{item.value("warm_up_rate_per_second", 0.0)}};
+    return result.limit.per_second > 0 ? std::optional{result} : std::nullopt;
+}
+
 service_plan parse_service(const json& item) {
     service_plan service;
     service.id = service_id{item.at("id").get<std::string>()};
@@ -51,6 +60,7 @@
     if (item.contains("deadline_ms")) {
         service.deadline = std::chrono::milliseconds{item.at("deadline_ms").get<std::int64_t>()};
     }
+    service.warm_up = parse_warm_up(item);
     if (item.contains("key_memory_s")) {
         service.key_memory = std::chrono::seconds{item.at("key_memory_s").get<std::int64_t>()};
     }
@@ -65,6 +75,22 @@
     return service;
 }
 
+std::vector<data_centre_id> parse_evacuated(const json& document) {
+    std::vector<data_centre_id> result;
+    const auto list = document.find("evacuated_data_centres");
+    if (list == document.end() || !list->is_array()) {
+        return result;
+    }
+    for (const auto& it : *list) {
+        if (it.is_string()) {
+            result.emplace_back(it.get<std::string>());
+        }
+    }
+    std::ranges::sort(result);
+    result.erase(std::unique(result.begin(), result.end()), result.end());
+    return result;
+}
+
 /// @return the service, or nothing if it breaks the schema.
 std::optional<service_plan> read_service(const json& item) {
     try {
@@ -115,6 +141,7 @@
         reading.content.deployment = deployment->get<std::string>();
     }
     read_services(document, reading);
+    reading.content.evacuated_data_centres = parse_evacuated(document);
 }
 
 /// Checks constraints that JSON Schema cannot express, such as uniqueness across services.
@@ -125,6 +152,10 @@
             check_service(reading.content.services[n],
                           "/services/" + std::to_string(reading.service_positions[n]));
         }
+        // The data centres of services that were left out are not known.
+        if (reading.errors.empty()) {
+            check_evacuated(reading.content);
+        }
         return std::move(m_errors);
     }
 
@@ -144,6 +175,7 @@
     }
 
     void check_target(const target_plan& target, const std::string& place) {
+        m_data_centres.insert(target.data_centre);
         if (!m_targets.insert(target.id).second) {
             add_error(place + "/id", "this target is listed twice; a target belongs to one service");
         }
@@ -157,6 +189,22 @@
         }
     }
 
+    /// A misspelt name would leave the data centre in use without notice.
+    void check_evacuated(const plan& checked) {
+        std::vector<std::string> known;
+        std::ranges::transform(m_data_centres, std::back_inserter(known),
+                               [](const data_centre_id& it) { return it.value(); });
+        std::ranges::sort(known);
+        for (const auto& it : checked.evacuated_data_centres) {
+            if (!m_data_centres.contains(it)) {
+                const std::string nearest = nearest_word(it.value(), known);
+                add_error("/evacuated_data_centres",
+                          "no target is in data centre " + it.value() +
+                              (nearest.empty() ? "" : "; the nearest known one is " + nearest));
+            }
+        }
+    }
+
     void add_error(std::string place, std::string reason) {
         m_errors.push_back({std::move(place), std::move(reason)});
     }
@@ -164,6 +212,7 @@
     std::vector<error> m_errors;
     std::unordered_set<service_id> m_services;
     std::unordered_set<target_id> m_targets;
+    std::unordered_set<data_centre_id> m_data_centres;
     std::unordered_set<std::string> m_addresses;
 };
 
--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -33,12 +33,13 @@
 };
 
 std::string_view counter_name(metric kind) {
-    constexpr std::array<std::string_view, 11> names{"call_latency",      "retries",
+    constexpr std::array<std::string_view, 14> names{"call_latency",      "retries",
                                                      "rechoices",         "hedges",
                                                      "runs_refused",      "measurements",
                                                      "answers_discarded", "runs_started",
                                                      "runs_rate_limited", "quarantine_rejections",
-                                                     "server_crashes"};
+                                                     "server_crashes",    "calls_spilled",
+                                                     "runs_evacuated",    "runs_refused_cold"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -133,14 +134,19 @@
         write_gauge(out, "runs_queued", "Requests that wait at the owner.",
                     static_cast<double>(traffic.runs_queued));
         write_gauge(out, "concurrency_limit", "Requests allowed at the server.", traffic.concurrency_limit);
-        write_gauge(out, "server_rate_limit", "Requests per second that the server accepts; +Inf: no limit.",
+        write_gauge(out, "server_rate_limit",
+                    "Requests per second that the server accepts now; +Inf: no limit.",
                     traffic.server_rate_limit ? traffic.server_rate_limit->per_second
                                               : std::numeric_limits<double>::infinity());
+        write_gauge(out, "server_warm_up_seconds", "Remaining warm-up of the server; 0: warm.",
+                    to_seconds(traffic.warm_up_remaining));
         write_gauge(out, "suspected_requests",
                     "Requests that may have ended servers, with those in quarantine.",
                     static_cast<double>(traffic.suspected_requests));
         write_gauge(out, "quarantined_requests", "Requests that are not run because they end servers.",
                     static_cast<double>(traffic.quarantined_requests));
+        write_gauge(out, "evacuated_data_centres", "Data centres whose servers get no new requests.",
+                    static_cast<double>(traffic.evacuated_data_centres));
         write_gauge(out, "service_seconds", "Service time of the server now.",
                     to_seconds(traffic.service_time));
         write_gauge(out, "ledger_records", "Requests remembered.",
--- a/tests/platform/support/source_documents.hpp
+++ b/tests/platform/support/source_documents.hpp
@@ -12,11 +12,15 @@
 /// Data centre of all nodes.
 inline constexpr const char* test_data_centre = "z";
 
+/// Data centre without servers that the settings list.
+inline constexpr const char* spare_data_centre = "y";
+
 /// Service of all servers.
 inline constexpr const char* source_service = "status";
 
 /// @return the entry of a node's server in the store.
-std::string source_entry(const std::string& node, const std::string& state);
+std::string source_entry(const std::string& node, const std::string& state,
+                         const std::string& data_centre = test_data_centre);
 
 /// @return key of the entry of a node's server.
 std::string source_entry_key(const std::string& node);
@@ -24,6 +28,9 @@
 /// @return the operator's configuration with one service.
 std::string source_manifest(int version);
 
+/// @return the same with the warm-up rate of the service.
+std::string source_manifest(int version, double warm_up_rate);
+
 /// Port of the links between nodes.
 inline constexpr std::uint16_t source_node_port = 28124;
 
--- a/tests/platform/support/source_node.hpp
+++ b/tests/platform/support/source_node.hpp
@@ -7,8 +7,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace cornelpier::test {
 
@@ -32,12 +35,24 @@
     /// @return version of the plan that the source published last, 0 if there is none. Thread-safe.
     [[nodiscard]] std::uint64_t plan_version() const;
 
+    /// @return the evacuated data centres of the plan that the source published last. Thread-safe.
+    [[nodiscard]] std::vector<std::string> evacuated() const;
+
+    /// @return the number of events of this kind that the source logged. Thread-safe.
+    [[nodiscard]] std::size_t logged(event_number number) const;
+
+    /// @return the warm-up of the service in that plan; nothing if there is no plan or no limit. Thread-safe.
+    [[nodiscard]] std::optional<warm_up_plan> warm_up() const;
+
   private:
+    void record(const event_record& record);
+
     node_identity m_identity;
     std::string m_node_address;
     link_manager m_links;
     mutable std::mutex m_mutex;
     shared_fleet_view m_view;
+    std::map<event_number, std::size_t> m_logged;
     platform::store_fleet_source m_source;
 };
 
