Report evacuated services and warm-up rates above the slots

A plan sheet whose evacuations leave a service without a target, and a warm-up rate above what the slots can run in the shortest objective (plan sheet: the deadline), are warnings. Evacuations and warm-up values are part of the difference.

--- a/src/cornelpier/plan/entry_values.cpp
+++ b/src/cornelpier/plan/entry_values.cpp
@@ -52,6 +52,12 @@
     return normalized_host(it.host) + it.path_prefix;
 }
 
+std::string warm_up_text(const std::optional<warm_up_plan>& warm_up) {
+    return warm_up
+               ? time_text(warm_up->length) + " at " + number_text(warm_up->limit.per_second) + " a second"
+               : "none";
+}
+
 value_list values_of(const route& it) {
     return {
         {"service", services_text(it.weighted_services)}, {"idempotent", yes_or_no(it.idempotent)},
@@ -66,6 +72,7 @@
             {"slots", std::to_string(it.slots)},
             {"key_memory", time_text(it.key_memory)},
             {"refusal_statuses", statuses_text(it.refusal_statuses)},
+            {"warm_up", warm_up_text(it.warm_up)},
             {"report_path", it.report_path.empty() ? "default" : it.report_path}};
 }
 
--- a/src/cornelpier/plan/plan_check.hpp
+++ b/src/cornelpier/plan/plan_check.hpp
@@ -17,6 +17,8 @@
     std::size_t node_memory_bytes = std::size_t{256} * 1024 * 1024;
     /// Number of targets by service, for documents that do not list them.
     std::map<std::string, std::size_t> target_counts;
+    /// Slots of a server by service, for documents that do not list targets.
+    std::map<std::string, std::size_t> slots;
     /// Budget of the fleet; unset: unknown.
     std::optional<fleet_retry_budget> retry_budget;
 };
--- a/src/cornelpier/plan/plan_difference.cpp
+++ b/src/cornelpier/plan/plan_difference.cpp
@@ -45,6 +45,15 @@
     return limits ? std::vector<plan_entry>{{"limits", "", values_of(*limits)}} : std::vector<plan_entry>{};
 }
 
+std::vector<plan_entry> evacuation_entries(const plan_document& document) {
+    std::vector<plan_entry> entries;
+    std::ranges::transform(document.content.evacuated_data_centres, std::back_inserter(entries),
+                           [](const data_centre_id& it) {
+                               return plan_entry{it.value(), "", {{"evacuated", "yes"}}};
+                           });
+    return entries;
+}
+
 std::vector<plan_entry> rule_entries(const service_plan* service) {
     std::vector<plan_entry> entries;
     if (service == nullptr) {
@@ -160,6 +169,7 @@
     append_changes(changes, "service", service_entries(in_force), service_entries(candidate));
     append_rule_changes(changes, in_force.content, candidate.content);
     append_changes(changes, "target", target_entries(in_force), target_entries(candidate));
+    append_changes(changes, "evacuation", evacuation_entries(in_force), evacuation_entries(candidate));
     append_changes(changes, "limits", limit_entries(in_force), limit_entries(candidate));
     return changes;
 }
--- a/src/cornelpier/plan/plan_finding.cpp
+++ b/src/cornelpier/plan/plan_finding.cpp
@@ -38,6 +38,8 @@
     finding_entry{finding_kind::attempts_above_targets, "attempts-above-targets", finding_severity::warning},
     finding_entry{finding_kind::attempts_above_budget, "attempts-above-budget", finding_severity::warning},
     finding_entry{finding_kind::body_above_memory, "body-above-memory", finding_severity::warning},
+    finding_entry{finding_kind::evacuated_service, "evacuated-service", finding_severity::warning},
+    finding_entry{finding_kind::warm_up_above_slots, "warm-up-above-slots", finding_severity::warning},
 };
 
 const finding_entry& entry_of(finding_kind kind) {
--- a/src/cornelpier/plan/plan_finding.hpp
+++ b/src/cornelpier/plan/plan_finding.hpp
@@ -32,10 +32,12 @@
     attempts_above_targets,
     attempts_above_budget,
     body_above_memory,
+    evacuated_service,
+    warm_up_above_slots,
 };
 
 /// Number of kinds; values are below it.
-inline constexpr int finding_kind_count = static_cast<int>(finding_kind::body_above_memory) + 1;
+inline constexpr int finding_kind_count = static_cast<int>(finding_kind::warm_up_above_slots) + 1;
 
 /// Whether a plan with the finding may be sent.
 enum class finding_severity : std::uint8_t {
--- a/src/cornelpier/plan/service_check.cpp
+++ b/src/cornelpier/plan/service_check.cpp
@@ -41,6 +41,8 @@
         check_name(service, place);
         check_use(service, place);
         check_targets(service, place);
+        check_evacuation(service, place);
+        check_warm_up(service, place);
         check_rules(service, place);
     }
     return std::move(m_findings);
@@ -72,6 +74,45 @@
     }
 }
 
+void service_check::check_evacuation(const service_plan& service, const std::string& place) {
+    const bool is_evacuated =
+        !service.targets.empty() && std::ranges::all_of(service.targets, [&](const target_plan& it) {
+            return m_document.content.is_evacuated(it.data_centre);
+        });
+    if (is_evacuated) {
+        add(finding_kind::evacuated_service, place,
+            "all targets of service " + service.id.value() + " are in evacuated data centres");
+    }
+}
+
+void service_check::check_warm_up(const service_plan& service, const std::string& place) {
+    const auto slots = m_targets.slots(service.id);
+    const double seconds = to_seconds(shortest_time(service));
+    if (!service.warm_up || !slots || seconds <= 0) {
+        return;
+    }
+    const auto possible = static_cast<std::uint64_t>(static_cast<double>(*slots) / seconds);
+    if (service.warm_up->limit.per_second > static_cast<double>(*slots) / seconds) {
+        add(finding_kind::warm_up_above_slots, place,
+            "the warm-up rate is above what " + std::to_string(*slots) +
+                " slots can run: " + std::to_string(possible) + " requests a second if each takes " +
+                milliseconds_text(shortest_time(service)) + " ms");
+    }
+}
+
+duration service_check::shortest_time(const service_plan& service) const {
+    if (!m_document.is_routed) {
+        return service.deadline;
+    }
+    duration shortest{};
+    for (const auto& it : m_document.routes) {
+        if (names_service(it, service.id)) {
+            shortest = shortest == duration::zero() ? it.objective : std::min(shortest, it.objective);
+        }
+    }
+    return shortest;
+}
+
 void service_check::check_rules(const service_plan& service, const std::string& place) {
     for (std::size_t n = 0; n < service.rules.size(); ++n) {
         const std::string rule_place = place + "/rules/" + std::to_string(n);
--- a/src/cornelpier/plan/service_check.hpp
+++ b/src/cornelpier/plan/service_check.hpp
@@ -22,6 +22,10 @@
     void check_name(const service_plan& service, const std::string& place);
     void check_use(const service_plan& service, const std::string& place);
     void check_targets(const service_plan& service, const std::string& place);
+    void check_evacuation(const service_plan& service, const std::string& place);
+    void check_warm_up(const service_plan& service, const std::string& place);
+    /// @return the time in which the service's fastest requests should end.
+    [[nodiscard]] duration shortest_time(const service_plan& service) const;
     void check_rules(const service_plan& service, const std::string& place);
     void check_method(const request_rule& rule, const std::string& place);
     void check_prefix(const request_rule& rule, const std::string& place);
--- a/src/daemon/program/plan_check_program.cpp
+++ b/src/daemon/program/plan_check_program.cpp
@@ -43,6 +43,7 @@
     std::string address;
     std::string settings_path;
     std::vector<std::string> targets;
+    std::vector<std::string> slots;
     std::size_t memory_mb = fleet_facts{}.node_memory_bytes / bytes_per_mb;
     int limit_ms = 1000;
 };
@@ -75,7 +76,7 @@
 }
 
 /// @param text `SERVICE=COUNT`.
-std::optional<std::pair<std::string, std::size_t>> parse_target_count(const std::string& text) {
+std::optional<std::pair<std::string, std::size_t>> parse_count(const std::string& text) {
     const auto separator = text.rfind('=');
     if (separator == std::string::npos || separator == 0) {
         return std::nullopt;
@@ -90,12 +91,15 @@
 result<fleet_facts> gather_facts(const check_options& options, const plan_check_formats& formats) {
     fleet_facts facts;
     facts.node_memory_bytes = options.memory_mb * bytes_per_mb;
-    for (const auto& it : options.targets) {
-        const auto parsed = parse_target_count(it);
-        if (!parsed) {
-            return error{"--targets " + it, "expected SERVICE=COUNT"};
+    for (const auto& [values, counts] :
+         {std::pair{&options.targets, &facts.target_counts}, {&options.slots, &facts.slots}}) {
+        for (const auto& it : *values) {
+            const auto parsed = parse_count(it);
+            if (!parsed) {
+                return error{it, "expected SERVICE=COUNT"};
+            }
+            counts->insert_or_assign(parsed->first, parsed->second);
         }
-        facts.target_counts.insert_or_assign(parsed->first, parsed->second);
     }
     if (options.settings_path.empty()) {
         return facts;
@@ -209,6 +213,10 @@
                    "Number of targets of a service, for plans that do not list them; repeatable")
         ->type_name("SERVICE=COUNT")
         ->take_all();
+    app.add_option("--slots", options.slots,
+                   "Slots of a server of a service, for plans that do not list targets; repeatable")
+        ->type_name("SERVICE=COUNT")
+        ->take_all();
     app.add_option("--memory-mb", options.memory_mb, "Memory of a node, in MiB")
         ->check(CLI::Range(1, 1'000'000))
         ->capture_default_str();
