Test a node of limited memory against untrusted callers

Cause: nobody controls the callers of two new deployments. They send many bodies of legal size at once, most of them unfinished, heads of very many short fields, and many requests without reading the answers.

The setting memory_limit_mb (default 256) is added to the settings, without effect yet. raw_connection no longer leaks its socket if it cannot connect; child processes inherited these sockets.

--- a/src/daemon/settings/node_settings.cpp
+++ b/src/daemon/settings/node_settings.cpp
@@ -92,6 +92,7 @@
     settings.vm_list_address = string_at("vm_list_address");
     settings.vm_list_path = document.value("vm_list_path", settings.vm_list_path);
     settings.traffic_threads = document.value("traffic_threads", settings.traffic_threads);
+    settings.memory_limit_mb = document.value("memory_limit_mb", settings.memory_limit_mb);
     for (const auto& it : document.value("seeds", json::array())) {
         settings.seeds.push_back(
             {target_id{it.at("target").get<std::string>()}, it.at("node").get<std::string>()});
--- a/src/daemon/settings/node_settings.hpp
+++ b/src/daemon/settings/node_settings.hpp
@@ -34,7 +34,8 @@
     log_format format = log_format::json;
     severity level = severity::info;
     std::uint32_t traffic_threads = 2;
-    std::string adapter = "{}"; ///< JSON object that the platform adapter defines and validates.
+    std::uint32_t memory_limit_mb = 256; ///< Memory in MiB that the process may use.
+    std::string adapter = "{}";          ///< JSON object that the platform adapter defines and validates.
 };
 
 /// Parses and validates the settings of a node.
--- a/src/daemon/settings/settings_schema.cpp
+++ b/src/daemon/settings/settings_schema.cpp
@@ -138,6 +138,12 @@
       "minimum": 1,
       "maximum": 64
     },
+    "memory_limit_mb": {
+      "type": "integer",
+      "description": "Memory in MiB that the process may use.",
+      "minimum": 32,
+      "maximum": 1048576
+    },
     "adapter": {
       "type": "object",
       "description": "Settings of the adapter to a platform; the adapter defines and checks them."
--- a/tests/daemon/node_settings_test.cpp
+++ b/tests/daemon/node_settings_test.cpp
@@ -20,7 +20,8 @@
       "server_report_path": "/load", "configuration_address": "127.0.0.1:7400",
       "configuration_path": "/plan", "vm_list_address": "127.0.0.1:7400", "vm_list_path": "/vms",
       "seeds": [{"target": "comenzi-2", "node": "127.0.0.1:7102"}],
-      "log": {"format": "text", "level": "warning"}, "traffic_threads": 3})");
+      "log": {"format": "text", "level": "warning"}, "traffic_threads": 3,
+      "memory_limit_mb": 160})");
 }
 
 std::vector<error> validation_errors(const nlohmann::json& document) {
@@ -42,6 +43,7 @@
     CHECK(settings.format == log_format::text);
     CHECK(settings.level == severity::warning);
     CHECK(settings.traffic_threads == 3);
+    CHECK(settings.memory_limit_mb == 160);
 }
 
 TEST_CASE("an invalid setting is reported with its JSON pointer and reason", "[settings]") {
@@ -53,6 +55,7 @@
             invalid_case{"/log/levle", "info", "/log/levle", "unknown key; the nearest known key is level"},
             invalid_case{"/log/level", "loud", "/log/level", "expected one of debug, info, warning, error"},
             invalid_case{"/traffic_threads", 0, "/traffic_threads", "expected at least 1"},
+            invalid_case{"/memory_limit_mb", 31, "/memory_limit_mb", "expected at least 32"},
             invalid_case{"/target", 7, "/target", "expected string"},
             invalid_case{"/node_address", "localhost:1", "/node_address", "expected IP:port"},
             invalid_case{"/node_address", "127.0.0.1:7001", "/node_address",
--- a/tests/daemon/support/raw_connection.cpp
+++ b/tests/daemon/support/raw_connection.cpp
@@ -11,7 +11,8 @@
 
 namespace cornelpier::test {
 
-raw_connection::raw_connection(const std::string& address) : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
+raw_connection::raw_connection(const std::string& address)
+    : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     const timeval limit{8, 0};
     const int on = 1;
     setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -24,6 +25,7 @@
     peer.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
     inet_pton(AF_INET, address.substr(0, colon).c_str(), &peer.sin_addr);
     if (connect(m_socket, reinterpret_cast<const sockaddr*>(&peer), sizeof peer) != 0) {
+        close(m_socket);
         throw std::runtime_error("cannot connect to " + address);
     }
 }
--- a/tests/process/support/child_process.cpp
+++ b/tests/process/support/child_process.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -14,8 +15,13 @@
 
 constexpr int signal_exit_status_base = 128;
 
-[[noreturn]] void exec_program(std::vector<char*>& arguments, int output) {
+[[noreturn]] void exec_program(std::vector<char*>& arguments, int output,
+                               std::optional<std::size_t> data_limit_bytes) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (data_limit_bytes) {
+        const rlimit limit{*data_limit_bytes, *data_limit_bytes};
+        setrlimit(RLIMIT_DATA, &limit);
+    }
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
     execv(arguments[0], arguments.data());
@@ -24,7 +30,8 @@
 
 } // namespace
 
-child_process::child_process(const std::vector<std::string>& command, const std::string& output) {
+child_process::child_process(const std::vector<std::string>& command, const std::string& output,
+                             std::optional<std::size_t> data_limit_bytes) {
     std::vector<char*> arguments;
     for (const auto& it : command) {
         arguments.push_back(const_cast<char*>(it.c_str()));
@@ -34,7 +41,7 @@
     const int file = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     m_pid = fork();
     if (m_pid == 0) {
-        exec_program(arguments, file);
+        exec_program(arguments, file, data_limit_bytes);
     }
     close(file);
 }
--- a/tests/process/support/child_process.hpp
+++ b/tests/process/support/child_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -14,7 +15,10 @@
     /// Starts a program.
     /// @param command path and arguments.
     /// @param output file that receives standard output and standard error.
-    child_process(const std::vector<std::string>& command, const std::string& output);
+    /// @param data_limit_bytes limit of the private writable memory of the process (RLIMIT_DATA); unset: as
+    /// the test's own.
+    child_process(const std::vector<std::string>& command, const std::string& output,
+                  std::optional<std::size_t> data_limit_bytes = std::nullopt);
     ~child_process();
 
     child_process(child_process&& other) noexcept;
@@ -22,6 +26,9 @@
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
 
+    /// @return the process id; -1 once the process has been waited for.
+    [[nodiscard]] pid_t id() const { return m_pid; }
+
     /// Sends a signal to this process only, not to its process group.
     void send_signal(int number) const;
 
--- a/tests/process/support/small_fleet.cpp
+++ b/tests/process/support/small_fleet.cpp
@@ -153,10 +153,10 @@
     return total;
 }
 
-void small_fleet::start_node(const std::string& target) {
+void small_fleet::start_node(const std::string& target, std::optional<std::size_t> data_limit_bytes) {
     m_nodes.erase(target);
     m_nodes.emplace(target, child_process({CORNELPIER_NODE, "--settings", settings_path(target)},
-                                          file_path(target + ".log")));
+                                          file_path(target + ".log"), data_limit_bytes));
 }
 
 bool small_fleet::wait_until_serving(const std::string& target) const {
--- a/tests/process/support/small_fleet.hpp
+++ b/tests/process/support/small_fleet.hpp
@@ -2,7 +2,9 @@
 
 #include "tests/process/support/child_process.hpp"
 
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,7 +56,8 @@
     [[nodiscard]] int executions(const std::string& identity) const;
 
     /// Starts a node; kills it first if it is already running.
-    void start_node(const std::string& target);
+    /// @param data_limit_bytes see `child_process`.
+    void start_node(const std::string& target, std::optional<std::size_t> data_limit_bytes = std::nullopt);
 
     /// Starts the server of a target that has ended.
     void start_server(const std::string& target);
