Answer operators from the head and replace the oldest connection

Cause: 32 connections that send nothing kept readiness probes and operators out for 10 s, and a request with a body was closed without an answer.

Change: the page is sent when the head is complete, the body is discarded in a lingering close, the head has 3 s and 256 fields, and a connection above 32 replaces the oldest one.

--- a/src/daemon/operator/operator_server.cpp
+++ b/src/daemon/operator/operator_server.cpp
@@ -5,11 +5,15 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
+#include <deque>
+#include <iterator>
 #include <utility>
 
 namespace cornelpier {
@@ -21,42 +25,61 @@
 namespace http = beast::http;
 using boost::system::error_code;
 
+/// Time to send the head of a request.
+constexpr std::chrono::seconds head_timeout{3};
+
+/// Time for the page and its transmission.
 constexpr std::chrono::seconds session_timeout{10};
+
+/// Time to discard what the peer still sends. Closing with unread input would send a reset, which could
+/// discard the response before the peer has read it.
+constexpr std::chrono::seconds linger_timeout{1};
+
+/// Above this number, each new connection replaces the oldest one, so that a crowd that sends nothing cannot
+/// keep probes and operators out.
 constexpr std::size_t max_sessions = 32;
+
 constexpr std::uint32_t max_header_bytes = 8 * 1024;
+constexpr std::size_t max_header_fields = 256;
+constexpr std::chrono::milliseconds accept_retry_delay{100};
+constexpr std::size_t max_buffer_bytes = std::size_t{2} * max_header_bytes;
 
-/// One connection, which serves a single request.
+/// One connection, which serves a single request. The body of a request is never read.
 class session : public std::enable_shared_from_this<session> {
   public:
-    session(asio::ip::tcp::socket socket, const operator_server::request_handler& handler,
-            std::shared_ptr<void> session_counter)
-        : m_stream(std::move(socket)), m_handler(handler), m_session_counter(std::move(session_counter)) {
+    session(asio::ip::tcp::socket socket, const operator_server::request_handler& handler)
+        : m_stream(std::move(socket)), m_handler(handler) {
         m_parser.header_limit(max_header_bytes);
-        m_parser.body_limit(0);
     }
 
     void run() {
-        m_stream.expires_after(session_timeout);
+        m_stream.expires_after(head_timeout);
         async_read_head(m_stream, m_buffer, m_parser, max_header_bytes,
                         [self = shared_from_this()](error_code ec) {
-                            if (!ec) {
-                                self->read_body();
+                            if (ec) {
+                                self->close();
+                                return;
                             }
+                            self->handle();
                         });
     }
 
-  private:
-    void read_body() {
-        http::async_read(m_stream, m_buffer, m_parser,
-                         [self = shared_from_this()](error_code ec, std::size_t) {
-                             if (!ec) {
-                                 self->handle();
-                             }
-                         });
+    /// Ends the session; pending operations fail.
+    void close() {
+        m_closed = true;
+        m_stream.close();
     }
 
+    [[nodiscard]] bool closed() const { return m_closed; }
+
+  private:
     void handle() {
+        m_stream.expires_after(session_timeout);
         const auto& request = m_parser.get();
+        if (std::distance(request.begin(), request.end()) > static_cast<std::ptrdiff_t>(max_header_fields)) {
+            write({431, "text/plain; charset=utf-8", "too many fields\n"});
+            return;
+        }
         if (request.method() != http::verb::get && request.method() != http::verb::head) {
             write({405, "text/plain; charset=utf-8", "only GET and HEAD\n"});
             return;
@@ -69,6 +92,9 @@
     }
 
     void write(operator_page page) {
+        if (m_closed) {
+            return;
+        }
         m_response.version(11);
         m_response.result(static_cast<unsigned>(page.status));
         m_response.set(http::field::content_type, page.content_type);
@@ -80,14 +106,32 @@
         }
         m_serializer.emplace(m_response);
         http::async_write(m_stream, *m_serializer, [self = shared_from_this()](error_code ec, std::size_t) {
-            self->m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+            if (ec) {
+                self->close();
+                return;
+            }
+            self->m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+            self->m_stream.expires_after(linger_timeout);
+            self->discard();
         });
     }
 
+    void discard() {
+        m_stream.async_read_some(asio::buffer(m_discarded),
+                                 [self = shared_from_this()](error_code ec, std::size_t) {
+                                     if (ec) {
+                                         self->close();
+                                         return;
+                                     }
+                                     self->discard();
+                                 });
+    }
+
     beast::tcp_stream m_stream;
     const operator_server::request_handler& m_handler;
-    std::shared_ptr<void> m_session_counter; ///< Its use count limits the number of sessions.
-    beast::flat_buffer m_buffer;
+    bool m_closed = false;
+    beast::flat_buffer m_buffer{max_buffer_bytes};
+    std::array<char, 1024> m_discarded{};
     http::request_parser<http::empty_body> m_parser;
     http::response<http::string_body> m_response;
     boost::optional<http::response_serializer<http::string_body>> m_serializer;
@@ -99,7 +143,7 @@
 class operator_server::implementation {
   public:
     implementation(asio::io_context& context, request_handler handler)
-        : m_acceptor(context), m_handler(std::move(handler)) {}
+        : m_acceptor(context), m_retry_timer(context), m_handler(std::move(handler)) {}
 
     error bind(const std::string& address) { return listen_on(m_acceptor, address); }
 
@@ -108,17 +152,46 @@
             if (ec == asio::error::operation_aborted) {
                 return;
             }
-            if (!ec && m_sessions.use_count() <= static_cast<long>(max_sessions)) {
-                std::make_shared<session>(std::move(socket), m_handler, m_sessions)->run();
+            if (ec) {
+                retry();
+                return;
             }
+            add(std::move(socket));
             accept();
         });
     }
 
   private:
+    /// Usually the process is out of descriptors; accepting again at once would spin.
+    void retry() {
+        m_retry_timer.expires_after(accept_retry_delay);
+        m_retry_timer.async_wait([this](error_code ec) {
+            if (!ec) {
+                accept();
+            }
+        });
+    }
+
+    void add(asio::ip::tcp::socket socket) {
+        std::erase_if(m_sessions, [](const auto& weak) {
+            const auto it = weak.lock();
+            return it == nullptr || it->closed();
+        });
+        if (m_sessions.size() >= max_sessions) {
+            if (const auto oldest = m_sessions.front().lock()) {
+                oldest->close();
+            }
+            m_sessions.pop_front();
+        }
+        const auto added = std::make_shared<session>(std::move(socket), m_handler);
+        m_sessions.push_back(added);
+        added->run();
+    }
+
     asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_retry_timer;
     request_handler m_handler;
-    std::shared_ptr<int> m_sessions = std::make_shared<int>(0);
+    std::deque<std::weak_ptr<session>> m_sessions; ///< Oldest first.
 };
 
 operator_server::operator_server(asio::io_context& context, request_handler handler)
