Bound the bytes that a node holds for callers by a budget

Cause: bodies, parsed fields and pipelined requests of callers were stored without a common limit; 100 callers took 116 MB, or 408 MB with short fields, and part of it was not given back.

Bodies take bytes as they arrive. Requests with large bodies are answered from the head when no plan, no destination or no room is known there. Connections that wait for their caller without progress for a second are closed, oldest first, when bytes or connections are short. Caller connections get at most five eighths of the descriptors. A write that fails keeps its serializer until the pending operation has ended. Events 630 to 632, metrics, pages.

Memory remained because glibc raised its mapping threshold to the largest freed block, because each arena kept free memory, and because connections kept the capacity of their input buffer.

--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -68,6 +68,9 @@
     link_message_malformed = 610,
     link_queue_full = 611,
     gossip_malformed = 612,
+    memory_budget_exhausted = 630,
+    memory_budget_recovered = 631,
+    caller_without_progress = 632,
     settings_invalid = 700,
     settings_reloaded = 701,
 };
--- a/src/daemon/caller/caller_context.cpp
+++ b/src/daemon/caller/caller_context.cpp
@@ -1,5 +1,7 @@
 #include "daemon/caller/caller_context.hpp"
 
+#include "daemon/caller/caller_session.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -41,6 +43,34 @@
     return m_sessions.size();
 }
 
+void caller_context::close_stalled_sessions() {
+    const auto now = std::chrono::steady_clock::now();
+    {
+        const std::lock_guard lock(m_mutex);
+        if (now - m_stalled_closed_at < close_stalled_interval) {
+            return;
+        }
+        m_stalled_closed_at = now;
+    }
+    auto stalled = sessions();
+    std::erase_if(stalled, [now](const auto& it) { return !it->progress().stalled(now); });
+    std::ranges::sort(stalled, {}, [](const auto& it) { return it->progress().last(); });
+    stalled.resize(std::min(stalled.size(), max_closed_at_once));
+    for (const auto& it : stalled) {
+        it->close_if_stalled();
+    }
+}
+
+void caller_context::set_view(shared_fleet_view view) {
+    const std::lock_guard lock(m_mutex);
+    m_view = std::move(view);
+}
+
+shared_fleet_view caller_context::view() const {
+    const std::lock_guard lock(m_mutex);
+    return m_view;
+}
+
 call_id caller_context::add_call(const std::shared_ptr<caller_session>& session) {
     const std::lock_guard lock(m_mutex);
     const call_id call{++m_last_call};
--- a/src/daemon/caller/caller_server.cpp
+++ b/src/daemon/caller/caller_server.cpp
@@ -22,6 +22,9 @@
 /// Time after the stop deadline to write the responses to requests that it ended.
 constexpr std::chrono::milliseconds final_response_time{200};
 
+/// The part of the connections that is kept free for callers that make progress.
+constexpr std::size_t connection_reserve_divisor = 8;
+
 constexpr std::chrono::milliseconds accept_retry_delay{100};
 constexpr std::chrono::milliseconds stop_poll_interval{5};
 
@@ -51,6 +54,8 @@
 
     void set_limits(const caller_limits& limits) { m_context->set_limits(limits); }
 
+    void set_view(shared_fleet_view view) { m_context->set_view(std::move(view)); }
+
     void stop_accepting() {
         boost::asio::post(m_strand, [self = shared_from_this()] { self->accept_backlog(); });
     }
@@ -89,6 +94,10 @@
         error_code ec;
         socket.set_option(tcp::no_delay(true), ec);
         const auto count = m_context->session_count();
+        const auto limit = m_context->options().max_connections;
+        if (count >= limit - limit / connection_reserve_divisor) {
+            m_context->close_stalled_sessions();
+        }
         if (count >= m_context->options().max_connections + max_rejected_connections) {
             return;
         }
@@ -193,6 +202,10 @@
     m_implementation->set_limits(limits);
 }
 
+void caller_server::set_view(shared_fleet_view view) {
+    m_implementation->set_view(std::move(view));
+}
+
 void caller_server::stop_accepting() {
     m_implementation->stop_accepting();
 }
--- a/src/daemon/caller/caller_server.hpp
+++ b/src/daemon/caller/caller_server.hpp
@@ -42,6 +42,9 @@
     /// Applies the plan's limits on requests and idle connections. Callable on any thread.
     void set_limits(const caller_limits& limits);
 
+    /// Sets the plan that requests with large bodies are compared with. Callable on any thread.
+    void set_view(shared_fleet_view view);
+
     /// Closes the listener. Open connections and those in the backlog are still served.
     void stop_accepting();
 
--- a/src/daemon/caller/caller_session.cpp
+++ b/src/daemon/caller/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "daemon/caller/caller_session.hpp"
 
+#include "daemon/caller/head_rules.hpp"
 #include "daemon/caller/response_writer.hpp"
 #include "daemon/net/hop_by_hop.hpp"
 
@@ -7,7 +8,6 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -25,9 +25,6 @@
 /// has been answered.
 constexpr std::size_t max_buffered_bytes = std::size_t{64} * 1024;
 
-/// Largest amount of unparsed chunked framing: size lines, extensions and trailers.
-constexpr std::size_t max_chunk_line_bytes = std::size_t{16} * 1024;
-
 /// Limit on empty lines that are ignored before a request. RFC 9112, section 2.2 asks servers to ignore at
 /// least one.
 constexpr std::size_t max_empty_line_bytes = 64;
@@ -80,13 +77,11 @@
 
 } // namespace
 
-struct caller_session::request_parser {
-    http::request_parser<http::string_body> http;
-};
-
 caller_session::caller_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<caller_context> context)
     : m_socket(std::move(socket)), m_context(std::move(context)), m_input_deadline(m_socket.get_executor()),
-      m_write_deadline(m_socket.get_executor()) {}
+      m_write_deadline(m_socket.get_executor()), m_input_bytes(m_context->reservation(held_bytes::heads)),
+      m_head_bytes(m_context->reservation(held_bytes::heads)),
+      m_written_bytes(m_context->reservation(held_bytes::unread_responses)) {}
 
 caller_session::~caller_session() {
     m_context->remove_session(this);
@@ -109,6 +104,7 @@
 }
 
 void caller_session::read() {
+    m_progress.set_waiting(waits_for_caller());
     if (m_reading || m_input == input::closed || m_buffer.size() >= max_buffered_bytes) {
         return;
     }
@@ -132,7 +128,10 @@
         read();
         return;
     }
-    m_buffer.commit(boost::asio::buffer_copy(m_buffer.prepare(n), boost::asio::buffer(m_read_buffer, n)));
+    if (!store_input(n)) {
+        refuse_for_room();
+        return;
+    }
     if (m_input == input::blocked) {
         read();
         return;
@@ -147,6 +146,10 @@
         m_input = input::ended;
         return;
     }
+    abandon_calls();
+}
+
+void caller_session::abandon_calls() {
     for (const auto& it : m_exchanges) {
         if (!it.answer && m_context->take_call(it.call) != nullptr) {
             m_context->report(call_abandoned{it.call});
@@ -183,6 +186,7 @@
     }
     m_empty_line_bytes = 0;
     m_input = input::head;
+    m_progress.advance();
     // The timeout of the first request runs from the start of the connection, so it is set again only if
     // stopping has shortened it.
     if (!m_awaiting_first_request || m_context->stopping()) {
@@ -212,8 +216,17 @@
         reject_request({400, "a line of the head is folded"});
         return;
     }
-    m_parser = std::make_unique<request_parser>();
-    auto& parser = m_parser->http;
+    const auto fields = count_fields(view(m_buffer).substr(0, head_size));
+    if (fields > max_header_fields) {
+        reject_request({431, "the head has too many fields"});
+        return;
+    }
+    if (!m_head_bytes.resize(parsed_head_bytes(head_size, fields))) {
+        refuse_for_room();
+        return;
+    }
+    m_parser = std::make_unique<caller_request_parser>();
+    auto& parser = *m_parser;
     parser.header_limit(static_cast<std::uint32_t>(m_context->max_head_bytes() + 1));
     parser.body_limit(max_body_bytes);
     parser.eager(false);
@@ -259,10 +272,16 @@
 void caller_session::accept_head(validated_head head) {
     m_head = std::move(head);
     m_input = input::body;
+    if (has_large_body() && answer_from_head()) {
+        return;
+    }
+    m_body.emplace(m_context->options().budget, max_body_bytes);
+    m_bytes_since_step = 0;
+    m_progress.advance();
     m_input_deadline.set(m_context->options().body_timeout, shared_from_this(),
                          &caller_session::on_input_timeout);
 
-    if (m_head.expects_continue && !m_parser->http.is_done() && m_buffer.size() == 0) {
+    if (m_head.expects_continue && !m_parser->is_done() && m_buffer.size() == 0) {
         // The socket is non-blocking and an error is ignored: without the interim response, the caller sends
         // its body after a delay.
         constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -272,34 +291,72 @@
     read_body();
 }
 
-void caller_session::read_body() {
-    auto& parser = m_parser->http;
-    while (!parser.is_done()) {
-        if (m_buffer.size() == 0) {
-            read();
-            return;
-        }
+/// @return false if the body is small or has arrived with the head, so that reading it costs nothing.
+bool caller_session::has_large_body() const {
+    const auto length = m_parser->content_length_remaining();
+    return m_parser->chunked() || (length && *length > byte_budget::small_bytes);
+}
 
-        error_code ec;
-        m_buffer.consume(parser.put(m_buffer.data(), ec));
-        if (ec == http::error::need_more && m_buffer.size() < max_chunk_line_bytes) {
-            read();
-            return;
-        }
-        if (ec == http::error::body_limit) {
-            reject_request({413, "the body is larger than 1 MiB"});
-            return;
-        }
-        if (ec) {
-            reject_request({400, "malformed body: " + ec.message()});
-            return;
+/// Sends the response that is known without the body.
+bool caller_session::answer_from_head() {
+    if (m_context->stopping()) {
+        refuse(make_refusal(503, "the node stops"));
+        return true;
+    }
+    if (m_context->options().refuse_from_head) {
+        if (auto known = refuse_from_head(m_head, m_context->view())) {
+            refuse(*std::move(known));
+            return true;
         }
     }
-    on_request_complete();
+    const auto length = m_parser->content_length_remaining();
+    const auto& budget = m_context->options().budget;
+    if (length && budget != nullptr && !budget->has_room_for(*length)) {
+        refuse_for_room();
+        return true;
+    }
+    return false;
+}
+
+void caller_session::read_body() {
+    std::string reason;
+    const std::size_t available = m_buffer.size();
+    const auto progress = m_body->read(*m_parser, m_buffer, reason);
+    switch (progress) {
+    case body_progress::complete:
+        on_request_complete();
+        return;
+    case body_progress::incomplete:
+        on_body_bytes(available - m_buffer.size());
+        read();
+        return;
+    case body_progress::too_large:
+        reject_request({413, "the body is larger than 1 MiB"});
+        return;
+    case body_progress::no_room:
+        refuse_for_room();
+        return;
+    case body_progress::malformed:
+        reject_request({400, "malformed body: " + reason});
+        return;
+    }
+}
+
+/// Extends the time limit of the body only after a considerable number of bytes, which sets a least rate.
+void caller_session::on_body_bytes(std::size_t n) {
+    m_bytes_since_step += n;
+    if (m_bytes_since_step < caller_progress::step_bytes) {
+        return;
+    }
+    m_bytes_since_step = 0;
+    m_progress.advance();
+    m_input_deadline.set(m_context->options().body_timeout, shared_from_this(),
+                         &caller_session::on_input_timeout);
 }
 
 void caller_session::on_request_complete() {
-    m_head.request.body = make_body(std::move(m_parser->http.get().body()));
+    m_head.request.body = m_body->take(*m_parser);
+    m_body.reset();
     m_parser.reset();
     m_input_deadline.clear();
     m_awaiting_first_request = false;
@@ -319,13 +376,16 @@
 bool caller_session::must_wait_for_earlier_calls() const {
     const bool can_run_concurrently =
         is_lookup_method(m_head.request.method) && std::ranges::all_of(m_exchanges, &exchange::is_lookup);
-    return !m_exchanges.empty() && (!can_run_concurrently || m_exchanges.size() >= max_pipelined_calls);
+    return !m_exchanges.empty() && (!can_run_concurrently || m_exchanges.size() >= max_pipelined_calls ||
+                                    unread_response_bytes() >= max_unread_response_bytes);
 }
 
 void caller_session::dispatch_call() {
     const call_id call = m_context->add_call(shared_from_this());
     const auto& method = m_head.request.method;
-    m_exchanges.push_back({call, is_lookup_method(method), method == "HEAD", std::nullopt});
+    m_exchanges.push_back({call, is_lookup_method(method), method == "HEAD", std::nullopt,
+                           std::exchange(m_head_bytes, m_context->reservation(held_bytes::heads)),
+                           m_context->reservation(held_bytes::unread_responses)});
 
     if (m_head.fate_token) {
         m_context->report(call_fate_requested{call, *m_head.fate_token});
@@ -348,6 +408,7 @@
                           const auto it = std::ranges::find(exchanges, answer.call, &exchange::call);
                           if (it != exchanges.end() && self->m_input != input::closed) {
                               it->answer = std::move(answer);
+                              self->hold_response(*it);
                               self->write_next();
                           }
                       });
@@ -365,11 +426,18 @@
     m_input = input::ended;
     m_keep_alive = false;
     m_input_deadline.clear();
-    m_exchanges.push_back({call_id{}, false, m_head.request.method == "HEAD", std::move(answer)});
+    const bool head_request = m_head.request.method == "HEAD";
+    release_input();
+    m_exchanges.push_back({call_id{}, false, head_request, std::move(answer), {}, {}});
     write_next();
     read();
 }
 
+/// The writer stays until the object is destroyed: a write that is being cancelled still refers to it.
+void caller_session::on_write_failed() {
+    abandon_calls();
+}
+
 /// A caller treats requests after a response with `Connection: close` as unprocessed and may send them again.
 /// Therefore only the response to the last accepted request closes the connection.
 void caller_session::write_next() {
@@ -388,12 +456,15 @@
     }
     const bool is_last = m_exchanges.empty() && m_input == input::ended;
     answer.close = false;
+    m_written_bytes = std::move(next.response);
+    m_progress.advance();
     m_writer = std::make_unique<response_writer>(std::move(answer), next.head_request, is_last,
                                                  m_context->options().names);
     write_some();
 }
 
 void caller_session::write_some() {
+    m_progress.set_waiting(true);
     m_write_deadline.set(m_context->options().write_timeout, shared_from_this(),
                          &caller_session::on_write_failed);
     http::async_write_some(m_socket, m_writer->serializer(),
@@ -405,6 +476,7 @@
                                    self->on_write_failed();
                                    return;
                                }
+                               self->m_progress.advance();
                                if (!self->m_writer->serializer().is_done()) {
                                    self->write_some();
                                    return;
@@ -413,15 +485,12 @@
                            });
 }
 
-void caller_session::on_write_failed() {
-    m_writer.reset();
-    on_disconnected();
-}
-
 void caller_session::on_response_written() {
     const bool ends = m_writer->closes_connection();
     m_writer.reset();
+    m_written_bytes.release();
     m_write_deadline.clear();
+    m_progress.set_waiting(waits_for_caller());
     if (ends) {
         linger();
         return;
@@ -445,6 +514,7 @@
     if (m_input != input::idle) {
         return;
     }
+    shrink_input();
     m_input_deadline.set(m_context->idle_timeout(), shared_from_this(), &caller_session::on_input_timeout);
     if (m_context->stopping()) {
         on_stopping();
@@ -457,7 +527,8 @@
     m_input = input::lingering;
     error_code ec;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
-    m_buffer.clear();
+    release_input();
+    m_progress.advance();
     m_input_deadline.set(linger_timeout, shared_from_this(), &caller_session::on_input_timeout);
     read();
 }
@@ -467,6 +538,8 @@
     m_input_deadline.stop();
     m_write_deadline.stop();
     m_exchanges.clear();
+    m_written_bytes.release();
+    release_input();
     error_code ec;
     m_socket.close(ec);
 }
--- /dev/null
+++ b/src/daemon/caller/caller_session_limits.cpp
@@ -0,0 +1,114 @@
+#include "daemon/caller/caller_session.hpp"
+#include "daemon/caller/response_writer.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+/// The parts of `caller_session` that bound what is held for a caller and for how long.
+namespace cornelpier {
+
+namespace {
+
+constexpr duration room_retry_after = std::chrono::seconds{1};
+constexpr int bad_gateway = 502;
+
+/// Capacity of the input buffer that an idle connection keeps.
+constexpr std::size_t kept_input_bytes = std::size_t{8} * 1024;
+
+std::size_t response_bytes(const answer_caller& answer) {
+    std::size_t result = answer.response.body->size();
+    for (const auto& [name, value] : answer.response.fields) {
+        result += name.size() + value.size();
+    }
+    return result;
+}
+
+} // namespace
+
+/// Moves the bytes of the last read to the input buffer.
+/// @return false if the budget has no room for a larger buffer.
+bool caller_session::store_input(std::size_t n) {
+    const std::size_t needed = m_buffer.size() + n;
+    if (needed > m_input_bytes.size() && !m_input_bytes.resize(std::max(needed, 2 * m_buffer.size()))) {
+        return false;
+    }
+    m_buffer.commit(boost::asio::buffer_copy(m_buffer.prepare(n), boost::asio::buffer(m_read_buffer, n)));
+    return true;
+}
+
+/// Returns the memory of a large request or of many pipelined ones.
+void caller_session::shrink_input() {
+    if (m_buffer.size() == 0 && m_buffer.capacity() > kept_input_bytes) {
+        m_buffer.shrink_to_fit();
+        m_input_bytes.release();
+    }
+}
+
+/// Releases everything that is held for the request that is being read.
+void caller_session::release_input() {
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    m_input_bytes.release();
+    m_head_bytes.release();
+    m_parser.reset();
+    m_body.reset();
+    m_head = {};
+}
+
+/// The request has not been passed on, so the refusal truthfully says that it has not run.
+void caller_session::refuse_for_room() {
+    m_context->close_stalled_sessions();
+    auto answer = make_refusal(503, "the node has no memory left for this request");
+    answer.retry_after = room_retry_after;
+    refuse(std::move(answer));
+}
+
+bool caller_session::waits_for_caller() const {
+    if (m_writer != nullptr) {
+        return true;
+    }
+    const bool first = m_input == input::idle && m_awaiting_first_request && m_exchanges.empty();
+    return first || m_input == input::head || m_input == input::body || m_input == input::lingering;
+}
+
+std::size_t caller_session::unread_response_bytes() const {
+    std::size_t result = m_written_bytes.size();
+    for (const auto& it : m_exchanges) {
+        result += it.response.size();
+    }
+    return result;
+}
+
+/// Counts a response until it is written. Without room, a short one replaces it; the request has run, so the
+/// verdict stays.
+void caller_session::hold_response(exchange& answered) const {
+    if (answered.response.resize(response_bytes(*answered.answer))) {
+        return;
+    }
+    m_context->close_stalled_sessions();
+    auto& response = answered.answer->response;
+    response = make_refusal(bad_gateway, "the node has no memory left for the response").response;
+    answered.response.force_resize(response_bytes(*answered.answer));
+}
+
+void caller_session::close_if_stalled() {
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_input != input::closed && self->m_progress.stalled()) {
+            self->drop_stalled();
+        }
+    });
+}
+
+void caller_session::drop_stalled() {
+    m_context->log_event({event_number::caller_without_progress, {}});
+    if (m_writer != nullptr || m_input == input::lingering) {
+        on_write_failed();
+        return;
+    }
+    m_progress.set_waiting(false);
+    refuse(make_refusal(408, "the request made no progress and others need the room"));
+}
+
+} // namespace cornelpier
--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -160,6 +160,20 @@
                     control.conflict ? 1 : 0);
         write_gauge(out, "reader", "1 if this node reads the configuration service.", control.reader ? 1 : 0);
         write_gauge(out, "members", "Nodes known.", static_cast<double>(control.members.size()));
+        write_memory(out, gauges.memory);
+    }
+
+    static void write_memory(std::ostream& out, const byte_budget_usage& memory) {
+        write_gauge(out, "held_bytes_limit", "Bytes that may be held for callers, servers and nodes.",
+                    static_cast<double>(memory.limit));
+        out << "# HELP cornelpier_held_bytes Bytes held, by kind.\n# TYPE cornelpier_held_bytes gauge\n";
+        for (std::size_t n = 0; n < held_bytes_kinds; ++n) {
+            out << "cornelpier_held_bytes{kind=\"" << to_string(static_cast<held_bytes>(n)) << "\"} "
+                << memory.by_kind.at(n) << '\n';
+        }
+        out << "# HELP cornelpier_held_bytes_refusals_total Times that the budget had no room.\n"
+               "# TYPE cornelpier_held_bytes_refusals_total counter\ncornelpier_held_bytes_refusals_total "
+            << memory.refusals << '\n';
     }
 
     void write_counters(std::ostream& out) const {
--- a/src/daemon/metrics/metrics.hpp
+++ b/src/daemon/metrics/metrics.hpp
@@ -5,6 +5,7 @@
 #include "cornelpier/node/traffic_actions.hpp"
 #include "cornelpier/node/traffic_core.hpp"
 
+#include "daemon/memory/byte_budget.hpp"
 #include "daemon/metrics/latency_window.hpp"
 
 #include <map>
@@ -18,6 +19,7 @@
     traffic_snapshot traffic;
     control_snapshot control;
     double measuring_budget = 0; ///< Measurements per second that the plan allows for this server.
+    byte_budget_usage memory{};
 };
 
 /// Counters and histograms of a node. Thread-safe.
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -3,6 +3,9 @@
 #include "daemon/fleet/gossip_fleet_source.hpp"
 #include "daemon/log/event_clock.hpp"
 #include "daemon/log/recent_lines.hpp"
+#include "daemon/memory/allocator_settings.hpp"
+#include "daemon/memory/budget_monitor.hpp"
+#include "daemon/memory/byte_budget.hpp"
 #include "daemon/metrics/metrics.hpp"
 #include "daemon/net/run_io_context.hpp"
 #include "daemon/node/periodic_timer.hpp"
@@ -35,6 +38,13 @@
 
 constexpr std::chrono::seconds omission_report_interval{1};
 
+/// Interval at which the budget's state is reported and free memory is returned to the system.
+constexpr std::chrono::seconds memory_check_interval{1};
+
+/// Callers get at most five eighths of the descriptors; the others are for links, servers and operators.
+constexpr rlim_t caller_descriptors_numerator = 5;
+constexpr rlim_t caller_descriptors_denominator = 8;
+
 /// Kept for the /events page; about 1 MB of log lines.
 constexpr std::size_t max_recent_lines = 2000;
 
@@ -66,6 +76,16 @@
     }
 }
 
+/// @return the largest number of caller connections that leaves descriptors for other purposes.
+std::size_t max_caller_connections(std::size_t wanted) {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_max == RLIM_INFINITY) {
+        return wanted;
+    }
+    const rlim_t share = limit.rlim_max / caller_descriptors_denominator * caller_descriptors_numerator;
+    return std::min<std::size_t>(wanted, share);
+}
+
 } // namespace
 
 /// Connects the components of a node. Members that post to other members are declared after them.
@@ -96,10 +116,12 @@
           m_terminate_signals(m_control_context, SIGTERM, SIGINT), m_reload_signal(m_control_context, SIGHUP),
           m_stop_timer(m_control_context), m_shutdown_timeout_timer(m_control_context),
           m_omission_report_timer(m_control_context, omission_report_interval,
-                                  [this] { m_log.write_suppressed_counts(); }) {}
+                                  [this] { m_log.write_suppressed_counts(); }),
+          m_memory_timer(m_control_context, memory_check_interval, [this] { check_memory(); }) {}
 
     int run() {
         std::signal(SIGPIPE, SIG_IGN);
+        configure_allocator();
         raise_descriptor_limit();
         if (!bind()) {
             return 1;
@@ -150,6 +172,7 @@
         m_source->start();
         m_traffic.start();
         m_omission_report_timer.start();
+        m_memory_timer.start();
         m_operator_server.start();
         if (!m_options.readiness_address.empty()) {
             m_readiness_server.start();
@@ -157,6 +180,16 @@
         m_callers.start();
     }
 
+    void check_memory() {
+        const auto usage = m_budget->usage();
+        if (const auto event = m_budget_monitor.update(usage)) {
+            m_log.write(*event);
+        }
+        if (m_trim_policy.update(usage.used)) {
+            return_free_memory();
+        }
+    }
+
     void wait_for_reload() {
         m_reload_signal.async_wait([this](error_code ec, int) {
             if (ec) {
@@ -269,6 +302,9 @@
         options.address = m_settings.caller_address;
         options.names = m_options.names;
         options.own_service = m_settings.service;
+        options.budget = m_budget;
+        options.refuse_from_head = true;
+        options.max_connections = max_caller_connections(options.max_connections);
         if (m_options.shutdown_timeout > m_options.shutdown_delay) {
             const auto left = m_options.shutdown_timeout - m_options.shutdown_delay;
             options.stop_timeout = std::max(left - caller_answer_reserve, std::chrono::milliseconds{0});
@@ -307,7 +343,8 @@
                 [this](auto on_taken) { m_traffic.snapshot(std::move(on_taken)); },
                 [this](auto on_taken) { m_source->snapshot(std::move(on_taken)); },
                 m_metrics,
-                *m_recent};
+                *m_recent,
+                m_budget};
     }
 
     traffic_outputs make_traffic_outputs() {
@@ -337,6 +374,7 @@
         if (view->current_plan->limits) {
             m_callers.set_limits(*view->current_plan->limits);
         }
+        m_callers.set_view(view);
         m_has_view = true;
         m_pages.set_view(view);
         m_traffic.post(fleet_changed{std::move(view)});
@@ -348,6 +386,8 @@
     std::shared_ptr<event_clock> m_clock = std::make_shared<event_clock>();
     std::shared_ptr<recent_lines> m_recent = std::make_shared<recent_lines>(max_recent_lines);
     event_log m_log;
+    std::shared_ptr<byte_budget> m_budget =
+        std::make_shared<byte_budget>(budget_bytes(m_settings.memory_limit_mb));
     metrics m_metrics;
     boost::asio::io_context m_control_context{1};
     boost::asio::io_context m_separate_traffic_context;
@@ -366,6 +406,9 @@
     boost::asio::steady_timer m_stop_timer;
     boost::asio::steady_timer m_shutdown_timeout_timer;
     periodic_timer m_omission_report_timer;
+    periodic_timer m_memory_timer;
+    budget_monitor m_budget_monitor;
+    trim_policy m_trim_policy;
     bool m_has_view = false; ///< Control thread only, like the members below.
     std::optional<std::chrono::steady_clock::time_point> m_terminated_at;
     bool m_drained = false;
--- a/src/daemon/operator/operator_pages.cpp
+++ b/src/daemon/operator/operator_pages.cpp
@@ -68,7 +68,8 @@
             const service_plan* service =
                 m_view == nullptr ? nullptr : m_view->current_plan->service_of(m_sources.identity.self);
             const double budget = service == nullptr ? 0 : service->measuring.per_second;
-            on_taken({traffic, std::move(control), budget});
+            const auto memory = m_sources.budget == nullptr ? byte_budget_usage{} : m_sources.budget->usage();
+            on_taken({traffic, std::move(control), budget, memory});
         });
     });
 }
--- a/src/daemon/operator/operator_pages.hpp
+++ b/src/daemon/operator/operator_pages.hpp
@@ -24,6 +24,7 @@
     std::function<void(std::function<void(control_snapshot)>)> snapshot_control;
     const metrics& node_metrics;
     const recent_lines& recent_events;
+    std::shared_ptr<const byte_budget> budget = nullptr; ///< Null: shown without limit and use.
 };
 
 /// Generates the pages of the operator address: `/state`, `/metrics`, `/events` and `/plan`. Used on the
