Count link queues, notice short bursts and grow bodies modestly near the limit

A body of 700 KB was refused by a budget of 1 MiB because its capacity doubled beyond the room. After bursts shorter than a second, 41 to 63 MiB stayed resident, because the policy for returning memory only saw the use once a second and did not see connections.

Change: a body's capacity is at most its announced length, and grows by 64 KiB if doubling finds no room. The budget keeps its peak between checks, and connections count with 8 KiB each. Bytes queued on links are read once a second and counted. Responses up to 1 KiB are kept without room, so that a refusal is not replaced by a 502.

--- a/src/daemon/caller/body_reader.cpp
+++ b/src/daemon/caller/body_reader.cpp
@@ -12,6 +12,9 @@
 /// Largest amount of unparsed chunked framing: size lines, extensions and trailers.
 constexpr std::size_t max_chunk_line_bytes = std::size_t{16} * 1024;
 
+/// Growth of a body for which the budget has no room to double it.
+constexpr std::size_t min_growth_bytes = std::size_t{64} * 1024;
+
 /// Body together with the bytes of the budget that it holds.
 struct counted_body {
     std::string text;
@@ -48,17 +51,19 @@
     return body_progress::complete;
 }
 
-/// The capacity doubles, so that bytes are copied a constant number of times on average.
+/// The capacity doubles, so that bytes are copied a constant number of times on average. If there is no room
+/// for that, it grows by what is needed and a little more.
 bool body_reader::reserve(std::string& body, std::size_t more) {
     const std::size_t needed = std::min(body.size() + more, m_limit);
     if (needed <= body.capacity()) {
         return true;
     }
-    const std::size_t capacity = std::max(needed, std::min(2 * body.capacity(), m_limit));
-    if (!m_reservation.resize(capacity)) {
+    const std::size_t doubled = std::max(needed, std::min(2 * body.capacity(), m_limit));
+    const std::size_t modest = std::min(needed + min_growth_bytes, m_limit);
+    if (!m_reservation.resize(doubled) && !m_reservation.resize(modest)) {
         return false;
     }
-    body.reserve(capacity);
+    body.reserve(m_reservation.size());
     return true;
 }
 
--- a/src/daemon/caller/body_reader.hpp
+++ b/src/daemon/caller/body_reader.hpp
@@ -61,7 +61,7 @@
 class body_reader {
   public:
     /// @param budget may be null: unlimited.
-    /// @param limit largest body; must be the limit of the parser.
+    /// @param limit length of the body, or the limit of the parser if the length is not known.
     body_reader(std::shared_ptr<byte_budget> budget, std::size_t limit);
 
     /// Moves bytes from the input to the body.
--- a/src/daemon/caller/caller_session.cpp
+++ b/src/daemon/caller/caller_session.cpp
@@ -275,7 +275,8 @@
     if (has_large_body() && answer_from_head()) {
         return;
     }
-    m_body.emplace(m_context->options().budget, max_body_bytes);
+    const auto length = m_parser->content_length_remaining();
+    m_body.emplace(m_context->options().budget, length ? static_cast<std::size_t>(*length) : max_body_bytes);
     m_bytes_since_step = 0;
     m_progress.advance();
     m_input_deadline.set(m_context->options().body_timeout, shared_from_this(),
--- a/src/daemon/caller/caller_session_limits.cpp
+++ b/src/daemon/caller/caller_session_limits.cpp
@@ -14,6 +14,9 @@
 constexpr duration room_retry_after = std::chrono::seconds{1};
 constexpr int bad_gateway = 502;
 
+/// Responses up to this size, such as refusals, are kept even if the budget has no room.
+constexpr std::size_t max_brief_response_bytes = 1024;
+
 /// Capacity of the input buffer that an idle connection keeps.
 constexpr std::size_t kept_input_bytes = std::size_t{8} * 1024;
 
@@ -81,10 +84,14 @@
     return result;
 }
 
-/// Counts a response until it is written. Without room, a short one replaces it; the request has run, so the
-/// verdict stays.
+/// Counts a response until it is written. Without room, a short one replaces it; the verdict stays.
 void caller_session::hold_response(exchange& answered) const {
-    if (answered.response.resize(response_bytes(*answered.answer))) {
+    const std::size_t bytes = response_bytes(*answered.answer);
+    if (answered.response.resize(bytes)) {
+        return;
+    }
+    if (bytes <= max_brief_response_bytes) {
+        answered.response.force_resize(bytes);
         return;
     }
     m_context->close_stalled_sessions();
--- a/src/daemon/link/link_channel.hpp
+++ b/src/daemon/link/link_channel.hpp
@@ -2,6 +2,8 @@
 
 #include "cornelpier/message/codec.hpp"
 
+#include <cstddef>
+
 namespace cornelpier {
 
 /// An outgoing or accepted WebSocket connection. Its functions may be called on any thread.
@@ -17,6 +19,9 @@
     /// Sends a message. Messages of one sender keep their order.
     virtual void send(node_message message) = 0;
 
+    /// @return bytes that are queued and not yet passed to the kernel.
+    [[nodiscard]] virtual std::size_t queued_bytes() const = 0;
+
     /// Closes the socket without a closing handshake.
     virtual void close() = 0;
 };
--- a/src/daemon/link/link_manager.cpp
+++ b/src/daemon/link/link_manager.cpp
@@ -105,6 +105,8 @@
 
     [[nodiscard]] std::size_t link_count() const { return m_table.size(); }
 
+    [[nodiscard]] std::size_t queued_bytes() const { return m_table.queued_bytes(); }
+
     void stop() {
         websocketpp::lib::error_code ec;
         if (m_server.is_listening()) {
@@ -343,6 +345,10 @@
     return m_implementation->link_count();
 }
 
+std::size_t link_manager::queued_bytes() const {
+    return m_implementation->queued_bytes();
+}
+
 void link_manager::stop() {
     m_implementation->stop();
 }
--- a/src/daemon/link/link_manager.hpp
+++ b/src/daemon/link/link_manager.hpp
@@ -70,6 +70,9 @@
     /// @return number of links that are open or being opened, in both directions.
     [[nodiscard]] std::size_t link_count() const;
 
+    /// @return bytes that are queued on all links and not yet passed to the kernel.
+    [[nodiscard]] std::size_t queued_bytes() const;
+
     /// Stops accepting and closes all links.
     void stop();
 
--- a/src/daemon/link/link_table.cpp
+++ b/src/daemon/link/link_table.cpp
@@ -43,6 +43,15 @@
     return result;
 }
 
+std::size_t link_table::queued_bytes() const {
+    const std::lock_guard lock(m_mutex);
+    std::size_t result = 0;
+    for (const auto& [link, value] : m_entries) {
+        result += value.channel->queued_bytes();
+    }
+    return result;
+}
+
 std::size_t link_table::size() const {
     const std::lock_guard lock(m_mutex);
     return m_entries.size();
--- a/src/daemon/link/link_table.hpp
+++ b/src/daemon/link/link_table.hpp
@@ -47,6 +47,9 @@
     /// @return number of links.
     [[nodiscard]] std::size_t size() const;
 
+    /// @return bytes that are queued on all links.
+    [[nodiscard]] std::size_t queued_bytes() const;
+
     /// @return an unused id for an accepted link.
     link_id next_accepted();
 
--- a/src/daemon/link/websocket_channel.hpp
+++ b/src/daemon/link/websocket_channel.hpp
@@ -40,6 +40,8 @@
         });
     }
 
+    [[nodiscard]] std::size_t queued_bytes() const override { return m_connection->get_buffered_amount(); }
+
     void close() override {
         boost::asio::post(*m_connection->get_strand(), [connection = m_connection] {
             boost::system::error_code ec;
--- a/src/daemon/memory/allocator_settings.cpp
+++ b/src/daemon/memory/allocator_settings.cpp
@@ -22,8 +22,8 @@
     mallopt(M_TRIM_THRESHOLD, trim_threshold_bytes);
 }
 
-bool trim_policy::update(std::size_t used) {
-    m_peak = std::max(m_peak, used);
+bool trim_policy::update(std::size_t used, std::size_t peak) {
+    m_peak = std::max({m_peak, used, peak});
     if (m_peak - used < min_decrease) {
         return false;
     }
--- a/src/daemon/memory/byte_budget.cpp
+++ b/src/daemon/memory/byte_budget.cpp
@@ -33,12 +33,13 @@
             return false;
         }
     } while (!m_used.compare_exchange_weak(used, used + more));
+    record_peak(used + more);
     m_by_kind.at(index_of(kind)) += more;
     return true;
 }
 
 void byte_budget::take(held_bytes kind, std::size_t more) {
-    m_used += more;
+    record_peak(m_used += more);
     m_by_kind.at(index_of(kind)) += more;
 }
 
@@ -57,6 +58,16 @@
     return result;
 }
 
+std::size_t byte_budget::take_peak() {
+    return m_peak.exchange(m_used.load());
+}
+
+void byte_budget::record_peak(std::size_t used) {
+    std::size_t peak = m_peak.load();
+    while (used > peak && !m_peak.compare_exchange_weak(peak, used)) {
+    }
+}
+
 byte_budget_usage byte_budget::usage() const {
     byte_budget_usage result{m_limit, m_used.load(), {}, m_refusals.load()};
     for (std::size_t n = 0; n < held_bytes_kinds; ++n) {
--- a/src/daemon/memory/byte_budget.hpp
+++ b/src/daemon/memory/byte_budget.hpp
@@ -55,6 +55,9 @@
     /// @return whether a holder of this size could get room now. Counts a refusal if not.
     [[nodiscard]] bool has_room_for(std::size_t total);
 
+    /// @return the largest use since the last call. A burst may be shorter than the interval of the caller.
+    std::size_t take_peak();
+
     /// @return the use at this moment.
     [[nodiscard]] byte_budget_usage usage() const;
 
@@ -62,7 +65,10 @@
     [[nodiscard]] std::size_t limit_for(std::size_t total) const;
 
     std::size_t m_limit;
+    void record_peak(std::size_t used);
+
     std::atomic<std::size_t> m_used = 0;
+    std::atomic<std::size_t> m_peak = 0;
     std::array<std::atomic<std::size_t>, held_bytes_kinds> m_by_kind{};
     std::atomic<std::uint64_t> m_refusals = 0;
 };
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -5,7 +5,7 @@
 #include "daemon/log/recent_lines.hpp"
 #include "daemon/memory/allocator_settings.hpp"
 #include "daemon/memory/budget_monitor.hpp"
-#include "daemon/memory/byte_budget.hpp"
+#include "daemon/memory/byte_reservation.hpp"
 #include "daemon/metrics/metrics.hpp"
 #include "daemon/net/run_io_context.hpp"
 #include "daemon/node/periodic_timer.hpp"
@@ -41,6 +41,9 @@
 /// Interval at which the budget's state is reported and free memory is returned to the system.
 constexpr std::chrono::seconds memory_check_interval{1};
 
+/// Estimate of what a connection holds outside the budget: its buffers, timers and handlers.
+constexpr std::size_t bytes_per_connection = std::size_t{8} * 1024;
+
 /// Callers get at most five eighths of the descriptors; the others are for links, servers and operators.
 constexpr rlim_t caller_descriptors_numerator = 5;
 constexpr rlim_t caller_descriptors_denominator = 8;
@@ -181,11 +184,13 @@
     }
 
     void check_memory() {
+        m_link_queue_bytes.force_resize(m_links.queued_bytes());
         const auto usage = m_budget->usage();
         if (const auto event = m_budget_monitor.update(usage)) {
             m_log.write(*event);
         }
-        if (m_trim_policy.update(usage.used)) {
+        const auto connections = m_callers.connections() * bytes_per_connection;
+        if (m_trim_policy.update(usage.used + connections, m_budget->take_peak() + connections)) {
             return_free_memory();
         }
     }
@@ -388,6 +393,7 @@
     event_log m_log;
     std::shared_ptr<byte_budget> m_budget =
         std::make_shared<byte_budget>(budget_bytes(m_settings.memory_limit_mb));
+    byte_reservation m_link_queue_bytes{m_budget, held_bytes::link_queues};
     metrics m_metrics;
     boost::asio::io_context m_control_context{1};
     boost::asio::io_context m_separate_traffic_context;
--- a/tests/daemon/byte_budget_test.cpp
+++ b/tests/daemon/byte_budget_test.cpp
@@ -120,13 +120,25 @@
 }
 
 TEST_CASE("memory is returned after a considerable decrease of the use", "[memory]") {
+    constexpr auto decrease = trim_policy::min_decrease;
     trim_policy policy;
-    CHECK_FALSE(policy.update(0));
-    CHECK_FALSE(policy.update(trim_policy::min_decrease - 1));
-    CHECK_FALSE(policy.update(0));
-    CHECK_FALSE(policy.update(2 * trim_policy::min_decrease));
-    CHECK(policy.update(0));
-    CHECK_FALSE(policy.update(0));
+    CHECK_FALSE(policy.update(0, 0));
+    CHECK_FALSE(policy.update(decrease - 1, decrease - 1));
+    CHECK_FALSE(policy.update(0, 0));
+    CHECK_FALSE(policy.update(2 * decrease, 2 * decrease));
+    CHECK(policy.update(0, 0));
+    CHECK_FALSE(policy.update(0, 0));
+}
+
+// Guards against memory that stays after a burst between two updates.
+TEST_CASE("a burst that is shorter than the interval of the updates is noticed", "[memory]") {
+    byte_budget budget{800 * kib};
+    budget.take(held_bytes::heads, 700 * kib);
+    budget.give_back(held_bytes::heads, 600 * kib);
+    CHECK(budget.take_peak() == 700 * kib);
+    CHECK(budget.take_peak() == 100 * kib);
+    trim_policy policy;
+    CHECK(policy.update(0, trim_policy::min_decrease));
 }
 
 } // namespace cornelpier
