Close long-idle connections too when room is short, and spare callers with unread input

Cause: a crowd that keeps idle connections could use up the number that is allowed for 60 s; and a node that is not scheduled for a second would take waiting callers for stalled ones.

A connection with input in its socket is not closed.

--- a/src/daemon/caller/caller_session.cpp
+++ b/src/daemon/caller/caller_session.cpp
@@ -104,7 +104,7 @@
 }
 
 void caller_session::read() {
-    m_progress.set_waiting(waits_for_caller());
+    m_progress.set_wait(current_wait());
     if (m_reading || m_input == input::closed || m_buffer.size() >= max_buffered_bytes) {
         return;
     }
@@ -465,7 +465,7 @@
 }
 
 void caller_session::write_some() {
-    m_progress.set_waiting(true);
+    m_progress.set_wait(caller_wait::action);
     m_write_deadline.set(m_context->options().write_timeout, shared_from_this(),
                          &caller_session::on_write_failed);
     http::async_write_some(m_socket, m_writer->serializer(),
@@ -491,7 +491,7 @@
     m_writer.reset();
     m_written_bytes.release();
     m_write_deadline.clear();
-    m_progress.set_waiting(waits_for_caller());
+    m_progress.set_wait(current_wait());
     if (ends) {
         linger();
         return;
@@ -516,6 +516,7 @@
         return;
     }
     shrink_input();
+    m_progress.advance();
     m_input_deadline.set(m_context->idle_timeout(), shared_from_this(), &caller_session::on_input_timeout);
     if (m_context->stopping()) {
         on_stopping();
--- a/src/daemon/caller/caller_session.hpp
+++ b/src/daemon/caller/caller_session.hpp
@@ -103,7 +103,7 @@
     [[nodiscard]] bool store_input(std::size_t n);
     void shrink_input();
     void release_input();
-    [[nodiscard]] bool waits_for_caller() const;
+    [[nodiscard]] caller_wait current_wait() const;
     [[nodiscard]] std::size_t unread_response_bytes() const;
     void hold_response(exchange& answered) const;
     void drop_stalled();
--- a/src/daemon/caller/caller_session_limits.cpp
+++ b/src/daemon/caller/caller_session_limits.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+using boost::system::error_code;
+
 constexpr duration room_retry_after = std::chrono::seconds{1};
 constexpr int bad_gateway = 502;
 
@@ -68,12 +70,15 @@
     refuse(std::move(answer));
 }
 
-bool caller_session::waits_for_caller() const {
-    if (m_writer != nullptr) {
-        return true;
+caller_wait caller_session::current_wait() const {
+    if (m_writer != nullptr || m_input == input::head || m_input == input::body ||
+        m_input == input::lingering) {
+        return caller_wait::action;
+    }
+    if (m_input != input::idle || !m_exchanges.empty()) {
+        return caller_wait::none;
     }
-    const bool first = m_input == input::idle && m_awaiting_first_request && m_exchanges.empty();
-    return first || m_input == input::head || m_input == input::body || m_input == input::lingering;
+    return m_awaiting_first_request ? caller_wait::action : caller_wait::request;
 }
 
 std::size_t caller_session::unread_response_bytes() const {
@@ -109,12 +114,22 @@
 }
 
 void caller_session::drop_stalled() {
+    const bool writes = m_writer != nullptr;
+    // Input that has not been read yet means that the process was not scheduled, not that the caller waits.
+    error_code ec;
+    if (!writes && m_input != input::lingering && m_socket.available(ec) > 0) {
+        return;
+    }
     m_context->log_event({event_number::caller_without_progress, {}});
-    if (m_writer != nullptr || m_input == input::lingering) {
+    if (writes || m_input == input::lingering) {
         on_write_failed();
         return;
     }
-    m_progress.set_waiting(false);
+    if (m_input == input::idle && !m_awaiting_first_request) {
+        close();
+        return;
+    }
+    m_progress.set_wait(caller_wait::none);
     refuse(make_refusal(408, "the request made no progress and others need the room"));
 }
 
--- a/tests/daemon/head_rules_test.cpp
+++ b/tests/daemon/head_rules_test.cpp
@@ -70,12 +70,22 @@
     caller_progress progress;
     const auto now = caller_progress::clock::now();
     progress.advance(now);
-    CHECK_FALSE(progress.stalled(now + caller_progress::stall_time));
-    progress.set_waiting(true);
+    CHECK_FALSE(progress.stalled(now + caller_progress::idle_stall_time));
+    progress.set_wait(caller_wait::action);
     CHECK(progress.stalled(now + caller_progress::stall_time));
     CHECK_FALSE(progress.stalled(now + caller_progress::stall_time / 2));
     progress.advance(now + caller_progress::stall_time);
     CHECK_FALSE(progress.stalled(now + caller_progress::stall_time));
 }
 
+// Guards against closing connections that well-behaved callers keep for their next request.
+TEST_CASE("an idle connection counts as stalled only after callers no longer reuse it", "[memory]") {
+    caller_progress progress;
+    const auto now = caller_progress::clock::now();
+    progress.advance(now);
+    progress.set_wait(caller_wait::request);
+    CHECK_FALSE(progress.stalled(now + std::chrono::seconds{12}));
+    CHECK(progress.stalled(now + caller_progress::idle_stall_time));
+}
+
 } // namespace cornelpier
