Leave room for the copies that links make of bodies

Bodies took up to 28 MiB of the budget, and links hold a second copy of each.

Change: the budget is three eighths of memory_limit_mb. A holder beside which at most a sixteenth is held may have half, so that one body of 64 MiB is still served at 160 MB. Crowds and bounds of the tests are unchanged.

--- a/src/daemon/memory/byte_budget.cpp
+++ b/src/daemon/memory/byte_budget.cpp
@@ -1,10 +1,13 @@
 #include "daemon/memory/byte_budget.hpp"
 
+#include <algorithm>
+
 namespace cornelpier {
 
 namespace {
 
 constexpr std::size_t reserve_divisor = 8;
+constexpr std::size_t sole_divisor = 16;
 
 std::size_t index_of(held_bytes kind) {
     return static_cast<std::size_t>(kind);
@@ -18,16 +21,21 @@
     return names.at(index_of(kind));
 }
 
-byte_budget::byte_budget(std::size_t limit) : m_limit(limit) {}
+byte_budget::byte_budget(std::size_t limit, std::size_t sole_limit)
+    : m_limit(limit), m_sole_limit(std::max(limit, sole_limit)) {}
 
-std::size_t byte_budget::limit_for(std::size_t total) const {
-    return total <= small_bytes ? m_limit : m_limit - m_limit / reserve_divisor;
+/// @param total bytes of the holder.
+/// @param others bytes of all other holders.
+std::size_t byte_budget::limit_for(std::size_t total, std::size_t others) const {
+    const std::size_t limit = others <= m_limit / sole_divisor ? m_sole_limit : m_limit;
+    return total <= small_bytes ? limit : limit - limit / reserve_divisor;
 }
 
 bool byte_budget::try_take(held_bytes kind, std::size_t more, std::size_t total) {
-    const std::size_t limit = limit_for(total);
+    const std::size_t own = total - more;
     std::size_t used = m_used.load();
     do {
+        const std::size_t limit = limit_for(total, used - std::min(used, own));
         if (used > limit || more > limit - used) {
             ++m_refusals;
             return false;
@@ -50,7 +58,7 @@
 
 bool byte_budget::has_room_for(std::size_t total) {
     const std::size_t used = m_used.load();
-    const std::size_t limit = limit_for(total);
+    const std::size_t limit = limit_for(total, used);
     const bool result = used <= limit && total <= limit - used;
     if (!result) {
         ++m_refusals;
--- a/src/daemon/memory/byte_budget.hpp
+++ b/src/daemon/memory/byte_budget.hpp
@@ -37,7 +37,9 @@
     static constexpr std::size_t small_bytes = std::size_t{16} * 1024;
 
     /// @param limit total number of bytes.
-    explicit byte_budget(std::size_t limit);
+    /// @param sole_limit the same for a holder beside which at most a sixteenth of `limit` is held; at least
+    /// `limit`.
+    explicit byte_budget(std::size_t limit, std::size_t sole_limit = 0);
 
     /// Takes bytes if there is room.
     /// @param kind what the bytes are held for.
@@ -62,9 +64,10 @@
     [[nodiscard]] byte_budget_usage usage() const;
 
   private:
-    [[nodiscard]] std::size_t limit_for(std::size_t total) const;
+    [[nodiscard]] std::size_t limit_for(std::size_t total, std::size_t others) const;
 
     std::size_t m_limit;
+    std::size_t m_sole_limit;
     void record_peak(std::size_t used);
 
     std::atomic<std::size_t> m_used = 0;
@@ -73,11 +76,17 @@
     std::atomic<std::uint64_t> m_refusals = 0;
 };
 
-/// Derives the budget from the memory limit of the settings. The other half is for code, tables, buffers of
-/// fixed size, and copies of a message while it is passed on.
+/// Derives the budget from the memory limit of the settings. The rest is for code, tables, buffers of fixed
+/// size, and copies of messages while they are passed on.
 /// @param memory_limit_mb limit in MiB.
 /// @return bytes that the budget may hold.
 constexpr std::size_t budget_bytes(std::uint32_t memory_limit_mb) {
+    return std::size_t{memory_limit_mb} * 1024 * 1024 * 3 / 8;
+}
+
+/// @return bytes that one holder may have while nothing else is going on; with 160 MB enough for a body of
+/// 64 MiB.
+constexpr std::size_t sole_budget_bytes(std::uint32_t memory_limit_mb) {
     return std::size_t{memory_limit_mb} * 1024 * 1024 / 2;
 }
 
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -391,8 +391,8 @@
     std::shared_ptr<event_clock> m_clock = std::make_shared<event_clock>();
     std::shared_ptr<recent_lines> m_recent = std::make_shared<recent_lines>(max_recent_lines);
     event_log m_log;
-    std::shared_ptr<byte_budget> m_budget =
-        std::make_shared<byte_budget>(budget_bytes(m_settings.memory_limit_mb));
+    std::shared_ptr<byte_budget> m_budget = std::make_shared<byte_budget>(
+        budget_bytes(m_settings.memory_limit_mb), sole_budget_bytes(m_settings.memory_limit_mb));
     byte_reservation m_link_queue_bytes{m_budget, held_bytes::link_queues};
     metrics m_metrics;
     boost::asio::io_context m_control_context{1};
--- a/tests/daemon/body_reader_test.cpp
+++ b/tests/daemon/body_reader_test.cpp
@@ -42,7 +42,7 @@
 
 // Guards against callers that announce large bodies and send one byte.
 TEST_CASE("an announced length takes nothing of the budget before bytes arrive", "[memory]") {
-    const auto budget = std::make_shared<byte_budget>(budget_bytes(160));
+    const auto budget = std::make_shared<byte_budget>(budget_bytes(160), sole_budget_bytes(160));
     body_reader reader{budget, 64 * mib};
     open_request request{"Content-Length: 67108864", 64 * mib};
     CHECK(request.feed(reader, "x") == body_progress::incomplete);
@@ -52,7 +52,7 @@
 
 // Guards against a single legal request that is refused on a VM of 160 MB, in either framing.
 TEST_CASE("a body of 64 MiB is read within the budget of a small VM", "[memory]") {
-    const auto budget = std::make_shared<byte_budget>(budget_bytes(160));
+    const auto budget = std::make_shared<byte_budget>(budget_bytes(160), sole_budget_bytes(160));
     const bool chunked = GENERATE(true, false);
     const std::string piece(32 * 1024, 'x');
     {
--- a/tests/daemon/byte_budget_test.cpp
+++ b/tests/daemon/byte_budget_test.cpp
@@ -95,10 +95,14 @@
 
 // Guards against a single legal request that cannot be served on a VM of 160 MB.
 TEST_CASE("the budget of a small VM has room for one body of the largest size", "[memory]") {
-    byte_budget budget{budget_bytes(160)};
+    byte_budget budget{budget_bytes(160), sole_budget_bytes(160)};
     CHECK(budget.has_room_for(std::size_t{64} * kib * kib));
     CHECK_FALSE(budget.has_room_for(std::size_t{72} * kib * kib));
     CHECK(budget.usage().refusals == 1);
+    // Beside other holders, the limit is lower.
+    budget.take(held_bytes::request_bodies, std::size_t{8} * kib * kib);
+    CHECK_FALSE(budget.has_room_for(std::size_t{64} * kib * kib));
+    CHECK(budget.has_room_for(std::size_t{40} * kib * kib));
 }
 
 TEST_CASE("the budget's exhaustion and recovery are recorded once", "[memory]") {
