--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -75,6 +75,9 @@
     server_warm_up = 614,
     link_assembly_full = 620,
     link_message_incomplete = 621,
+    memory_budget_exhausted = 630,
+    memory_budget_recovered = 631,
+    caller_without_progress = 632,
     settings_invalid = 700,
     settings_reloaded = 701,
 };
--- a/src/daemon/link/link_channel.hpp
+++ b/src/daemon/link/link_channel.hpp
@@ -2,6 +2,8 @@
 
 #include "cornelpier/message/codec.hpp"
 
+#include <cstddef>
+
 namespace cornelpier {
 
 /// An outgoing or accepted WebSocket connection. Its functions may be called on any thread.
@@ -18,6 +20,9 @@
     /// of other attempts. A cancelled attempt's request is not sent on.
     virtual void send(node_message message) = 0;
 
+    /// @return bytes that are queued and not yet passed to the kernel.
+    [[nodiscard]] virtual std::size_t queued_bytes() const = 0;
+
     /// Closes the socket without a closing handshake.
     virtual void close() = 0;
 };
--- a/src/daemon/link/link_manager.cpp
+++ b/src/daemon/link/link_manager.cpp
@@ -120,6 +120,8 @@
 
     [[nodiscard]] std::size_t bytes_unsent() const { return *m_unsent; }
 
+    [[nodiscard]] std::size_t queued_bytes() const { return m_table.queued_bytes(); }
+
     void stop() {
         websocketpp::lib::error_code ec;
         if (m_server.is_listening()) {
@@ -390,6 +392,10 @@
     return m_implementation->bytes_unsent();
 }
 
+std::size_t link_manager::queued_bytes() const {
+    return m_implementation->queued_bytes();
+}
+
 void link_manager::stop() {
     m_implementation->stop();
 }
--- a/src/daemon/link/link_manager.hpp
+++ b/src/daemon/link/link_manager.hpp
@@ -103,6 +103,9 @@
     /// @return bytes of large messages that wait to be sent, on all links.
     [[nodiscard]] std::size_t bytes_unsent() const;
 
+    /// @return bytes that are queued on all links and not yet passed to the kernel.
+    [[nodiscard]] std::size_t queued_bytes() const;
+
     /// Stops accepting and closes all links.
     void stop();
 
--- a/src/daemon/metrics/metrics.hpp
+++ b/src/daemon/metrics/metrics.hpp
@@ -5,6 +5,7 @@
 #include "cornelpier/node/traffic_actions.hpp"
 #include "cornelpier/node/traffic_core.hpp"
 
+#include "daemon/memory/byte_budget.hpp"
 #include "daemon/metrics/latency_window.hpp"
 
 #include <map>
@@ -19,6 +20,7 @@
     control_snapshot control;
     double measuring_budget = 0;            ///< Measurements per second that the plan allows for this server.
     std::size_t link_bytes_in_assembly = 0; ///< Of incomplete large messages from other nodes.
+    byte_budget_usage memory{};
 };
 
 /// Counters and histograms of a node. Thread-safe.
--- a/src/daemon/operator/operator_pages.hpp
+++ b/src/daemon/operator/operator_pages.hpp
@@ -25,6 +25,7 @@
     const metrics& node_metrics;
     const recent_lines& recent_events;
     std::function<std::size_t()> link_bytes_in_assembly;
+    std::shared_ptr<const byte_budget> budget = nullptr; ///< Null: shown without limit and use.
 };
 
 /// Generates the pages of the operator address: `/state`, `/metrics`, `/events` and `/plan`. Used on the
--- a/src/daemon/settings/settings_schema.cpp
+++ b/src/daemon/settings/settings_schema.cpp
@@ -160,6 +160,12 @@
         }
       }
     },
+    "memory_limit_mb": {
+      "type": "integer",
+      "description": "Memory in MiB that the process may use.",
+      "minimum": 32,
+      "maximum": 1048576
+    },
     "adapter": {
       "type": "object",
       "description": "Settings of the adapter to a platform; the adapter defines and checks them."
