Run large exchanges like orders, and answer 502 where a response was lost

Callers: with downloads idempotent, the burst of downloads of the helpdesk deployment served less than before: links of 10 Mbit/s are full, count as silent, and repeats and hedges take the bandwidth that the first runs wait for.

Change: exchanges that are expected to take more than 32 KiB are run with a record and without repeats.

--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -1,6 +1,7 @@
 #include "cornelpier/entry/answer_composer.hpp"
 
 #include "cornelpier/entry/request_token.hpp"
+#include "cornelpier/execution/stored_answer.hpp"
 
 #include <algorithm>
 #include <array>
@@ -157,6 +158,10 @@
     if (!response) {
         return false;
     }
+    // Callers that read no verdict would take status 409 for a rejection.
+    if (m_context.options.status_implies_not_run && replaces_lost_response(*response)) {
+        return false;
+    }
     const bool may_imply_not_run = !m_context.options.status_implies_not_run || outcome == verdict::not_run;
     return may_imply_not_run || !implies_not_run(response->status);
 }
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -24,6 +24,9 @@
 constexpr duration caller_round_trip = std::chrono::milliseconds{20};
 constexpr duration::rep caller_round_trip_divisor = 10;
 
+// Responses of this size take a considerable part of a VM's bandwidth for a second.
+constexpr std::size_t max_repeated_exchange_bytes = std::size_t{32} * 1024;
+
 constexpr duration budget_exhausted_log_interval = std::chrono::seconds{1};
 constexpr duration unavailable_retry_after = std::chrono::seconds{1};
 
@@ -165,10 +168,13 @@
     auto& call = m_deps.calls.add(event, m_context.now());
     call.event.service = resolved.service->id;
     if (resolved.matched_route != nullptr) {
-        call.idempotent = resolved.matched_route->idempotent;
         call.priority = resolved.matched_route->priority;
         call.max_runs = resolved.matched_route->max_attempts;
         call.route = resolved.matched_route->name;
+        // The result of a large exchange is awaited like that of an order: under a burst of downloads,
+        // repeats take the bandwidth that the first ones wait for.
+        call.idempotent = resolved.matched_route->idempotent &&
+                          m_deps.spill.expected_bytes(call) <= max_repeated_exchange_bytes;
         call.objective = resolved.matched_route->objective;
     } else if (const auto* rule = resolved.service->match(event.request.method, event.request.path)) {
         call.idempotent = rule->idempotent;
--- a/src/cornelpier/entry/spill_controller.hpp
+++ b/src/cornelpier/entry/spill_controller.hpp
@@ -33,6 +33,9 @@
     /// @return delay that is worth as much as running the call in a far data centre.
     [[nodiscard]] duration cost(const call_state& call) const;
 
+    /// @return expected size of the call's request and response together.
+    [[nodiscard]] std::size_t expected_bytes(const call_state& call) const;
+
     /// Learns from the result of an attempt the size of the route's exchanges, and whether a far data centre
     /// has room.
     void on_settled(const call_state& call, const attempt_state& attempt, const attempt_result& result);
@@ -47,8 +50,6 @@
 
     void on_spilled(const call_state& call, const attempt_result& result);
     void log_share(const service_id& service, service_record& record);
-    [[nodiscard]] std::size_t expected_bytes(const call_state& call) const;
-
     entry_context& m_context;
     const round_trip_table& m_round_trips;
     locality_policy m_policy;
--- a/src/cornelpier/execution/stored_answer.cpp
+++ b/src/cornelpier/execution/stored_answer.cpp
@@ -29,6 +29,11 @@
     return result;
 }
 
+/// Responses of servers have fields.
+bool replaces_lost_response(const http_response& response) {
+    return response.status == status_conflict && response.fields.empty() && response.body->empty();
+}
+
 stored_answer answer_storage::store(const run_response& final_answer) {
     stored_answer stored{final_answer.outcome, final_answer.reason, std::nullopt, final_answer.service_time};
     if (!final_answer.response) {
--- a/src/cornelpier/execution/stored_answer.hpp
+++ b/src/cornelpier/execution/stored_answer.hpp
@@ -39,4 +39,7 @@
     std::size_t m_used_bytes = 0;
 };
 
+/// @return whether the response was made by `stored_answer::replay` in place of one that was not stored.
+bool replaces_lost_response(const http_response& response);
+
 } // namespace cornelpier
--- a/tests/entry/routed_calls_test.cpp
+++ b/tests/entry/routed_calls_test.cpp
@@ -289,4 +289,39 @@
     CHECK(it.take_answer().response.status == 503);
 }
 
+// Guards against repeats of downloads, which take the bandwidth that the first ones wait for.
+TEST_CASE("large exchanges of an idempotent route are run like orders", "[entry][routes]") {
+    const auto is_idempotent_after = [](std::size_t bytes) {
+        routed_entry it;
+        for (int i = 0; i < 2; ++i) {
+            it.call_path("/l/1");
+            const auto run = it.sent_run();
+            run_response reply;
+            reply.attempt = run.second.attempt;
+            reply.outcome = verdict::ran;
+            reply.response = http_response{200, {}, make_body(std::string(bytes, 'x'))};
+            reply.load = it.load_of(it.peers[run.first]);
+            it.entry.on_message(run.first, reply);
+            it.actions.clear();
+        }
+        it.call_path("/l/1");
+        return it.sent_run().second.idempotent;
+    };
+    CHECK(is_idempotent_after(5'000));
+    CHECK_FALSE(is_idempotent_after(90'000));
+}
+
+// Guards against a rejection in the eyes of callers whose request has run but whose response was not stored.
+TEST_CASE("the response to a run whose response was lost promises nothing", "[entry][routes]") {
+    routed_entry it;
+    it.call_path("/o/1");
+    const auto run = it.sent_run();
+    run_response reply;
+    reply.attempt = run.second.attempt;
+    reply.outcome = verdict::ran;
+    reply.response = http_response{409, {}, make_body()};
+    it.entry.on_message(run.first, reply);
+    CHECK(it.take_answer().response.status == 502);
+}
+
 } // namespace cornelpier::test
