--- a/src/cornelpier/entry/spill_controller.hpp
+++ b/src/cornelpier/entry/spill_controller.hpp
@@ -7,6 +7,7 @@
 #include "cornelpier/routing/round_trip_table.hpp"
 #include "cornelpier/routing/spill_limiter.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -50,6 +51,7 @@
 
     void on_spilled(const call_state& call, const attempt_result& result);
     void log_share(const service_id& service, service_record& record);
+
     entry_context& m_context;
     const round_trip_table& m_round_trips;
     locality_policy m_policy;
--- a/src/cornelpier/routing/spill_limiter.hpp
+++ b/src/cornelpier/routing/spill_limiter.hpp
@@ -2,8 +2,6 @@
 
 #include "cornelpier/base/random_source.hpp"
 
-#include <cstdint>
-
 namespace cornelpier {
 
 /// Limits the share of a service's calls that an entry offers to far data centres (additive increase,
