--- a/src/cornelpier/entry/answer_composer.cpp
+++ b/src/cornelpier/entry/answer_composer.cpp
@@ -1,7 +1,6 @@
 #include "cornelpier/entry/answer_composer.hpp"
 
 #include "cornelpier/entry/request_token.hpp"
-#include "cornelpier/execution/stored_answer.hpp"
 
 #include <algorithm>
 #include <array>
@@ -29,6 +28,9 @@
 }
 
 std::string_view describe(const attempt_result& result) {
+    if (result.outcome == verdict::ran) {
+        return "the request ran, but its response is no longer available";
+    }
     switch (result.reason) {
     case refusal::none:
         return result.end == attempt_end::not_sent ? "no target could be reached"
@@ -158,10 +160,6 @@
     if (!response) {
         return false;
     }
-    // Callers that read no verdict would take status 409 for a rejection.
-    if (m_context.options.status_implies_not_run && replaces_lost_response(*response)) {
-        return false;
-    }
     const bool may_imply_not_run = !m_context.options.status_implies_not_run || outcome == verdict::not_run;
     return may_imply_not_run || !implies_not_run(response->status);
 }
--- a/src/cornelpier/entry/call_driver.cpp
+++ b/src/cornelpier/entry/call_driver.cpp
@@ -24,9 +24,6 @@
 constexpr duration caller_round_trip = std::chrono::milliseconds{20};
 constexpr duration::rep caller_round_trip_divisor = 10;
 
-// Responses of this size take a considerable part of a VM's bandwidth for a second.
-constexpr std::size_t max_repeated_exchange_bytes = std::size_t{32} * 1024;
-
 constexpr duration budget_exhausted_log_interval = std::chrono::seconds{1};
 constexpr duration unavailable_retry_after = std::chrono::seconds{1};
 
@@ -171,10 +168,9 @@
         call.priority = resolved.matched_route->priority;
         call.max_runs = resolved.matched_route->max_attempts;
         call.route = resolved.matched_route->name;
-        // The result of a large exchange is awaited like that of an order: under a burst of downloads,
-        // repeats take the bandwidth that the first ones wait for.
-        call.idempotent = resolved.matched_route->idempotent &&
-                          m_deps.spill.expected_bytes(call) <= max_repeated_exchange_bytes;
+        // A large response is awaited like the result of an order: under a burst of downloads, repeats take
+        // the bandwidth that the first ones wait for.
+        call.idempotent = resolved.matched_route->idempotent && !resolved.matched_route->large_responses;
         call.objective = resolved.matched_route->objective;
     } else if (const auto* rule = resolved.service->match(event.request.method, event.request.path)) {
         call.idempotent = rule->idempotent;
--- a/src/cornelpier/entry/spill_controller.hpp
+++ b/src/cornelpier/entry/spill_controller.hpp
@@ -34,9 +34,6 @@
     /// @return delay that is worth as much as running the call in a far data centre.
     [[nodiscard]] duration cost(const call_state& call) const;
 
-    /// @return expected size of the call's request and response together.
-    [[nodiscard]] std::size_t expected_bytes(const call_state& call) const;
-
     /// Learns from the result of an attempt the size of the route's exchanges, and whether a far data centre
     /// has room.
     void on_settled(const call_state& call, const attempt_state& attempt, const attempt_result& result);
@@ -49,6 +46,8 @@
         time_point logged_at{duration::min()};
     };
 
+    /// @return expected size of the call's request and response together.
+    [[nodiscard]] std::size_t expected_bytes(const call_state& call) const;
     void on_spilled(const call_state& call, const attempt_result& result);
     void log_share(const service_id& service, service_record& record);
 
--- a/src/cornelpier/execution/stored_answer.cpp
+++ b/src/cornelpier/execution/stored_answer.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-constexpr int status_conflict = 409;
-
 std::size_t response_size(const http_response& response) {
     std::size_t size = response.body ? response.body->size() : 0;
     for (const auto& [name, value] : response.fields) {
@@ -23,17 +21,9 @@
     result.reason = reason;
     result.response = response;
     result.service_time = service_time;
-    if (outcome == verdict::ran && !response) {
-        result.response = http_response{status_conflict, {}, make_body()};
-    }
     return result;
 }
 
-/// Responses of servers have fields.
-bool replaces_lost_response(const http_response& response) {
-    return response.status == status_conflict && response.fields.empty() && response.body->empty();
-}
-
 stored_answer answer_storage::store(const run_response& final_answer) {
     stored_answer stored{final_answer.outcome, final_answer.reason, std::nullopt, final_answer.service_time};
     if (!final_answer.response) {
--- a/src/cornelpier/execution/stored_answer.hpp
+++ b/src/cornelpier/execution/stored_answer.hpp
@@ -17,8 +17,7 @@
     std::optional<http_response> response;
     duration service_time{};
 
-    /// @return the answer to a repeat. A response that was not stored is replaced by status 409 without a
-    /// body; the verdict stays `ran`.
+    /// @return the answer to a repeat, without a response if that was not stored; the verdict stays `ran`.
     [[nodiscard]] run_response replay(const attempt_id& attempt) const;
 };
 
@@ -39,7 +38,4 @@
     std::size_t m_used_bytes = 0;
 };
 
-/// @return whether the response was made by `stored_answer::replay` in place of one that was not stored.
-bool replaces_lost_response(const http_response& response);
-
 } // namespace cornelpier
--- a/src/cornelpier/plan/entry_values.cpp
+++ b/src/cornelpier/plan/entry_values.cpp
@@ -59,10 +59,13 @@
 }
 
 value_list values_of(const route& it) {
-    return {
-        {"service", services_text(it.weighted_services)}, {"idempotent", yes_or_no(it.idempotent)},
-        {"priority", priority_text(it.priority)},         {"timeout", time_text(it.timeout)},
-        {"objective", time_text(it.objective)},           {"max_attempts", std::to_string(it.max_attempts)}};
+    return {{"service", services_text(it.weighted_services)},
+            {"idempotent", yes_or_no(it.idempotent)},
+            {"large_responses", yes_or_no(it.large_responses)},
+            {"priority", priority_text(it.priority)},
+            {"timeout", time_text(it.timeout)},
+            {"objective", time_text(it.objective)},
+            {"max_attempts", std::to_string(it.max_attempts)}};
 }
 
 value_list values_of(const service_plan& it) {
--- a/src/cornelpier/plan/route.hpp
+++ b/src/cornelpier/plan/route.hpp
@@ -36,6 +36,7 @@
     std::string host;        ///< In lower case, without port.
     std::string path_prefix; ///< Starts and ends with `/`.
     bool idempotent = false;
+    bool large_responses = false; ///< A repeat takes bandwidth that other responses wait for.
     request_class priority = request_class::order;
     duration timeout{};                              ///< Maximum time until the caller gets a response.
     duration objective{};                            ///< Latency objective of the route.
--- a/src/daemon/caller/body_reader.cpp
+++ b/src/daemon/caller/body_reader.cpp
@@ -12,11 +12,9 @@
 /// Largest amount of unparsed chunked framing: size lines, extensions and trailers.
 constexpr std::size_t max_chunk_line_bytes = std::size_t{16} * 1024;
 
-/// Growth of a body for which the budget has no room to grow fourfold.
+/// Growth of a body for whose next capacity the budget has no room.
 constexpr std::size_t min_growth_bytes = std::size_t{64} * 1024;
 
-constexpr std::size_t growth_factor = 4;
-
 /// Body together with the bytes of the budget that it holds.
 struct counted_body {
     std::string text;
@@ -53,16 +51,13 @@
     return body_progress::complete;
 }
 
-/// The capacity grows fourfold and then to the limit, so that the last copy is made while the body is still
-/// small: growth by doubling to 64 MiB took 143 MB at its peak. If the budget has no room for that, it grows
-/// by what is needed and a little more.
+/// If the budget has no room for the next capacity, the body grows by what is needed and a little more.
 bool body_reader::reserve(std::string& body, std::size_t more) {
     const std::size_t needed = std::min(body.size() + more, m_limit);
     if (needed <= body.capacity()) {
         return true;
     }
-    const std::size_t next = std::max(needed, growth_factor * body.capacity());
-    const std::size_t grown = next >= m_limit / 2 ? m_limit : next;
+    const std::size_t grown = next_body_capacity(body.capacity(), needed, m_limit);
     const std::size_t modest = std::min(needed + min_growth_bytes, m_limit);
     if (!m_reservation.resize(grown) && !m_reservation.resize(modest)) {
         return false;
--- a/src/daemon/memory/byte_budget.cpp
+++ b/src/daemon/memory/byte_budget.cpp
@@ -17,7 +17,7 @@
 
 const char* to_string(held_bytes kind) {
     constexpr std::array<const char*, held_bytes_kinds> names{"request_bodies", "heads", "unread_responses",
-                                                              "link_queues", "stored_responses"};
+                                                              "link_queues"};
     return names.at(index_of(kind));
 }
 
--- a/src/daemon/memory/byte_budget.hpp
+++ b/src/daemon/memory/byte_budget.hpp
@@ -13,10 +13,9 @@
     heads,            ///< Unparsed input and parsed fields of callers.
     unread_responses, ///< Until the caller has read them.
     link_queues,
-    stored_responses,
 };
 
-inline constexpr std::size_t held_bytes_kinds = 5;
+inline constexpr std::size_t held_bytes_kinds = 4;
 
 /// @return the name of the kind in metrics.
 const char* to_string(held_bytes kind);
@@ -66,10 +65,10 @@
   private:
     [[nodiscard]] std::size_t limit_for(std::size_t total, std::size_t others) const;
 
-    std::size_t m_limit;
-    std::size_t m_sole_limit;
     void record_peak(std::size_t used);
 
+    std::size_t m_limit;
+    std::size_t m_sole_limit;
     std::atomic<std::size_t> m_used = 0;
     std::atomic<std::size_t> m_peak = 0;
     std::array<std::atomic<std::size_t>, held_bytes_kinds> m_by_kind{};
