--- a/review/support-2/fleet.cpp
+++ b/review/support-2/fleet.cpp
@@ -199,6 +199,7 @@
         const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
+        close_range(STDERR_FILENO + 1, ~0U, 0);
         setenv("CORNELPIER_CONFIG", settings.c_str(), 1);
         const rlimit descriptors{max_descriptors, max_descriptors};
         setrlimit(RLIMIT_NOFILE, &descriptors);
--- a/review/support-2/target_standin.cpp
+++ b/review/support-2/target_standin.cpp
@@ -39,7 +39,7 @@
 
 target_standin::target_standin(asio::io_context& context, target_options options, target_behaviour behaviour)
     : m_acceptor(context, cornelpier::standins::parse_endpoint(options.address)),
-      m_options(std::move(options)), m_behaviour(std::move(behaviour)) {
+      m_options(std::move(options)), m_behaviour(std::move(behaviour)), m_crash_timer(context) {
     accept();
 }
 
@@ -55,13 +55,63 @@
 
 void target_standin::accept() {
     m_acceptor.async_accept([this](error_code ec, asio::ip::tcp::socket socket) {
+        if (!m_acceptor.is_open()) {
+            return;
+        }
         if (!ec) {
-            std::make_shared<target_session>(std::move(socket), *this)->read_request();
+            const auto session = std::make_shared<target_session>(std::move(socket), *this);
+            std::erase_if(m_sessions, [](const auto& it) { return it.expired(); });
+            m_sessions.push_back(session);
+            // A process that crashes does not read any more.
+            if (m_crashed) {
+                session->hold();
+            } else {
+                session->read_request();
+            }
         }
         accept();
     });
 }
 
+void target_standin::crash(std::chrono::milliseconds listener_delay, std::chrono::milliseconds down_time) {
+    if (std::exchange(m_crashed, true)) {
+        return;
+    }
+    close_sessions();
+    if (listener_delay == std::chrono::milliseconds{0}) {
+        stop_listening(down_time);
+        return;
+    }
+    m_crash_timer.expires_after(listener_delay);
+    m_crash_timer.async_wait([this, down_time](error_code) { stop_listening(down_time); });
+}
+
+void target_standin::close_sessions() {
+    for (const auto& it : std::exchange(m_sessions, {})) {
+        if (const auto session = it.lock()) {
+            session->close();
+        }
+    }
+}
+
+void target_standin::stop_listening(std::chrono::milliseconds down_time) {
+    error_code ec;
+    m_acceptor.close(ec);
+    close_sessions();
+    m_crash_timer.expires_after(down_time);
+    m_crash_timer.async_wait([this](error_code) { listen_again(); });
+}
+
+void target_standin::listen_again() {
+    const auto endpoint = cornelpier::standins::parse_endpoint(m_options.address);
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen();
+    m_crashed = false;
+    accept();
+}
+
 std::string target_standin::load() const {
     return "X-Server-Load: " + std::to_string(m_running) + ',' + std::to_string(m_queue.size()) + ',' +
            std::to_string(m_options.slots) + ",100\r\n";
@@ -109,6 +159,10 @@
     m_socket.set_option(asio::ip::tcp::no_delay{true});
 }
 
+void target_session::hold() {
+    m_socket.async_wait(asio::ip::tcp::socket::wait_error, [self = shared_from_this()](error_code) {});
+}
+
 void target_session::read_request() {
     ++m_exchange;
     asio::async_read_until(m_socket, asio::dynamic_buffer(m_input), "\r\n\r\n",
--- a/review/support-2/target_standin.hpp
+++ b/review/support-2/target_standin.hpp
@@ -40,6 +40,10 @@
   public:
     target_standin(boost::asio::io_context& context, target_options options, target_behaviour behaviour);
 
+    /// Ends like a process that crashes: closes all connections at once and the listening socket a little
+    /// later, and starts again after some time. To be called on the thread of the target.
+    void crash(std::chrono::milliseconds listener_delay, std::chrono::milliseconds down_time);
+
     /// Fields that all answers have from now on, each line with its line end.
     void set_common_fields(const std::string& fields);
     [[nodiscard]] std::string common_fields() const;
@@ -53,6 +57,9 @@
     void on_request(const std::shared_ptr<target_session>& session, target_request request);
     void on_ended(const std::shared_ptr<target_session>& session);
     void start_queued();
+    void close_sessions();
+    void stop_listening(std::chrono::milliseconds down_time);
+    void listen_again();
     [[nodiscard]] std::string load() const;
 
     boost::asio::ip::tcp::acceptor m_acceptor;
@@ -60,6 +67,9 @@
     target_behaviour m_behaviour;
     mutable std::mutex m_mutex;
     std::string m_common_fields;
+    std::vector<std::weak_ptr<target_session>> m_sessions;
+    boost::asio::steady_timer m_crash_timer;
+    bool m_crashed = false;
     std::atomic<std::size_t> m_running = 0;
     std::vector<std::pair<std::shared_ptr<target_session>, target_request>> m_queue;
 };
@@ -71,6 +81,9 @@
 
     void read_request();
 
+    /// Keeps the connection open without reading.
+    void hold();
+
     /// Answers after some time of work, unless the connection closes before.
     void answer_after(std::chrono::milliseconds work, int status, const std::string& body,
                       const std::string& fields = "");
