--- a/review/support-2/kept_clients.cpp
+++ b/review/support-2/kept_clients.cpp
@@ -4,7 +4,8 @@
 
 namespace review {
 
-void lost_check::add_run(const std::string& id, bool sound) {
+void lost_check::add_run(const std::string& id, const std::string& target, bool sound) {
+    m_log.add("target of " + target + " runs " + id);
     const std::lock_guard lock(m_mutex);
     (sound ? m_sound_runs : m_other_runs).insert(id);
 }
@@ -42,9 +43,11 @@
     const auto id = new_attempt_id();
     const std::string length =
         options.body.empty() ? "" : "Content-Length: " + std::to_string(options.body.size()) + "\r\n";
+    m_log.add(options.method + ' ' + options.path + ' ' + id + " sent to " + vm);
     const bool sent = connection.send(
         make_request(options.method, options.path, id, options.deadline, length) + options.body, until);
     const auto answer = connection.read_answer(until);
+    m_log.add("answer to " + id + ": " + (answer.status == 0 ? "none" : std::to_string(answer.status)));
     if (answer.status == 0) {
         // Neither the client's time nor the route's was over.
         if (sent && is_kept && steady::now() < until) {
@@ -56,17 +59,17 @@
     return find_header(answer.head, "connection") != "close";
 }
 
-std::size_t lost_check::write(record& log) {
+std::size_t lost_check::write() {
     const std::lock_guard lock(m_mutex);
     for (const auto& [status, count] : m_answers) {
-        log.add("ordinary clients, answers with status " + std::to_string(status) + ": " +
-                std::to_string(count));
+        m_log.add("ordinary clients, answers with status " + std::to_string(status) + ": " +
+                  std::to_string(count));
     }
     std::size_t result = 0;
     for (const auto& it : m_cuts) {
         const bool counts = m_sound_runs.contains(it.id) && !m_other_runs.contains(it.id);
-        log.add("no answer to " + it.id + " on a kept connection to " + it.vm +
-                (counts ? ", which a sound target has run" : ""));
+        m_log.add("no answer to " + it.id + " on a kept connection to " + it.vm +
+                  (counts ? ", which a sound target has run" : ""));
         result += counts ? 1 : 0;
     }
     return result;
--- a/review/support-2/kept_clients.hpp
+++ b/review/support-2/kept_clients.hpp
@@ -26,8 +26,10 @@
     /// The rule allows three such requests.
     static constexpr std::size_t allowed_cuts = 3;
 
+    explicit lost_check(record& log) : m_log(log) {}
+
     /// A target begins to run a request.
-    void add_run(const std::string& id, bool sound);
+    void add_run(const std::string& id, const std::string& target, bool sound);
 
     /// Sends requests until the time is over.
     void run_client(const fleet& nodes, std::size_t vm, const kept_client_options& options,
@@ -36,7 +38,7 @@
     /// Writes what the clients got.
     /// @return the requests on kept connections that only sound targets have run, and whose connection was
     /// closed before the client's time was over.
-    std::size_t write(record& log);
+    std::size_t write();
 
   private:
     void add_answer(int status);
@@ -49,6 +51,7 @@
         std::string vm;
     };
 
+    record& m_log;
     std::mutex m_mutex;
     std::set<std::string> m_sound_runs;
     std::set<std::string> m_other_runs;
