Do not take a response that was reset during the upload for a complete one

Callers got part of a body as a complete response with status 200: the server answered a long upload at once without a length, sent part of the body and reset the connection while the upload was still being written. Failures and refusals without a length were passed on in the same way.

Cause: a socket reports a reset once. The write of the rest of the request was the first to get it, and its error was ignored, since a server may respond before it has read the body. The read behind it then saw the end of the connection, which completes a response without a length.

Change: the end of the connection completes a response without a length only if the connection has not been reset and the server has received the whole request. Until then the exchange checks both every 5 ms. A server that ends only its own side and reads nothing more sends no reset; its response is accepted after 500 ms. Whole responses with a length or in chunks arrive as before, also with a reset behind them.

--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -1,5 +1,6 @@
 #include "daemon/server/server_exchange.hpp"
 
+#include "daemon/net/connection_state.hpp"
 #include "daemon/net/hop_by_hop.hpp"
 #include "daemon/net/incremental_body.hpp"
 #include "daemon/net/read_head.hpp"
@@ -34,6 +35,9 @@
 
 constexpr int first_error_status = 400;
 
+/// Interval of checks whether the server has received the request; there is no event for it.
+constexpr std::chrono::milliseconds close_check_interval{5};
+
 /// Subtracted from the server's idle timeout to cover the transit time of the response and the next request.
 constexpr std::chrono::milliseconds keep_alive_margin{500};
 
@@ -116,14 +120,14 @@
 
 void server_exchange::start(const tcp::endpoint& server, std::chrono::microseconds timeout) {
     m_socket = std::make_unique<tcp::socket>(m_strand);
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
-    m_deadline.set(std::min<std::chrono::steady_clock::duration>(connect_timeout, timeout),
-                   shared_from_this(), &server_exchange::on_timeout);
+    const auto deadline = clock::now() + timeout;
+    m_deadline.set(std::min<clock::duration>(connect_timeout, timeout), shared_from_this(),
+                   &server_exchange::on_timeout);
     m_socket->async_connect(
         server, [self = shared_from_this(), deadline](error_code ec) { self->on_connected(ec, deadline); });
 }
 
-void server_exchange::on_connected(error_code ec, std::chrono::steady_clock::time_point deadline) {
+void server_exchange::on_connected(error_code ec, clock::time_point deadline) {
     if (!m_on_done) {
         return;
     }
@@ -137,20 +141,26 @@
         fail(server_failure::connect_failed);
         return;
     }
-    write(deadline - std::chrono::steady_clock::now());
+    write(deadline - clock::now());
 }
 
-void server_exchange::write(std::chrono::steady_clock::duration remaining) {
-    m_write_started = true;
+void server_exchange::write(clock::duration remaining) {
+    m_write = write_state::in_progress;
+    m_expires_at = clock::now() + remaining;
     m_deadline.set(remaining, shared_from_this(), &server_exchange::on_timeout);
-    http::async_write(*m_socket, m_http->serializer, [self = shared_from_this()](error_code ec, std::size_t) {
-        // Errors are ignored: the read detects a lost connection, and a server may respond before it has read
-        // a long body.
-        self->m_write_completed = !ec;
-    });
+    http::async_write(*m_socket, m_http->serializer,
+                      [self = shared_from_this()](error_code ec, std::size_t) { self->on_written(ec); });
     read();
 }
 
+/// An error does not end the exchange: a server may respond before it has read a long body.
+void server_exchange::on_written(error_code ec) {
+    m_write = ec ? write_state::failed : write_state::completed;
+    if (m_on_done && m_response_ended_by_close) {
+        confirm_close();
+    }
+}
+
 void server_exchange::read() {
     m_http->parser.emplace();
     m_http->parser->header_limit(max_response_header_bytes);
@@ -183,17 +193,14 @@
     if (!m_on_done) {
         return;
     }
-    auto& parser = *m_http->parser;
-    // The end of a response without a length cannot be distinguished from a lost connection.
     if (ec) {
         fail(failure_of(ec));
         return;
     }
-    if (parser.need_eof() && !m_rules.allow_unframed) {
-        fail(server_failure::response_incomplete);
+    if (m_http->parser->need_eof()) {
+        on_response_ended_by_close();
         return;
     }
-
     if (status_kind_of_response() == status_kind::interim) {
         skip_response();
         return;
@@ -202,6 +209,31 @@
     process_response();
 }
 
+void server_exchange::on_response_ended_by_close() {
+    if (!m_rules.allow_unframed) {
+        fail(server_failure::response_incomplete);
+        return;
+    }
+    m_response_ended_by_close = true;
+    m_expires_at = std::min(m_expires_at, clock::now() + reset_timeout);
+    confirm_close();
+}
+
+/// A socket reports a reset once, to the write if that comes first; the read then sees only an end. So the
+/// response is complete only if the server has received the whole request and has not reset the connection.
+void server_exchange::confirm_close() {
+    if (m_write == write_state::failed || is_connection_reset(*m_socket)) {
+        fail(server_failure::connection_lost);
+        return;
+    }
+    const bool received = m_write == write_state::completed && unacknowledged_bytes(*m_socket) == 0;
+    if (received || clock::now() >= m_expires_at) {
+        process_response();
+        return;
+    }
+    m_deadline.set(close_check_interval, shared_from_this(), &server_exchange::on_timeout);
+}
+
 void server_exchange::process_response() {
     auto& parser = *m_http->parser;
     const bool framed = !parser.need_eof();
@@ -209,8 +241,8 @@
     // that it did not run.
     const bool repeatable =
         m_rules.request_id_field.empty() && parser.get().result_int() >= first_error_status;
-    const bool clean = parser.keep_alive() && m_http->buffer.size() == 0 && m_write_completed &&
-                       !m_unmatched_response_seen && !repeatable;
+    const bool clean = parser.keep_alive() && m_http->buffer.size() == 0 &&
+                       m_write == write_state::completed && !m_unmatched_response_seen && !repeatable;
     const auto idle_time = announced_idle_time(std::string{parser.get()[http::field::keep_alive]});
     auto response = copy_response(parser.get(), m_request.method == "HEAD");
     if (is_unmatched(response) && framed) {
@@ -269,8 +301,11 @@
 }
 
 void server_exchange::on_timeout() {
-    if (m_on_done) {
-        fail(m_write_started ? server_failure::response_incomplete : server_failure::connect_failed);
+    if (m_on_done && m_response_ended_by_close) {
+        confirm_close();
+    } else if (m_on_done) {
+        fail(m_write == write_state::not_started ? server_failure::connect_failed
+                                                 : server_failure::response_incomplete);
     }
 }
 
--- a/src/daemon/server/server_exchange.hpp
+++ b/src/daemon/server/server_exchange.hpp
@@ -39,6 +39,10 @@
     /// Timeout for opening a connection.
     static constexpr std::chrono::milliseconds connect_timeout{250};
 
+    /// Time for the reset of a connection to arrive after its end. A server that has ended its response,
+    /// keeps the connection and does not read the rest of the request sends none.
+    static constexpr std::chrono::milliseconds reset_timeout{500};
+
     /// @param strand runs the exchange.
     /// @param request sent with exactly these fields, which must include Host and Content-Length.
     /// @param on_done see `callback`.
@@ -61,13 +65,27 @@
     void cancel();
 
   private:
+    using clock = std::chrono::steady_clock;
+
     struct http_state;
 
-    void on_connected(boost::system::error_code ec, std::chrono::steady_clock::time_point deadline);
-    void write(std::chrono::steady_clock::duration remaining);
+    enum class write_state {
+        not_started, ///< No byte of the request has been written.
+        in_progress,
+        completed, ///< The whole request was handed to the system.
+        failed,
+    };
+
+    void on_connected(boost::system::error_code ec, clock::time_point deadline);
+    void write(clock::duration remaining);
+    void on_written(boost::system::error_code ec);
     void read();
     void on_header_read(boost::system::error_code ec);
     void on_response_read(boost::system::error_code ec);
+    /// Handles the end of the connection behind a response without a length.
+    void on_response_ended_by_close();
+    /// Accepts such a response once no reset can follow, or checks again later.
+    void confirm_close();
     void process_response();
     [[nodiscard]] status_kind status_kind_of_response() const;
     /// Discards an interim response or one to another request and reads the next.
@@ -85,8 +103,9 @@
     lazy_deadline m_deadline;
     connection_pool::socket_ptr m_socket;
     std::unique_ptr<http_state> m_http;
-    bool m_write_started = false;           ///< Part of the request may have reached the server.
-    bool m_write_completed = false;         ///< The whole request was written.
+    clock::time_point m_expires_at; ///< Timeout of the response.
+    write_state m_write = write_state::not_started;
+    bool m_response_ended_by_close = false; ///< A response without a length awaits `confirm_close`.
     bool m_reused = false;                  ///< The connection has carried earlier requests.
     std::uint32_t m_skipped_responses = 0;  ///< Interim and unmatched responses so far.
     bool m_unmatched_response_seen = false; ///< The connection is then not reused.
