--- a/tests/large_messages/support/upload_fleet.cpp
+++ b/tests/large_messages/support/upload_fleet.cpp
@@ -8,7 +8,6 @@
 #include <atomic>
 #include <fstream>
 #include <stdexcept>
-#include <unistd.h>
 
 namespace cornelpier::test {
 
@@ -16,22 +15,6 @@
 
 using nlohmann::json;
 
-/// All VMs use the same ports on different loopback addresses.
-constexpr int caller_port = 28201;
-constexpr int ready_port = 28202;
-constexpr int server_port = 28203;
-constexpr int node_port = 28204;
-constexpr int store_port = 28206;
-constexpr int store_vm = 9;
-
-std::string vm_address(int vm) {
-    return "127.10." + std::to_string(getpid() % 250) + '.' + std::to_string(vm + 1);
-}
-
-std::string vm_endpoint(int vm, int port) {
-    return vm_address(vm) + ':' + std::to_string(port);
-}
-
 std::string make_manifest(std::size_t max_body_bytes) {
     json rows = json::array({route_row("upload", "a.example", "/u/", "unsafe", "vault"),
                              route_row("download", "a.example", "/d/", "download", "vault")});
@@ -68,28 +51,8 @@
 } // namespace
 
 upload_fleet::upload_fleet(std::size_t max_body_bytes)
-    : m_directory(std::filesystem::temp_directory_path() /
-                  ("cornelpier-large-messages-" + std::to_string(getpid()))),
-      m_store(std::make_unique<standins::store_standin>(m_context, vm_endpoint(store_vm, store_port))),
-      m_server(std::make_unique<standins::http_service>(m_context, vm_endpoint(owner, server_port), serve)) {
-    std::filesystem::create_directories(m_directory);
-    m_store->put("op/config", make_manifest(max_body_bytes));
-    m_store->put("servers/i-1", server_entry_json({vm_endpoint(owner, server_port), "vault", "z", "ready"}));
-    m_thread = std::thread([this] { m_context.run(); });
-    for (const int vm : {entry, owner}) {
-        write_settings(vm);
-        m_nodes.emplace_back(std::vector<std::string>{CORNELPIER_SIDECAR, "--settings", file(vm)},
-                             file(vm) + ".log");
-    }
-}
-
-upload_fleet::~upload_fleet() {
-    m_nodes.clear();
-    m_context.stop();
-    m_thread.join();
-    std::error_code ec;
-    std::filesystem::remove_all(m_directory, ec);
-}
+    : m_nodes("vault", make_manifest(max_body_bytes), {owner}),
+      m_server(m_nodes.context(), sidecar_pair::server_address(owner), serve) {}
 
 bool upload_fleet::wait_until_serving() {
     return becomes_true(std::chrono::seconds{10}, [] {
@@ -102,7 +65,7 @@
 }
 
 http_response upload_fleet::call(const std::string& bytes) {
-    return test::call(vm_endpoint(entry, caller_port), bytes);
+    return test::call(sidecar_pair::caller_address(entry), bytes);
 }
 
 std::string upload_fleet::fields() {
@@ -115,8 +78,7 @@
 }
 
 std::size_t upload_fleet::peak_resident_bytes(int vm) const {
-    std::ifstream status("/proc/" + std::to_string(m_nodes.at(static_cast<std::size_t>(vm)).pid()) +
-                         "/status");
+    std::ifstream status("/proc/" + std::to_string(m_nodes.node(vm).pid()) + "/status");
     const std::string name = "VmHWM:";
     for (std::string line; std::getline(status, line);) {
         if (line.starts_with(name)) {
@@ -128,7 +90,7 @@
 }
 
 std::string upload_fleet::metric(int vm, const std::string& name) {
-    const auto page = test::call(vm_endpoint(vm, node_port + 1), get_request("/metrics", "node")).body;
+    const auto page = test::call(sidecar_pair::operator_address(vm), get_request("/metrics", "node")).body;
     const auto start = page.find('\n' + name + ' ');
     if (start == std::string::npos) {
         return "";
@@ -137,20 +99,4 @@
     return page.substr(value, page.find('\n', value) - value);
 }
 
-void upload_fleet::write_settings(int vm) const {
-    const auto settings = sidecar_settings({.ip = vm_address(vm),
-                                            .vm = "vm-" + std::to_string(vm),
-                                            .data_centre = "z",
-                                            .service = "vault",
-                                            .caller_address = vm_endpoint(vm, caller_port),
-                                            .readiness_address = vm_endpoint(vm, ready_port),
-                                            .node_address = vm_endpoint(vm, node_port),
-                                            .operator_address = vm_endpoint(vm, node_port + 1),
-                                            .server_address = vm_endpoint(vm, server_port),
-                                            .store_address = vm_endpoint(store_vm, store_port),
-                                            .first_port = node_port,
-                                            .last_port = node_port + 1});
-    std::ofstream{file(vm)} << settings.dump();
-}
-
 } // namespace cornelpier::test
--- a/tests/large_messages/support/upload_fleet.hpp
+++ b/tests/large_messages/support/upload_fleet.hpp
@@ -1,15 +1,11 @@
 #pragma once
 
-#include "tests/process/support/child_process.hpp"
 #include "tests/process/support/http_call.hpp"
-#include "tests/standins/store_standin.hpp"
+#include "tests/process/support/sidecar_pair.hpp"
+#include "tests/standins/http_service.hpp"
 
 #include <cstddef>
-#include <filesystem>
-#include <memory>
 #include <string>
-#include <thread>
-#include <vector>
 
 namespace cornelpier::test {
 
@@ -25,7 +21,7 @@
 
     /// @param max_body_bytes limit in the manifest.
     explicit upload_fleet(std::size_t max_body_bytes);
-    ~upload_fleet();
+    ~upload_fleet() { m_nodes.stop(); }
 
     upload_fleet(const upload_fleet&) = delete;
     upload_fleet& operator=(const upload_fleet&) = delete;
@@ -52,15 +48,8 @@
     static std::string metric(int vm, const std::string& name);
 
   private:
-    void write_settings(int vm) const;
-    [[nodiscard]] std::string file(int vm) const { return m_directory / ("node-" + std::to_string(vm)); }
-
-    boost::asio::io_context m_context{1};
-    std::filesystem::path m_directory;
-    std::unique_ptr<standins::store_standin> m_store;
-    std::unique_ptr<standins::http_service> m_server;
-    std::thread m_thread;
-    std::vector<child_process> m_nodes;
+    sidecar_pair m_nodes;
+    standins::http_service m_server;
 };
 
 } // namespace cornelpier::test
