Refuse responses whose head has a line that begins with a blank

Callers got such a response as complete: the line was passed on as part of the value of the field before it, also of the server's seal, and a line like " Content-Length: 3" was not taken for the framing that its sender may have meant. Health reports and responses of the store were read in the same way.

Cause: the parser accepts obsolete line folding and joins the lines; only requests of callers were checked for it.

Change: the reader of heads refuses a folded line, wherever it is used: responses of servers and of the store, and requests of operators' clients. RFC 9112, section 5.2 lets a gateway discard such a response.

--- a/src/daemon/caller/caller_session.cpp
+++ b/src/daemon/caller/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/caller/head_rules.hpp"
 #include "daemon/caller/response_writer.hpp"
+#include "daemon/net/folded_line.hpp"
 #include "daemon/net/hop_by_hop.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -54,11 +55,6 @@
            is_digit(version[7]) && version != "HTTP/1.1";
 }
 
-/// @return true if the head contains obsolete line folding, which parsers interpret in different ways.
-bool has_folded_line(std::string_view head) {
-    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
-}
-
 bool is_lookup_method(std::string_view method) {
     return method == "GET" || method == "HEAD";
 }
--- a/src/daemon/net/read_head.hpp
+++ b/src/daemon/net/read_head.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "daemon/net/folded_line.hpp"
+
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
@@ -17,9 +19,9 @@
 ///
 /// The limit applies to the head as a whole. The parser's own limit does not hold in Beast 1.74: it starts
 /// anew after a read that ends behind one or two bytes of a field, so that a peer that sends short fields
-/// without end fills the memory.
+/// without end fills the memory. A head with a folded line is refused; see `has_folded_line`.
 /// @tparam Stream has `async_read_some`.
-/// @tparam Buffer dynamic buffer with a largest size.
+/// @tparam Buffer dynamic buffer with a largest size, in one piece.
 template <typename Stream, typename Buffer, typename Parser, typename Handler>
 class head_reader {
   public:
@@ -34,6 +36,10 @@
         boost::system::error_code ec = boost::beast::http::error::need_more;
         if (m_buffer.size() > 0) {
             const std::size_t n = m_parser.put(m_buffer.data(), ec);
+            // The parser takes complete lines only, a folded one together with its continuation.
+            if (has_folded_line({static_cast<const char*>(m_buffer.data().data()), n})) {
+                ec = boost::beast::http::error::bad_obs_fold;
+            }
             m_buffer.consume(n);
             if (n > m_remaining) {
                 ec = boost::beast::http::error::header_limit;
@@ -81,7 +87,7 @@
 /// Reads the head of a message; see `head_reader`. The objects must outlive the call of the handler.
 /// @param limit largest size of the head, in bytes.
 /// @param handler receives the error code, within this call if the buffer already has the head. Errors are
-/// those of `http::async_read_header`.
+/// those of `http::async_read_header`, and `http::error::bad_obs_fold`.
 template <typename Stream, typename Buffer, typename Parser, typename Handler>
 void async_read_head(Stream& stream, Buffer& buffer, Parser& parser, std::size_t limit, Handler handler) {
     head_reader<Stream, Buffer, Parser, Handler>{stream, buffer, parser, limit, std::move(handler)}.run();
--- /dev/null
+++ b/tests/broken_responses/malformed_head_test.cpp
@@ -0,0 +1,153 @@
+#include "daemon/net/endpoint.hpp"
+#include "daemon/platform/http_get.hpp"
+#include "daemon/server/server_client.hpp"
+#include "tests/broken_responses/support/faulty_server.hpp"
+#include "tests/broken_responses/support/malformed_heads.hpp"
+#include "tests/daemon/support/running_context.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cornelpier {
+
+namespace {
+
+using namespace std::chrono_literals;
+using test::connection_end;
+using test::faulty_response;
+
+/// Longer than any exchange of these tests takes, so that one that ends by its timeout fails the test.
+constexpr auto exchange_timeout = 30s;
+
+const std::string status_line = "HTTP/1.1 200 OK\r\n";
+const std::string run_fields = "X-Id: 7\r\nX-Seal: s\r\n";
+const std::string report_fields = "X-Load: 1\r\nX-Seal: s\r\n";
+/// Begins with a blank, which must not be taken for a folded line of the head.
+const std::string report = R"( {"healthy": true,"draining":false,"in_flight": 0})";
+
+wire_names adapter_names() {
+    wire_names names;
+    names.request_id = "x-id";
+    names.response_seal = "x-seal";
+    names.not_run = "x-not-run";
+    names.load = "x-load";
+    names.parse_load = [](std::string_view) { return std::optional{server_load_report{1, 2, 3, 4}}; };
+    names.close_delimited_responses = true;
+    return names;
+}
+
+/// Runs an exchange with a server that sends the given bytes to each request and closes the connection.
+/// @param start starts the exchange with the client.
+std::string server_outcome(const std::string& bytes, const wire_names& names,
+                           const std::function<void(server_client&)>& start) {
+    test::faulty_server server([&](const std::string&) {
+        return faulty_response{bytes, connection_end::close};
+    });
+    test::running_context threads;
+    test::value_recorder<traffic_event> events;
+    server_client client(threads.context, {server.address, "/load", service_id{"comenzi"}, names},
+                         [&](traffic_event it) { events.push(std::move(it)); });
+    start(client);
+    const auto all = events.wait(1);
+    threads.stop();
+    if (all.empty()) {
+        return "no event";
+    }
+    if (const auto* answered = std::get_if<server_answered>(&all.front())) {
+        return "passed on: " + *answered->response.body;
+    }
+    return std::holds_alternative<server_report>(all.front()) ? "report" : "failed";
+}
+
+std::string run_outcome(const std::string& bytes, const wire_names& names, const std::string& method) {
+    return server_outcome(bytes, names, [&](server_client& client) {
+        start_run action;
+        action.run = run_id{1};
+        action.request = {method, "/x", {{"x-id", "7"}}, make_body()};
+        action.timeout = exchange_timeout;
+        action.deadline = exchange_timeout;
+        client.start(std::move(action));
+    });
+}
+
+std::string report_outcome(const std::string& bytes, const wire_names& names) {
+    return server_outcome(bytes, names, [](server_client& client) { client.read_report(); });
+}
+
+std::string get_outcome(const std::string& bytes) {
+    test::faulty_server store([&](const std::string&) {
+        return faulty_response{bytes, connection_end::close};
+    });
+    test::running_context threads;
+    test::value_recorder<http_get_outcome> outcomes;
+    http_get_request request;
+    request.server = std::get<socket_address>(parse_address(store.address)).tcp();
+    request.host = "store";
+    request.path = "/";
+    request.timeout = exchange_timeout;
+    request.max_body_bytes = 1024;
+    http_get(threads.context, request, [&](http_get_outcome it) { outcomes.push(std::move(it)); });
+    const auto all = outcomes.wait(1);
+    threads.stop();
+    if (all.empty()) {
+        return "no outcome";
+    }
+    return all.front().status == 0 ? "failed" : "read: " + all.front().body;
+}
+
+/// @return responses with a malformed line at each place of the head, with each framing.
+std::vector<std::string> malformed_responses(const std::string& fields) {
+    std::vector<std::string> responses;
+    for (const auto& line : test::malformed_lines()) {
+        for (const auto& framing : test::all_framings(report)) {
+            for (const auto& head : {line + fields + framing.field, fields + line + framing.field,
+                                     fields + framing.field + line}) {
+                responses.push_back(status_line + head + "\r\n" + framing.body);
+            }
+        }
+    }
+    return responses;
+}
+
+} // namespace
+
+TEST_CASE("a response with a malformed line in its head is no response",
+          "[broken-responses][field-reports]") {
+    for (const auto& bytes : malformed_responses(run_fields)) {
+        INFO(test::printable(bytes));
+        CHECK(run_outcome(bytes, adapter_names(), "GET") == "failed");
+        CHECK(run_outcome(bytes, adapter_names(), "HEAD") == "failed");
+        CHECK(run_outcome(bytes, {}, "POST") == "failed");
+        CHECK(get_outcome(bytes) == "failed");
+    }
+}
+
+TEST_CASE("a health report with a malformed line in its head is no report",
+          "[broken-responses][field-reports]") {
+    for (const auto& bytes : malformed_responses(report_fields)) {
+        INFO(test::printable(bytes));
+        CHECK(report_outcome(bytes, adapter_names()) == "failed");
+        CHECK(report_outcome(bytes, {}) == "failed");
+    }
+}
+
+TEST_CASE("a sound response is accepted with each framing", "[broken-responses]") {
+    for (const auto& framing : test::all_framings(report)) {
+        INFO(framing.name);
+        const bool has_end = framing.name != "close";
+        const std::string rest = framing.field + "\r\n" + framing.body;
+        CHECK(run_outcome(status_line + run_fields + rest, adapter_names(), "GET") == "passed on: " + report);
+        CHECK(run_outcome(status_line + run_fields + rest, {}, "POST") ==
+              (has_end ? "passed on: " + report : "failed"));
+        CHECK(get_outcome(status_line + run_fields + rest) == (has_end ? "read: " + report : "failed"));
+        CHECK(report_outcome(status_line + report_fields + rest, adapter_names()) ==
+              (has_end ? "report" : "failed"));
+        CHECK(report_outcome(status_line + report_fields + rest, {}) == (has_end ? "report" : "failed"));
+    }
+}
+
+} // namespace cornelpier
