Refuse responses with an unknown transfer coding

Callers got the coded bytes as the body of a complete response: with "Transfer-Encoding: chunked, gzip" the chunk sizes stood in it, with "gzip, chunked" the compressed bytes, and with "gzip" beside a Content-Length its first bytes. Health reports and responses of the store were read in the same way.

Cause: the parser undoes a last "chunked" and ignores all other codings. The field concerns one connection and is not passed on, so that callers could not tell.

Evidence: the new test sends nine values, with and without a length.

Change: a response whose Transfer-Encoding is anything but "chunked" is treated like one with an invalid status.

--- a/src/daemon/platform/http_get.cpp
+++ b/src/daemon/platform/http_get.cpp
@@ -1,8 +1,8 @@
 #include "daemon/platform/http_get.hpp"
 
 #include "daemon/net/read_head.hpp"
+#include "daemon/net/response_head.hpp"
 #include "daemon/net/response_limits.hpp"
-#include "daemon/net/response_status.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -67,7 +67,7 @@
                         [self = shared_from_this()](error_code ec) {
                             // A body that may never arrive is not awaited. Interim responses are not expected
                             // without Expect.
-                            if (ec || !self->has_final_status()) {
+                            if (ec || kind_of_response(self->m_parser.get()) != status_kind::final) {
                                 self->m_on_done({});
                                 return;
                             }
@@ -75,10 +75,6 @@
                         });
     }
 
-    [[nodiscard]] bool has_final_status() const {
-        return kind_of_status(static_cast<int>(m_parser.get().result_int())) == status_kind::final;
-    }
-
     void read_body() {
         http::async_read(m_stream, m_buffer, m_parser,
                          [self = shared_from_this()](error_code ec, std::size_t) { self->on_read(ec); });
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -4,8 +4,8 @@
 #include "daemon/net/hop_by_hop.hpp"
 #include "daemon/net/incremental_body.hpp"
 #include "daemon/net/read_head.hpp"
+#include "daemon/net/response_head.hpp"
 #include "daemon/net/response_limits.hpp"
-#include "daemon/net/response_status.hpp"
 #include "daemon/server/server_client.hpp"
 
 #include <boost/asio/bind_executor.hpp>
@@ -180,7 +180,7 @@
         return;
     }
     // A body that may never arrive is not awaited.
-    if (status_kind_of_response() == status_kind::invalid) {
+    if (kind_of_response(m_http->parser->get()) == status_kind::invalid) {
         fail(server_failure::response_incomplete);
         return;
     }
@@ -201,7 +201,7 @@
         on_response_ended_by_close();
         return;
     }
-    if (status_kind_of_response() == status_kind::interim) {
+    if (kind_of_response(m_http->parser->get()) == status_kind::interim) {
         skip_response();
         return;
     }
@@ -261,10 +261,6 @@
     finish(std::move(response), std::move(connection));
 }
 
-status_kind server_exchange::status_kind_of_response() const {
-    return kind_of_status(static_cast<int>(m_http->parser->get().result_int()));
-}
-
 void server_exchange::skip_response() {
     if (++m_skipped_responses > max_skipped_responses) {
         fail(server_failure::response_incomplete);
--- a/src/daemon/server/server_exchange.hpp
+++ b/src/daemon/server/server_exchange.hpp
@@ -4,7 +4,6 @@
 #include "cornelpier/node/traffic_events.hpp"
 
 #include "daemon/net/lazy_deadline.hpp"
-#include "daemon/net/response_status.hpp"
 #include "daemon/server/connection_pool.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -87,7 +86,6 @@
     /// Accepts such a response once no reset can follow, or checks again later.
     void confirm_close();
     void process_response();
-    [[nodiscard]] status_kind status_kind_of_response() const;
     /// Discards an interim response or one to another request and reads the next.
     void skip_response();
     [[nodiscard]] bool is_unmatched(const http_response& response) const;
--- a/tests/broken_responses/malformed_head_test.cpp
+++ b/tests/broken_responses/malformed_head_test.cpp
@@ -135,6 +135,22 @@
     }
 }
 
+// The bytes of a coding that was not undone were passed on as the body.
+TEST_CASE("a response with an unknown transfer coding is no response", "[broken-responses][field-reports]") {
+    for (const std::string coding : {"gzip", "identity", "xchunked", "", "\"chunked\"", "chunked;a=b",
+                                     "gzip, chunked", "chunked, gzip", "chunked, chunked"}) {
+        for (const std::string length : {"", "Content-Length: 3\r\n"}) {
+            const std::string rest =
+                "Transfer-Encoding: " + coding + "\r\n" + length + "\r\n3\r\nabc\r\n0\r\n\r\n";
+            INFO(test::printable(rest));
+            CHECK(run_outcome(status_line + run_fields + rest, adapter_names(), "GET") == "failed");
+            CHECK(run_outcome(status_line + run_fields + rest, {}, "POST") == "failed");
+            CHECK(report_outcome(status_line + report_fields + rest, adapter_names()) == "failed");
+            CHECK(get_outcome(status_line + run_fields + rest) == "failed");
+        }
+    }
+}
+
 TEST_CASE("a sound response is accepted with each framing", "[broken-responses]") {
     for (const auto& framing : test::all_framings(report)) {
         INFO(framing.name);
