Do not take fields behind a body in chunks for fields of the head

Callers got such fields in the head of the response: a second seal, another request id, and lines that were folded. A field that says that a request did not run turned a complete response with status 200 into a refusal, so that a caller could have been told "not run" of an order that ran. The store's era was read from there, too.

Cause: the parser adds trailer fields to those of the head, and the response was copied after the body.

Evidence: the new test sends such fields, sound and malformed ones, behind a body in chunks.

Change: the head of a response is copied before its body is read; trailer fields are dropped, as RFC 9110, section 6.5 allows.

--- a/src/daemon/platform/http_get.cpp
+++ b/src/daemon/platform/http_get.cpp
@@ -13,6 +13,8 @@
 #include <boost/beast/http/write.hpp>
 
 #include <memory>
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace cornelpier {
@@ -71,10 +73,20 @@
                                 self->m_on_done({});
                                 return;
                             }
+                            self->read_field();
                             self->read_body();
                         });
     }
 
+    /// The parser adds the fields behind a body in chunks to those of the head, so this precedes the body.
+    void read_field() {
+        const auto& head = m_parser.get();
+        const auto it = m_request.field.empty() ? head.end() : head.find(m_request.field);
+        if (it != head.end()) {
+            m_field = std::string{it->value()};
+        }
+    }
+
     void read_body() {
         http::async_read(m_stream, m_buffer, m_parser,
                          [self = shared_from_this()](error_code ec, std::size_t) { self->on_read(ec); });
@@ -87,17 +99,13 @@
             return;
         }
         auto& response = m_parser.get();
-        http_get_outcome outcome{static_cast<int>(response.result_int()), std::move(response.body()), {}};
-        const auto it = m_request.field.empty() ? response.end() : response.find(m_request.field);
-        if (it != response.end()) {
-            outcome.field = std::string{it->value()};
-        }
-        m_on_done(std::move(outcome));
+        m_on_done({static_cast<int>(response.result_int()), std::move(response.body()), std::move(m_field)});
     }
 
     boost::beast::tcp_stream m_stream;
     http_get_request m_request;
     std::function<void(http_get_outcome)> m_on_done;
+    std::optional<std::string> m_field;
     http::request<http::empty_body> m_message;
     boost::beast::flat_buffer m_buffer{max_unparsed_response_bytes};
     http::response_parser<http::string_body> m_parser;
--- a/src/daemon/server/server_exchange.cpp
+++ b/src/daemon/server/server_exchange.cpp
@@ -71,8 +71,9 @@
         announced - keep_alive_margin, std::chrono::milliseconds{0}, connection_pool::max_idle_time);
 }
 
+/// @return the response without its body.
 template <typename Message>
-http_response copy_response(Message& message, bool keep_length) {
+http_response copy_head(const Message& message, bool keep_length) {
     http_response result;
     result.status = static_cast<int>(message.result_int());
     for (const auto& it : message) {
@@ -83,7 +84,6 @@
     if (!keep_length) {
         remove_field(result.fields, "content-length");
     }
-    result.body = make_body(std::move(message.body()));
     return result;
 }
 
@@ -103,6 +103,7 @@
     http::request_serializer<http::span_body<const char>> serializer;
     boost::beast::flat_buffer buffer{max_unparsed_response_bytes};
     std::optional<http::response_parser<incremental_body>> parser;
+    http_response head; ///< Copied before the parser adds the fields behind a body in chunks.
 };
 
 server_exchange::server_exchange(const executor& strand, http_request request, callback on_done,
@@ -184,6 +185,7 @@
         fail(server_failure::response_incomplete);
         return;
     }
+    m_http->head = copy_head(m_http->parser->get(), m_request.method == "HEAD");
     http::async_read(
         *m_socket, m_http->buffer, *m_http->parser,
         [self = shared_from_this()](error_code failure, std::size_t) { self->on_response_read(failure); });
@@ -244,7 +246,8 @@
     const bool clean = parser.keep_alive() && m_http->buffer.size() == 0 &&
                        m_write == write_state::completed && !m_unmatched_response_seen && !repeatable;
     const auto idle_time = announced_idle_time(std::string{parser.get()[http::field::keep_alive]});
-    auto response = copy_response(parser.get(), m_request.method == "HEAD");
+    http_response response = std::move(m_http->head);
+    response.body = make_body(std::move(parser.get().body()));
     if (is_unmatched(response) && framed) {
         m_unmatched_response_seen = true;
         skip_response();
--- a/tests/broken_responses/malformed_head_test.cpp
+++ b/tests/broken_responses/malformed_head_test.cpp
@@ -42,8 +42,8 @@
 
 /// Runs an exchange with a server that sends the given bytes to each request and closes the connection.
 /// @param start starts the exchange with the client.
-std::string server_outcome(const std::string& bytes, const wire_names& names,
-                           const std::function<void(server_client&)>& start) {
+std::optional<traffic_event> server_event(const std::string& bytes, const wire_names& names,
+                                          const std::function<void(server_client&)>& start) {
     test::faulty_server server([&](const std::string&) {
         return faulty_response{bytes, connection_end::close};
     });
@@ -54,17 +54,12 @@
     start(client);
     const auto all = events.wait(1);
     threads.stop();
-    if (all.empty()) {
-        return "no event";
-    }
-    if (const auto* answered = std::get_if<server_answered>(&all.front())) {
-        return "passed on: " + *answered->response.body;
-    }
-    return std::holds_alternative<server_report>(all.front()) ? "report" : "failed";
+    return all.empty() ? std::nullopt : std::optional{all.front()};
 }
 
-std::string run_outcome(const std::string& bytes, const wire_names& names, const std::string& method) {
-    return server_outcome(bytes, names, [&](server_client& client) {
+std::optional<traffic_event> run_event(const std::string& bytes, const wire_names& names,
+                                       const std::string& method) {
+    return server_event(bytes, names, [&](server_client& client) {
         start_run action;
         action.run = run_id{1};
         action.request = {method, "/x", {{"x-id", "7"}}, make_body()};
@@ -74,11 +69,26 @@
     });
 }
 
+std::string describe(const std::optional<traffic_event>& event) {
+    if (!event) {
+        return "no event";
+    }
+    if (const auto* answered = std::get_if<server_answered>(&*event)) {
+        return (answered->refused ? "refused: " : "passed on: ") + *answered->response.body;
+    }
+    return std::holds_alternative<server_report>(*event) ? "report" : "failed";
+}
+
+std::string run_outcome(const std::string& bytes, const wire_names& names, const std::string& method) {
+    return describe(run_event(bytes, names, method));
+}
+
 std::string report_outcome(const std::string& bytes, const wire_names& names) {
-    return server_outcome(bytes, names, [](server_client& client) { client.read_report(); });
+    return describe(server_event(bytes, names, [](server_client& client) { client.read_report(); }));
 }
 
-std::string get_outcome(const std::string& bytes) {
+/// @return what a client of the store gets, which asks for the field X-Seal.
+std::optional<http_get_outcome> get(const std::string& bytes) {
     test::faulty_server store([&](const std::string&) {
         return faulty_response{bytes, connection_end::close};
     });
@@ -90,13 +100,19 @@
     request.path = "/";
     request.timeout = exchange_timeout;
     request.max_body_bytes = 1024;
+    request.field = "X-Seal";
     http_get(threads.context, request, [&](http_get_outcome it) { outcomes.push(std::move(it)); });
     const auto all = outcomes.wait(1);
     threads.stop();
-    if (all.empty()) {
+    return all.empty() ? std::nullopt : std::optional{all.front()};
+}
+
+std::string get_outcome(const std::string& bytes) {
+    const auto outcome = get(bytes);
+    if (!outcome) {
         return "no outcome";
     }
-    return all.front().status == 0 ? "failed" : "read: " + all.front().body;
+    return outcome->status == 0 ? "failed" : "read: " + outcome->body;
 }
 
 /// @return responses with a malformed line at each place of the head, with each framing.
@@ -151,6 +167,30 @@
     }
 }
 
+// The fields were merged into the head: into the seal, the id and the word that a request did not run.
+TEST_CASE("fields behind a body in chunks are not taken for fields of the head",
+          "[broken-responses][field-reports]") {
+    std::vector<std::string> trailers = test::malformed_lines();
+    for (const std::string line : {"X-Seal: other", "X-Not-Run: 1", "X-Id: 8", "Content-Encoding: gzip",
+                                   "X-B: 1", "X-B: 1\r\n X-C: 2", "X-B: 1\r\n\tX-C: 2"}) {
+        trailers.push_back(line + "\r\n");
+    }
+    for (const auto& trailer : trailers) {
+        INFO(test::printable(trailer));
+        const std::string rest = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" + trailer + "\r\n";
+        const auto event = run_event(status_line + run_fields + rest, adapter_names(), "POST");
+        REQUIRE(event);
+        if (const auto* answered = std::get_if<server_answered>(&*event)) {
+            CHECK(answered->response.fields == http_fields{{"x-id", "7"}, {"x-seal", "s"}});
+            CHECK_FALSE(answered->refused);
+            CHECK(*answered->response.body == "abc");
+        }
+        const auto outcome = get(status_line + rest);
+        REQUIRE(outcome);
+        CHECK_FALSE(outcome->field);
+    }
+}
+
 TEST_CASE("a sound response is accepted with each framing", "[broken-responses]") {
     for (const auto& framing : test::all_framings(report)) {
         INFO(framing.name);
