Play invalid statuses and malformed heads as callers of two nodes

Seven texts in place of a status, with and without a word that the request did not run, and malformed lines in the head, each with a length, in chunks and up to the end of the connection. The tests read every byte that a node writes: a lookup is repeated or gets 502, an order gets 502 and runs once.

--- a/tests/broken_responses/caller_view_test.cpp
+++ b/tests/broken_responses/caller_view_test.cpp
@@ -1,4 +1,6 @@
 #include "tests/broken_responses/support/faulty_server.hpp"
+#include "tests/broken_responses/support/malformed_heads.hpp"
+#include "tests/daemon/support/invalid_statuses.hpp"
 #include "tests/daemon/support/raw_connection.hpp"
 #include "tests/process/support/becomes_true.hpp"
 #include "tests/process/support/http_call.hpp"
@@ -195,4 +197,35 @@
     CHECK(repeats > 0);
 }
 
+// Forms that were refused before any change; the test keeps it so.
+TEST_CASE("callers do not get a response with an invalid status",
+          "[broken-responses][process][field-reports]") {
+    faulty_fleet fleet;
+    for (const auto& status : test::invalid_statuses) {
+        for (const std::string fields : {"", "X-Not-Executed: 1\r\n"}) {
+            for (const auto& framing : test::all_framings(mark)) {
+                for (const auto end :
+                     {connection_end::keep_open, connection_end::close, connection_end::reset}) {
+                    INFO(status << ", " << fields << framing.name << ", end " << static_cast<int>(end));
+                    check_broken(fleet, {"HTTP/1.1 " + status + " Odd\r\nX-Attempt-Id: {id}\r\n" + fields +
+                                             "X-Response-Seal: s\r\n" + framing.field + "\r\n" + framing.body,
+                                         end});
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("callers do not get a response with a malformed line in its head",
+          "[broken-responses][process][field-reports]") {
+    faulty_fleet fleet;
+    for (const auto& line : test::malformed_lines()) {
+        for (const auto& framing : test::all_framings(mark)) {
+            INFO(test::printable(line) << ", " << framing.name);
+            check_broken(fleet,
+                         {sealed_head + line + framing.field + "\r\n" + framing.body, connection_end::close});
+        }
+    }
+}
+
 } // namespace cornelpier
