Reject responses from other nodes with an invalid status or field

An entry took any status and any bytes as names and values of fields from an owner, and wrote the fields to its caller as they were. Owners send no such response, since they read responses with a strict parser; nothing else guaranteed it.

Cause: the syntax of a response was checked only where one is read from a connection to a server or to the store.

Change: the codec rejects such a message like any other malformed one, so that its link is closed and the calls on it count as lost.

--- a/src/cornelpier/message/codec.cpp
+++ b/src/cornelpier/message/codec.cpp
@@ -2,6 +2,8 @@
 
 #include "cornelpier/message/cbor_reader.hpp"
 #include "cornelpier/message/message_fields.hpp"
+#include "cornelpier/validation/field_syntax.hpp"
+#include "cornelpier/validation/response_status.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -194,6 +196,21 @@
     read(item[1], value.second);
 }
 
+template <typename Message>
+void validate(const Message& /*message*/) {}
+
+/// The response is written to a caller, who would take other bytes for another response.
+void validate(const http_response& response) {
+    if (kind_of_status(response.status) != status_kind::final) {
+        throw decode_error("a response with an invalid status");
+    }
+    for (const auto& [name, value] : response.fields) {
+        if (!is_token(name) || !is_field_value(value)) {
+            throw decode_error("a response with an invalid field");
+        }
+    }
+}
+
 template <typename Message>
 requires has_message_fields<Message>
 void read(const json& item, Message& message) {
@@ -203,6 +220,7 @@
 
     std::size_t n = 0;
     for_each_field(message, [&](auto& field) { read(item[n++], field); });
+    validate(message);
 }
 
 template <typename T>
--- a/src/cornelpier/plan/service_check.cpp
+++ b/src/cornelpier/plan/service_check.cpp
@@ -1,5 +1,6 @@
 #include "cornelpier/plan/service_check.hpp"
 
+#include "cornelpier/validation/field_syntax.hpp"
 #include "cornelpier/validation/nearest_word.hpp"
 #include "cornelpier/validation/request_syntax.hpp"
 
@@ -126,7 +127,7 @@
     if (rule.method == any_method) {
         return;
     }
-    if (!is_method(rule.method)) {
+    if (!is_token(rule.method)) {
         add(finding_kind::impossible_method, place + "/method",
             "no request has the method \"" + rule.method + '"');
         return;
--- a/src/cornelpier/validation/request_syntax.hpp
+++ b/src/cornelpier/validation/request_syntax.hpp
@@ -20,7 +20,4 @@
 /// @return whether a request target can begin with the text.
 bool is_target_prefix(std::string_view text);
 
-/// @return whether a method is a token, as HTTP demands.
-bool is_method(std::string_view method);
-
 } // namespace cornelpier
--- a/src/daemon/caller/response_writer.cpp
+++ b/src/daemon/caller/response_writer.cpp
@@ -1,7 +1,8 @@
 #include "daemon/caller/response_writer.hpp"
 
+#include "cornelpier/validation/response_status.hpp"
+
 #include "daemon/net/hop_by_hop.hpp"
-#include "daemon/net/response_status.hpp"
 
 #include <boost/beast/core/string.hpp>
 
--- a/src/daemon/net/response_head.hpp
+++ b/src/daemon/net/response_head.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/net/response_status.hpp"
+#include "cornelpier/validation/response_status.hpp"
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
--- a/tests/message/codec_test.cpp
+++ b/tests/message/codec_test.cpp
@@ -87,6 +87,35 @@
     CHECK(received.load->state == node_state::draining);
 }
 
+// An owner never sends such a response: its bytes would reach the caller as they are.
+TEST_CASE("a run response with an invalid status or field is rejected", "[codec][broken-responses]") {
+    const auto is_accepted = [](int status, const std::string& name, const std::string& value) {
+        run_response message;
+        message.response = http_response{status, {{"a", "b"}, {name, value}}, make_body("body")};
+        return has_value(decode(encode(traffic_message{message})));
+    };
+    for (const int status : {-1, 0, 99, 100, 101, 199, 600, 999, 1000}) {
+        INFO(status);
+        CHECK_FALSE(is_accepted(status, "c", "d"));
+    }
+    for (const int status : {200, 404, 503, 599}) {
+        INFO(status);
+        CHECK(is_accepted(status, "c", "d"));
+    }
+    const std::string control_bytes("\0\x01\n\r\x1f\x7f", 6);
+    for (const char byte : control_bytes + "\t :") {
+        INFO(static_cast<int>(byte));
+        for (const std::size_t position : {0, 1, 2}) {
+            CHECK_FALSE(is_accepted(200, std::string{"cd"}.insert(position, 1, byte), "e"));
+            CHECK(is_accepted(200, "c", std::string{"de"}.insert(position, 1, byte)) ==
+                  (control_bytes.find(byte) == std::string::npos));
+        }
+    }
+    CHECK_FALSE(is_accepted(200, "", "d"));
+    CHECK(is_accepted(200, "c", ""));
+    CHECK(is_accepted(200, "c", "\xc3\xa9"));
+}
+
 TEST_CASE("a rate that is negative or not finite is rejected", "[codec]") {
     for (const double value :
          {-1.0, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN()}) {
