Join the threads of the faulty server as they end

The stand-in kept the stack of each thread until its end, so that the tests of malformed heads as callers get them used more than 4 GB of addresses; under the limit of the mutation test they were aborted.

--- a/tests/broken_responses/support/faulty_server.cpp
+++ b/tests/broken_responses/support/faulty_server.cpp
@@ -52,7 +52,7 @@
 faulty_server::faulty_server(reply make_reply, const tcp::endpoint& endpoint)
     : m_make_reply(std::move(make_reply)), m_acceptor(m_context, endpoint) {
     address = endpoint.address().to_string() + ':' + std::to_string(m_acceptor.local_endpoint().port());
-    m_threads.emplace_back([this] { accept(); });
+    m_accepting = std::thread([this] { accept(); });
 }
 
 faulty_server::~faulty_server() {
@@ -60,9 +60,9 @@
     tcp::socket wake(m_context);
     error_code ec;
     wake.connect(m_acceptor.local_endpoint(), ec);
-    m_threads.front().join();
-    for (auto it = std::next(m_threads.begin()); it != m_threads.end(); ++it) {
-        it->join();
+    m_accepting.join();
+    for (auto& it : m_connections) {
+        it.thread.join();
     }
 }
 
@@ -72,10 +72,25 @@
         if (m_stopping) {
             return;
         }
-        m_threads.emplace_back([this, it = std::move(socket)]() mutable { serve(std::move(it)); });
+        join_ended();
+        auto& it = m_connections.emplace_back();
+        it.thread = std::thread([this, &it, peer = std::move(socket)]() mutable {
+            serve(std::move(peer));
+            it.ended = true;
+        });
     }
 }
 
+void faulty_server::join_ended() {
+    std::erase_if(m_connections, [](connection& it) {
+        const bool ended = it.ended;
+        if (ended) {
+            it.thread.join();
+        }
+        return ended;
+    });
+}
+
 void faulty_server::serve(tcp::socket socket) {
     std::string buf;
     error_code ec;
--- a/tests/broken_responses/support/faulty_server.hpp
+++ b/tests/broken_responses/support/faulty_server.hpp
@@ -53,7 +53,13 @@
   private:
     using tcp = boost::asio::ip::tcp;
 
+    struct connection {
+        std::thread thread;
+        std::atomic<bool> ended = false;
+    };
+
     void accept();
+    void join_ended();
     void serve(tcp::socket socket);
     /// Ends the connection as the response says.
     /// @param unread bytes of the request's body that have not been read.
@@ -66,7 +72,8 @@
     std::atomic<std::size_t> m_unread_bytes = 0;
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor;
-    std::list<std::thread> m_threads;
+    std::list<connection> m_connections; ///< Used by the accepting thread only, and once it has ended.
+    std::thread m_accepting;
 };
 
 } // namespace cornelpier::test
--- a/tools/mutation_check.sh
+++ b/tools/mutation_check.sh
@@ -14,7 +14,8 @@
 cmake -S . -B build -G Ninja -DCMAKE_CXX_FLAGS=-w > /dev/null
 core_targets=(cornelpier-scenario-tests cornelpier-schedule-tests cornelpier-server-advice-tests
   cornelpier-server-crash-tests cornelpier-tests)
-daemon_targets=(cornelpier-daemon-tests cornelpier-platform-tests cornelpier-fleet-source-tests)
+daemon_targets=(cornelpier-daemon-tests cornelpier-broken-response-tests cornelpier-platform-tests
+  cornelpier-fleet-source-tests)
 
 trim() { sed -E 's/^ +//; s/ +$//' <<< "$1"; }
 
