Play a reset that follows the end of a response later

Switching off the check whether the server has received the request was not noticed: the resets of the tests followed the end of the response within the time in which it was read. A server that closes its sending side and resets the connection 50 ms later is seen to be noticed.

--- a/src/daemon/server/server_exchange.hpp
+++ b/src/daemon/server/server_exchange.hpp
@@ -38,8 +38,8 @@
     /// Timeout for opening a connection.
     static constexpr std::chrono::milliseconds connect_timeout{250};
 
-    /// Time for the reset of a connection to arrive after its end. A server that has ended its response,
-    /// keeps the connection and does not read the rest of the request sends none.
+    /// Time for a reset to follow the end of a response without a length. None follows from a server that
+    /// keeps the connection and does not read the rest of the request.
     static constexpr std::chrono::milliseconds reset_timeout{500};
 
     /// @param strand runs the exchange.
@@ -81,9 +81,9 @@
     void read();
     void on_header_read(boost::system::error_code ec);
     void on_response_read(boost::system::error_code ec);
-    /// Handles the end of the connection behind a response without a length.
+    /// Handles the end of the connection after a response without a length.
     void on_response_ended_by_close();
-    /// Accepts such a response once no reset can follow, or checks again later.
+    /// Accepts such a response once no reset can follow, fails after a reset, or checks again later.
     void confirm_close();
     void process_response();
     /// Discards an interim response or one to another request and reads the next.
@@ -101,7 +101,7 @@
     lazy_deadline m_deadline;
     connection_pool::socket_ptr m_socket;
     std::unique_ptr<http_state> m_http;
-    clock::time_point m_expires_at; ///< Timeout of the response.
+    clock::time_point m_expires_at; ///< Latest time of the outcome.
     write_state m_write = write_state::not_started;
     bool m_response_ended_by_close = false; ///< A response without a length awaits `confirm_close`.
     bool m_reused = false;                  ///< The connection has carried earlier requests.
--- a/tests/broken_responses/early_response_test.cpp
+++ b/tests/broken_responses/early_response_test.cpp
@@ -129,6 +129,10 @@
         }
     }
     CHECK(left_behind > 0);
+    for (const std::size_t size : {8 * mib, 24 * mib}) {
+        INFO(describe(size, 0) << ", late reset");
+        CHECK(upload(size, {unframed + "part", connection_end::late_reset}).text == "failed");
+    }
 }
 
 TEST_CASE("a whole response that comes before the end of the upload is delivered",
--- a/tests/broken_responses/support/faulty_server.cpp
+++ b/tests/broken_responses/support/faulty_server.cpp
@@ -16,6 +16,9 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+/// Time from the end of a response to a late reset.
+constexpr std::chrono::milliseconds reset_delay{50};
+
 /// Reads and discards.
 /// @param size bytes to read.
 /// @return bytes that were read; fewer if the peer has closed the connection.
@@ -133,6 +136,11 @@
         socket.shutdown(tcp::socket::shutdown_send, ec);
         wait_until_stopping();
         break;
+    case connection_end::late_reset:
+        socket.shutdown(tcp::socket::shutdown_send, ec);
+        std::this_thread::sleep_for(reset_delay);
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+        break;
     case connection_end::keep_open:
         discard(socket, unread);
         return true;
--- a/tests/broken_responses/support/faulty_server.hpp
+++ b/tests/broken_responses/support/faulty_server.hpp
@@ -19,6 +19,7 @@
     drained_close,     ///< Closes it once it has read what has arrived, while more may be on its way.
     half_close,        ///< Closes its sending side and reads the rest of the request.
     silent_half_close, ///< Closes its sending side and reads nothing more.
+    late_reset,        ///< Closes its sending side, reads nothing more and resets the connection later.
     keep_open,         ///< Reads the rest of the request and serves the next one.
 };
 
