--- a/tests/broken_responses/early_response_test.cpp
+++ b/tests/broken_responses/early_response_test.cpp
@@ -1,5 +1,6 @@
 #include "daemon/server/server_client.hpp"
 #include "tests/broken_responses/support/faulty_server.hpp"
+#include "tests/daemon/support/adapter_names.hpp"
 #include "tests/daemon/support/running_context.hpp"
 
 #include <catch2/catch.hpp>
@@ -14,6 +15,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::adapter_names;
 using test::connection_end;
 using test::faulty_response;
 
@@ -30,15 +32,6 @@
 /// From uploads that fit into the buffers of the sockets to such that do not.
 constexpr std::array upload_sizes{1 * kib, 100 * kib, 600 * kib, 2 * mib, 8 * mib, 24 * mib};
 
-wire_names adapter_names() {
-    wire_names names;
-    names.request_id = "x-id";
-    names.response_seal = "x-seal";
-    names.not_run = "x-not-run";
-    names.close_delimited_responses = true;
-    return names;
-}
-
 /// Outcome of one upload.
 struct upload_outcome {
     std::string text;             ///< The body that was passed on, or why there was none.
--- a/tests/broken_responses/malformed_head_test.cpp
+++ b/tests/broken_responses/malformed_head_test.cpp
@@ -3,11 +3,13 @@
 #include "daemon/server/server_client.hpp"
 #include "tests/broken_responses/support/faulty_server.hpp"
 #include "tests/broken_responses/support/malformed_heads.hpp"
+#include "tests/daemon/support/adapter_names.hpp"
 #include "tests/daemon/support/running_context.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <functional>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -17,6 +19,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::adapter_names;
 using test::connection_end;
 using test::faulty_response;
 
@@ -29,24 +32,25 @@
 /// Begins with a blank, which must not be taken for a folded line of the head.
 const std::string report = R"( {"healthy": true,"draining":false,"in_flight": 0})";
 
-wire_names adapter_names() {
-    wire_names names;
-    names.request_id = "x-id";
-    names.response_seal = "x-seal";
-    names.not_run = "x-not-run";
-    names.load = "x-load";
-    names.parse_load = [](std::string_view) { return std::optional{server_load_report{1, 2, 3, 4}}; };
-    names.close_delimited_responses = true;
-    return names;
+/// @return the server of all checks, which sends the given bytes to each request from now on and closes the
+/// connection. A server for each check would use up the ports of the system.
+test::faulty_server& server_sending(const std::string& bytes) {
+    static std::mutex mutex;
+    static std::string current;
+    static test::faulty_server server([](const std::string&) {
+        const std::lock_guard lock(mutex);
+        return faulty_response{current, connection_end::close};
+    });
+    const std::lock_guard lock(mutex);
+    current = bytes;
+    return server;
 }
 
 /// Runs an exchange with a server that sends the given bytes to each request and closes the connection.
 /// @param start starts the exchange with the client.
 std::optional<traffic_event> server_event(const std::string& bytes, const wire_names& names,
                                           const std::function<void(server_client&)>& start) {
-    test::faulty_server server([&](const std::string&) {
-        return faulty_response{bytes, connection_end::close};
-    });
+    test::faulty_server& server = server_sending(bytes);
     test::running_context threads;
     test::value_recorder<traffic_event> events;
     server_client client(threads.context, {server.address, "/load", service_id{"comenzi"}, names},
@@ -89,9 +93,7 @@
 
 /// @return what a client of the store gets, which asks for the field X-Seal.
 std::optional<http_get_outcome> get(const std::string& bytes) {
-    test::faulty_server store([&](const std::string&) {
-        return faulty_response{bytes, connection_end::close};
-    });
+    test::faulty_server& store = server_sending(bytes);
     test::running_context threads;
     test::value_recorder<http_get_outcome> outcomes;
     http_get_request request;
--- a/tests/daemon/invalid_status_test.cpp
+++ b/tests/daemon/invalid_status_test.cpp
@@ -2,6 +2,7 @@
 #include "daemon/net/endpoint.hpp"
 #include "daemon/platform/http_get.hpp"
 #include "daemon/server/server_client.hpp"
+#include "tests/daemon/support/adapter_names.hpp"
 #include "tests/daemon/support/invalid_statuses.hpp"
 #include "tests/daemon/support/running_context.hpp"
 #include "tests/daemon/support/stub_http_server.hpp"
@@ -17,6 +18,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::adapter_names;
 
 /// Longer than the tests wait for an event, so that a run that ends by its timeout fails the test.
 constexpr auto run_timeout = 30s;
@@ -26,18 +28,6 @@
 
 const std::string valid_response = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nok";
 
-/// Names as the adapter uses them: responses carry ids, seals and refusals.
-wire_names adapter_names() {
-    wire_names names;
-    names.request_id = "x-id";
-    names.response_seal = "x-seal";
-    names.not_run = "x-not-run";
-    names.load = "x-load";
-    names.parse_load = [](std::string_view) { return std::optional{server_load_report{1, 2, 3, 4}}; };
-    names.close_delimited_responses = true;
-    return names;
-}
-
 /// Client of a server that gives the same bytes for every request.
 class client_fixture {
   public:
--- a/tests/process/support/sidecar_pair.cpp
+++ b/tests/process/support/sidecar_pair.cpp
@@ -3,7 +3,6 @@
 #include "tests/process/support/sidecar_documents.hpp"
 
 #include <fstream>
-#include <iterator>
 #include <system_error>
 #include <unistd.h>
 
@@ -75,11 +74,6 @@
     return vm_endpoint(vm, operator_port);
 }
 
-std::string sidecar_pair::log(int vm) const {
-    std::ifstream stream{file(vm) + ".log"};
-    return {std::istreambuf_iterator<char>{stream}, {}};
-}
-
 void sidecar_pair::write_settings(int vm, const std::string& service) const {
     auto settings = sidecar_settings({.ip = vm_address(vm),
                                       .vm = "vm-" + std::to_string(vm),
--- a/tests/process/support/sidecar_pair.hpp
+++ b/tests/process/support/sidecar_pair.hpp
@@ -36,9 +36,6 @@
 
     [[nodiscard]] const child_process& node(int vm) const { return m_nodes.at(static_cast<std::size_t>(vm)); }
 
-    /// @return what a sidecar has logged so far.
-    [[nodiscard]] std::string log(int vm) const;
-
     /// Runs on its own thread; for stand-ins of servers.
     boost::asio::io_context& context() { return m_context; }
 
