Log updates that tell of a state of long ago

When a confirmed change came late, the log named who had confirmed a node last, but not when that node had read the store nor how long its update was under way, so that a delayed confirmation could not be told from a missed change.

Updates now hold how long ago their state was last known to be the newest, the sender's process and its time of sending.

--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -66,6 +66,8 @@
                       "The evacuation of a data centre came into force at this node, or ended."},
     event_description{evacuation_refused, severity::warning, "evacuation_refused",
                       "A request to evacuate a data centre was refused."},
+    event_description{directory_update_delayed, severity::info, "directory_update_delayed",
+                      "An update tells of a state that was read or sent long before it arrived."},
     event_description{target_ejected, severity::warning, "target_ejected",
                       "A target was ejected and receives no requests."},
     event_description{target_trial, severity::info, "target_trial",
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -41,6 +41,7 @@
     directory_entries_missing = 311,
     evacuation_changed = 312,
     evacuation_refused = 313,
+    directory_update_delayed = 314,
     target_ejected = 400,
     target_trial = 401,
     target_recovered = 402,
--- a/src/cornelpier/message/control_messages.hpp
+++ b/src/cornelpier/message/control_messages.hpp
@@ -70,6 +70,9 @@
     std::string changes;      ///< Opaque to the core, encoded by the platform adapter; empty: no change.
     std::uint64_t epoch = 0;  ///< Of the position. Rises when the service restarts its positions.
     update_evidence evidence = update_evidence::complete_state;
+    incarnation process{}; ///< Of the sender.
+    time_point sent_at{};  ///< On the sender's clock.
+    duration age{};        ///< Time from when the state was last known to be the newest until `sent_at`.
 };
 
 using control_message = std::variant<gossip, plan_pull, plan_push, source_update>;
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -225,6 +225,9 @@
     visit(it.changes);
     visit(it.epoch);
     visit(it.evidence);
+    visit(it.process);
+    visit(it.sent_at);
+    visit(it.age);
 }
 
 /// Message types for which `for_each_field` is defined.
