Count a confirmation from the read that it reports

Callers of nodes beside which nothing was disturbed were refused with 404, or served as an older version has it, more than 2.5 s after the store had confirmed a newer one.

A node reads the store 1.8 s after its last confirmation, which counted from the arrival of the update. Three ways led there: the reader announced a response as of its processing, not of its call; the time under way was ignored; and a slow reader took late words of its own relays for new and announced the state again.

A confirmation now counts from the moment of which it tells: the start of the call to the store (for an empty response the end of its wait), plus what the update lost under way beyond its sender's fastest one. A reader relies on its own reads only. No time-out is shorter; a reader whose last response was made long ago does not wait a full second in its next watch, so that its update still arrives before others read.

--- a/src/cornelpier/membership/reader_roles.hpp
+++ b/src/cornelpier/membership/reader_roles.hpp
@@ -43,7 +43,8 @@
     void set_members(const std::vector<reader_candidate>& members);
 
     /// Records that this node was up to date, by an update or by its own read.
-    void on_confirmed(time_point now) { m_confirmed_at = now; }
+    /// @param at time of the read that showed it, which may be long before the update arrives.
+    void on_confirmed(time_point at) { m_confirmed_at = at; }
 
     /// @return when this node was last known to be up to date.
     [[nodiscard]] time_point confirmed_at() const { return m_confirmed_at; }
--- a/tests/platform/watch_timing_test.cpp
+++ b/tests/platform/watch_timing_test.cpp
@@ -17,6 +17,16 @@
     }
 }
 
+TEST_CASE("the response of a watch renews a state before other nodes read", "[platform]") {
+    const auto timing = watch_timing_for(milliseconds{2500});
+    CHECK(timing.wait_at(timing.pause) == timing.max_wait);
+    CHECK(timing.wait_at(duration::zero()) == timing.max_wait);
+    CHECK(timing.wait_at(timing.silence_timeout) == duration::zero());
+    for (duration age{}; age <= timing.pause + timing.max_wait; age += milliseconds{100}) {
+        CHECK(age + timing.wait_at(age) < timing.silence_timeout);
+    }
+}
+
 TEST_CASE("a limit that is too short for any read still leaves a pause between calls", "[platform]") {
     const auto timing = watch_timing_for(milliseconds{100});
     CHECK(timing.pause >= milliseconds{100});
