Do not let a delayed report hide an outage of the store

A node that the store refuses learns from others that the store serves them, and drops entries at once that disappear then. A report counted from its arrival. One that was held up said that the store had served others in the middle of an outage; the servers whose entries lapsed in that outage got no requests until they had registered again.

The new test keeps the store from a node for 3 s, sends a report from before, and expects a server whose entry disappeared to stay in use: it was dropped at once before.

--- a/tests/platform/delayed_update_test.cpp
+++ b/tests/platform/delayed_update_test.cpp
@@ -31,6 +31,9 @@
 /// For how long the delayed updates arrive after the change.
 constexpr auto longest_delay = 1200ms;
 
+/// Longer than the time between two reports of nodes that the store serves.
+constexpr auto outage_time = 3s;
+
 /// Where an update loses time.
 enum class delay_place : std::uint8_t { sender, transit };
 
@@ -39,8 +42,9 @@
   public:
     delayed_reader_fixture() {
         const auto members =
-            test::find_members(2, [](const auto& it) { return it.reader == it.nodes.front(); });
+            test::find_members(3, [](const auto& it) { return it.reader == it.nodes.front(); });
         m_reader_address = members.reader;
+        m_other_address = members.nodes.at(1);
         m_node_address = members.nodes.back();
         for (const auto& it : members.nodes) {
             m_fleet.put(source_entry_key(it), source_entry(it, "ready"));
@@ -57,6 +61,7 @@
     void confirm(time_point read_at, delay_place place = delay_place::transit) {
         source_update update{target_id{m_reader_address}, m_state.position, m_state.digest, {}};
         update.epoch = m_state.epoch;
+        update.evidence = update_evidence::available;
         update.process = incarnation{2};
         const time_point now = boot_now();
         update.sent_at = place == delay_place::transit ? read_at : now;
@@ -64,6 +69,14 @@
         m_fleet.send(*m_reader, m_node_address, update);
     }
 
+    /// Lets the store refuse the node.
+    void refuse(standins::store_refusal refusal) { m_fleet.refuse(m_node_address, refusal); }
+
+    /// Deletes the entry of a server beside which no node runs.
+    void remove_other() { m_fleet.remove(source_entry_key(m_other_address)); }
+
+    [[nodiscard]] vm_state state_of_other() const { return m_node->state_of(m_other_address); }
+
     void change_plan() { m_fleet.put("op/config", test::source_manifest(2)); }
 
     [[nodiscard]] const test::source_node& node() const { return *m_node; }
@@ -75,6 +88,7 @@
     source_fleet m_fleet;
     std::string m_reader_address;
     std::string m_node_address;
+    std::string m_other_address;
     test::update_peer* m_reader = nullptr;
     test::source_node* m_node = nullptr;
     source_update m_state;
@@ -101,6 +115,26 @@
         [&] { return node().plan_version() == 2; }));
 }
 
+// Guards against servers that lapse from the store in an outage and get no requests after it.
+TEST_CASE_METHOD(delayed_reader_fixture, "a report that was delayed does not hide an outage of the store",
+                 "[platform][delay][field-reports]") {
+    for (int n = 0; n < 5; ++n) {
+        confirm(boot_now());
+        std::this_thread::sleep_for(update_interval);
+    }
+    const time_point last_read_at = boot_now();
+    confirm(last_read_at);
+    refuse(standins::store_refusal::unavailable);
+    std::this_thread::sleep_for(outage_time);
+    confirm(last_read_at);
+    remove_other();
+    change_plan();
+    refuse(standins::store_refusal::none);
+
+    REQUIRE(becomes_true(propagation_limit, [&] { return node().plan_version() == 2; }));
+    CHECK(state_of_other() == vm_state::live);
+}
+
 TEST_CASE_METHOD(delayed_reader_fixture, "a node that gets updates in time does not call the store",
                  "[platform][delay][field-reports]") {
     confirm(boot_now());
