--- a/tests/platform/delayed_update_test.cpp
+++ b/tests/platform/delayed_update_test.cpp
@@ -1,5 +1,5 @@
 #include "daemon/net/clock.hpp"
-#include "platform/watch_timing.hpp"
+#include "platform/known_state.hpp"
 #include "tests/platform/support/source_documents.hpp"
 #include "tests/platform/support/source_fleet.hpp"
 #include "tests/platform/support/source_members.hpp"
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <thread>
 
@@ -59,16 +60,33 @@
 
     /// Sends the state that the node has, as of a time.
     void confirm(time_point read_at, delay_place place = delay_place::transit) {
+        const time_point now = boot_now();
+        if (place == delay_place::transit) {
+            send(read_at, duration::zero());
+        } else {
+            send(now, now - read_at);
+        }
+    }
+
+    /// Sends the state that the node has.
+    void send(time_point sent_at, duration age) {
         source_update update{target_id{m_reader_address}, m_state.position, m_state.digest, {}};
         update.epoch = m_state.epoch;
         update.evidence = update_evidence::available;
         update.process = incarnation{2};
-        const time_point now = boot_now();
-        update.sent_at = place == delay_place::transit ? read_at : now;
-        update.age = place == delay_place::transit ? duration::zero() : now - read_at;
+        update.sent_at = sent_at;
+        update.age = age;
         m_fleet.send(*m_reader, m_node_address, update);
     }
 
+    /// Sends updates without delay, so that the node knows how fast they can arrive.
+    void confirm_in_time() {
+        for (int n = 0; n < 5; ++n) {
+            confirm(boot_now());
+            std::this_thread::sleep_for(update_interval);
+        }
+    }
+
     /// Lets the store refuse the node.
     void refuse(standins::store_refusal refusal) { m_fleet.refuse(m_node_address, refusal); }
 
@@ -99,10 +117,7 @@
 TEST_CASE_METHOD(delayed_reader_fixture, "an update that was delayed does not put off the read of a node",
                  "[platform][delay][field-reports]") {
     const auto place = GENERATE(delay_place::sender, delay_place::transit);
-    for (int n = 0; n < 5; ++n) {
-        confirm(boot_now());
-        std::this_thread::sleep_for(update_interval);
-    }
+    confirm_in_time();
     const time_point last_read_at = boot_now();
     const auto end = std::chrono::steady_clock::now() + propagation_limit;
     change_plan();
@@ -118,15 +133,17 @@
 // Guards against servers that lapse from the store in an outage and get no requests after it.
 TEST_CASE_METHOD(delayed_reader_fixture, "a report that was delayed does not hide an outage of the store",
                  "[platform][delay][field-reports]") {
-    for (int n = 0; n < 5; ++n) {
-        confirm(boot_now());
-        std::this_thread::sleep_for(update_interval);
-    }
+    const bool knows_age = GENERATE(true, false);
+    confirm_in_time();
     const time_point last_read_at = boot_now();
     confirm(last_read_at);
     refuse(standins::store_refusal::unavailable);
     std::this_thread::sleep_for(outage_time);
-    confirm(last_read_at);
+    if (knows_age) {
+        confirm(last_read_at);
+    } else {
+        send(boot_now(), known_state::unknown_age);
+    }
     remove_other();
     change_plan();
     refuse(standins::store_refusal::none);
