--- a/review/support-3/rig.hpp
+++ b/review/support-3/rig.hpp
@@ -179,6 +179,7 @@
     std::string first_line;
     std::vector<std::pair<std::string, std::string>> fields; ///< Names in lower case.
     std::string body;
+    std::size_t body_bytes = 0; ///< Length of a body that was read and not kept.
 
     [[nodiscard]] std::string field(const std::string& name) const {
         for (const auto& [key, value] : fields) {
@@ -257,6 +258,27 @@
     return result;
 }
 
+/// Reads a message whose body has a length, and drops the body.
+inline std::optional<message> read_without_body(connection& peer, milliseconds limit) {
+    auto result = read_head(peer, limit);
+    if (!result) {
+        return std::nullopt;
+    }
+    result->body_bytes = static_cast<std::size_t>(std::atoll(result->field("content-length").c_str()));
+    std::size_t left = result->body_bytes;
+    while (true) {
+        const std::size_t taken = std::min(left, peer.input().size());
+        peer.input().erase(0, taken);
+        left -= taken;
+        if (left == 0) {
+            return result;
+        }
+        if (peer.receive(limit, std::size_t{1} << 18U) <= 0) {
+            return std::nullopt;
+        }
+    }
+}
+
 /// Accepts connections and serves each on a thread of its own.
 class listener {
   public:
@@ -387,6 +409,8 @@
         int queue = 24;
         milliseconds work{200};
         std::string body = "ok\n";
+        std::string long_prefix{}; ///< Requests below it take `long_work`; empty: none.
+        milliseconds long_work{0};
     };
 
     /// May take over the answer to a request that runs. @return whether it did.
@@ -429,7 +453,7 @@
     }
 
     void serve(connection& peer) {
-        while (const auto request = read_message(peer, milliseconds{600'000})) {
+        while (const auto request = read_without_body(peer, milliseconds{600'000})) {
             if (!answer(*request, peer)) {
                 return;
             }
@@ -455,12 +479,14 @@
         }
         ++m_runs;
         m_log.write("server " + m_options.instance + " runs " + id + ", body of " +
-                    std::to_string(request.body.size()) + " bytes");
+                    std::to_string(request.body_bytes) + " bytes");
         if (m_hook && m_hook(request, peer)) {
             free_slot();
             return false;
         }
-        std::this_thread::sleep_for(m_options.work);
+        const bool is_long =
+            !m_options.long_prefix.empty() && request.path().starts_with(m_options.long_prefix);
+        std::this_thread::sleep_for(is_long ? m_options.long_work : m_options.work);
         free_slot();
         return respond(peer, "200 OK", echo + "X-Response-Seal: seal-" + id + "\r\n", m_options.body);
     }
