Add a review case: unsent downloads fill the memory of the owners (LOST)

A crowd that asks for downloads and does not read them, at other machines, lets the responses pile up on the owners' links of 10 Mbit/s until the sidecars exceed 160 MB.

--- a/review/support-3/rig.hpp
+++ b/review/support-3/rig.hpp
@@ -508,6 +508,7 @@
     std::string zone;
     std::string instance;
     int memory_mb = 260;
+    std::string link_ip{}; ///< Where the sidecar listens for other nodes, behind a proxy; empty: at `ip`.
 };
 
 /// Settings file as `deploy/settings.template` renders it.
@@ -538,7 +539,8 @@
         ":" + std::to_string(store_port) + "\",\"form\":\"read\",\"reads_per_s\":2000,\"history\":\"20s\"}}";
     return "{\"target\":\"" + it.ip + "\",\"vm\":\"" + it.ip + "\",\"data_centre\":\"" + it.zone +
            "\",\"service\":\"" + it.service + "\",\"caller_address\":" + at(caller_port) +
-           ",\"node_address\":" + at(node_port) + ",\"operator_address\":" + at(last_node_port) +
+           ",\"node_address\":\"" + (it.link_ip.empty() ? it.ip : it.link_ip) + ":" +
+           std::to_string(node_port) + "\",\"operator_address\":" + at(last_node_port) +
            ",\"server_address\":" + at(server_port) + ",\"configuration_address\":\"" + store_ip + ":" +
            std::to_string(store_port) + "\",\"vm_list_address\":\"" + store_ip + ":" +
            std::to_string(store_port) +
