--- a/review/support-3/deployment.hpp
+++ b/review/support-3/deployment.hpp
@@ -11,11 +11,11 @@
 class deployment {
   public:
     deployment(std::vector<machine> machines, const std::string& store_ip, const std::string& folder,
-               record& log)
+               record& log, rlim_t descriptors = 0)
         : m_machines(std::move(machines)), m_store_ip(store_ip), m_folder(folder), m_log(log),
-          m_ends(m_machines.size()) {
+          m_descriptors(descriptors), m_ends(m_machines.size()) {
         for (const auto& it : m_machines) {
-            m_nodes.push_back(std::make_unique<node>(it, m_store_ip, m_folder, m_log));
+            m_nodes.push_back(std::make_unique<node>(it, m_store_ip, m_folder, m_log, m_descriptors));
         }
     }
 
@@ -60,7 +60,7 @@
         auto& current = m_nodes[n];
         if (current == nullptr) {
             if (clock::now() >= m_restart_at[n]) {
-                current = std::make_unique<node>(m_machines[n], m_store_ip, m_folder, m_log);
+                current = std::make_unique<node>(m_machines[n], m_store_ip, m_folder, m_log, m_descriptors);
             }
             return;
         }
@@ -85,6 +85,7 @@
     std::string m_store_ip;
     std::string m_folder;
     record& m_log;
+    rlim_t m_descriptors;
     std::vector<std::unique_ptr<node>> m_nodes;
     std::vector<int> m_ends;
     std::map<std::size_t, clock::time_point> m_restart_at;
--- a/review/support-3/rig.hpp
+++ b/review/support-3/rig.hpp
@@ -30,6 +30,7 @@
 #include <string>
 #include <string_view>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -560,7 +561,9 @@
 /// the memory of its machine.
 class node {
   public:
-    node(const machine& place, const std::string& store_ip, const std::string& folder, record& log)
+    /// @param descriptors limit on its descriptors; 0: none of its own.
+    node(const machine& place, const std::string& store_ip, const std::string& folder, record& log,
+         rlim_t descriptors = 0)
         : m_place(place), m_log(log) {
         const std::string file = folder + "/" + place.ip + ".json";
         std::ofstream(file) << settings_of(place, store_ip);
@@ -570,6 +573,10 @@
         m_process = ::fork();
         if (m_process == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+            if (descriptors > 0) {
+                const rlimit limit{descriptors, descriptors};
+                ::setrlimit(RLIMIT_NOFILE, &limit);
+            }
             const int output = ::open(output_file.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
             ::dup2(output, STDOUT_FILENO);
             ::dup2(output, STDERR_FILENO);
