Log large updates and how far a failed call to the store came

The logs could not tell whether calls to the store failed since nothing arrived or in the middle of a response, nor what a relay sent.

--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -68,6 +68,8 @@
                       "A request to evacuate a data centre was refused."},
     event_description{directory_update_delayed, severity::info, "directory_update_delayed",
                       "An update tells of a state that was read or sent long before it arrived."},
+    event_description{directory_update_large, severity::info, "directory_update_large",
+                      "Changes that take a while on a slow link were sent to other nodes."},
     event_description{target_ejected, severity::warning, "target_ejected",
                       "A target was ejected and receives no requests."},
     event_description{target_trial, severity::info, "target_trial",
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -42,6 +42,7 @@
     evacuation_changed = 312,
     evacuation_refused = 313,
     directory_update_delayed = 314,
+    directory_update_large = 315,
     target_ejected = 400,
     target_trial = 401,
     target_recovered = 402,
--- a/src/daemon/platform/http_get.cpp
+++ b/src/daemon/platform/http_get.cpp
@@ -43,7 +43,7 @@
         m_stream.expires_after(m_request.timeout);
         m_stream.async_connect(m_request.server, [self = shared_from_this()](error_code ec) {
             if (ec) {
-                self->m_on_done({});
+                self->fail();
                 return;
             }
             self->write();
@@ -56,7 +56,7 @@
         m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
         http::async_write(m_stream, m_message, [self = shared_from_this()](error_code ec, std::size_t) {
             if (ec) {
-                self->m_on_done({});
+                self->fail();
                 return;
             }
             self->read();
@@ -70,7 +70,7 @@
                             // A body that may never arrive is not awaited. Interim responses are not expected
                             // without Expect.
                             if (ec || kind_of_response(self->m_parser.get()) != status_kind::final) {
-                                self->m_on_done({});
+                                self->fail();
                                 return;
                             }
                             self->read_field();
@@ -95,13 +95,17 @@
     void on_read(error_code ec) {
         // The end of a body without a length cannot be distinguished from a lost connection.
         if (ec || m_parser.need_eof()) {
-            m_on_done({});
+            fail();
             return;
         }
         auto& response = m_parser.get();
-        m_on_done({static_cast<int>(response.result_int()), std::move(response.body()), std::move(m_field)});
+        const std::size_t n = response.body().size();
+        m_on_done(
+            {static_cast<int>(response.result_int()), std::move(response.body()), std::move(m_field), n});
     }
 
+    void fail() { m_on_done({0, {}, std::nullopt, m_parser.get().body().size()}); }
+
     boost::beast::tcp_stream m_stream;
     http_get_request m_request;
     std::function<void(http_get_outcome)> m_on_done;
--- a/src/daemon/platform/http_get.hpp
+++ b/src/daemon/platform/http_get.hpp
@@ -15,6 +15,7 @@
     int status = 0; ///< 200 to 599; 0: no complete response with such a status.
     std::string body;
     std::optional<std::string> field; ///< Value of the requested header field; unset: absent.
+    std::size_t received_bytes = 0;   ///< Of the body, also of an incomplete one.
 };
 
 /// Parameters of a GET request.
