--- a/tests/platform/support/source_documents.cpp
+++ b/tests/platform/support/source_documents.cpp
@@ -1,5 +1,8 @@
 #include "tests/platform/support/source_documents.hpp"
 
+#include "cornelpier/base/hash.hpp"
+#include "cornelpier/base/hexadecimal.hpp"
+
 #include "tests/process/support/sidecar_documents.hpp"
 
 #include <unistd.h>
@@ -26,10 +29,25 @@
 }
 
 std::string source_manifest(int version) {
-    const auto rows = nlohmann::json::array({route_row("r-1", "a.example", "/l/", "safe", source_service)});
+    return source_manifest(version, nlohmann::json::array());
+}
+
+std::string source_manifest(int version, const nlohmann::json& added_routes) {
+    auto rows = nlohmann::json::array({route_row("r-1", "a.example", "/l/", "safe", source_service)});
+    rows.insert(rows.end(), added_routes.begin(), added_routes.end());
     return manifest_json(version, rows, source_service);
 }
 
+nlohmann::json many_routes(int count) {
+    auto rows = nlohmann::json::array();
+    for (int n = 0; n < count; ++n) {
+        const std::string id = to_hexadecimal(stable_hash(std::to_string(n)));
+        rows.push_back(
+            route_row("r-" + id.substr(0, 7), "a.example", '/' + id.substr(7) + '/', "safe", source_service));
+    }
+    return rows;
+}
+
 std::string source_manifest(int version, double warm_up_rate) {
     auto document = nlohmann::json::parse(source_manifest(version));
     auto& services = document["services"];
--- a/tests/platform/support/source_documents.hpp
+++ b/tests/platform/support/source_documents.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <nlohmann/json.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -28,6 +30,13 @@
 /// @return the operator's configuration with one service.
 std::string source_manifest(int version);
 
+/// @return the same with further routes.
+/// @param added_routes list of rows of the table of routes.
+std::string source_manifest(int version, const nlohmann::json& added_routes);
+
+/// @return rows of routes with paths that do not compress well.
+nlohmann::json many_routes(int count);
+
 /// @return the same with the warm-up rate of the service.
 std::string source_manifest(int version, double warm_up_rate);
 
--- a/tests/platform/support/source_members.cpp
+++ b/tests/platform/support/source_members.cpp
@@ -31,7 +31,7 @@
 source_members find_members(std::size_t count, const std::function<bool(const source_members&)>& accept) {
     constexpr int last_host = 250;
     const auto step = static_cast<int>(count);
-    for (int first = 1; first + step <= last_host; first += step) {
+    for (int first = 1; first + step <= last_host; ++first) {
         std::vector<std::string> nodes;
         for (int n = 0; n < step; ++n) {
             nodes.push_back(loopback_address(first + n));
