Read a response of the store as long as it keeps arriving

Callers saw routes refused with 404 and run as an older plan has them, more than the limit after the operator's change was confirmed. One cause: the time-out of 1,000 ms covered the whole call, body included. The time-out now covers the head; after it, the body may take up to 10 s as long as no pause exceeds 1,000 ms. A call whose response stops still ends after 1,000 ms.

--- a/src/daemon/platform/http_get.cpp
+++ b/src/daemon/platform/http_get.cpp
@@ -12,6 +12,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -24,7 +26,7 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-/// One request on one connection. The expiry of the stream covers the whole exchange.
+/// One request on one connection.
 class get_operation : public std::enable_shared_from_this<get_operation> {
   public:
     get_operation(boost::asio::io_context& context, http_get_request request,
@@ -74,6 +76,7 @@
                                 return;
                             }
                             self->read_field();
+                            self->m_body_ends_by = clock::now() + max_body_time;
                             self->read_body();
                         });
     }
@@ -88,16 +91,31 @@
     }
 
     void read_body() {
-        http::async_read(m_stream, m_buffer, m_parser,
-                         [self = shared_from_this()](error_code ec, std::size_t) { self->on_read(ec); });
-    }
-
-    void on_read(error_code ec) {
         // The end of a body without a length cannot be distinguished from a lost connection.
-        if (ec || m_parser.need_eof()) {
+        if (m_parser.need_eof()) {
             fail();
             return;
         }
+        if (m_parser.is_done()) {
+            finish();
+            return;
+        }
+        if (m_request.body_pause > m_request.body_pause.zero()) {
+            // A large response over a slow link would otherwise never be complete, however often it is
+            // requested.
+            m_stream.expires_at(std::min(clock::now() + m_request.body_pause, m_body_ends_by));
+        }
+        http::async_read_some(m_stream, m_buffer, m_parser,
+                              [self = shared_from_this()](error_code ec, std::size_t) {
+                                  if (ec) {
+                                      self->fail();
+                                      return;
+                                  }
+                                  self->read_body();
+                              });
+    }
+
+    void finish() {
         auto& response = m_parser.get();
         const std::size_t n = response.body().size();
         m_on_done(
@@ -106,10 +124,13 @@
 
     void fail() { m_on_done({0, {}, std::nullopt, m_parser.get().body().size()}); }
 
+    using clock = std::chrono::steady_clock;
+
     boost::beast::tcp_stream m_stream;
     http_get_request m_request;
     std::function<void(http_get_outcome)> m_on_done;
     std::optional<std::string> m_field;
+    clock::time_point m_body_ends_by{};
     http::request<http::empty_body> m_message;
     boost::beast::flat_buffer m_buffer{max_unparsed_response_bytes};
     http::response_parser<http::string_body> m_parser;
