Send large plans as differences, and along trees of nodes

Callers saw routes refused with 404, and requests run by the former service, up to 4.7 s beyond the limit after a change was confirmed. Cause: each relay sent the whole plan to all nodes of its data centre over its own link, at once. 24 copies of a plan with 1,400 routes more are 2.8 MB, two seconds of a link of 10 Mbit/s; the third plan of the incident was three times as large. The relay's calls to the store, the next change, its answers and its readiness waited behind the copies, so that the nodes that tell others of changes were those that could not learn of them.

Changes of the plan are now sent as differences from the plan before (Zstandard, with that plan as the dictionary; libzstd-dev is new): 17 KB for 1,400 routes more, 40 bytes for other weights. Changes of more than 64 KiB to all recipients are passed on along two trees of the nodes of a data centre, with four copies a node whatever the size of the fleet; a node that passes on updates in one tree is a leaf of the other. A plan that was received before is not decoded again. A node that lacks the plan before does not take the differences (316) and reads the store as for any missed change.

The test large-plan failed before (2,646,702 bytes sent by a relay, limit 781,250) and passes.

--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -70,6 +70,8 @@
                       "An update tells of a state that was read or sent long before it arrived."},
     event_description{directory_update_large, severity::info, "directory_update_large",
                       "Changes that take a while on a slow link were sent to other nodes."},
+    event_description{directory_change_without_base, severity::info, "directory_change_without_base",
+                      "The differences of a value were received without the value they refer to."},
     event_description{target_ejected, severity::warning, "target_ejected",
                       "A target was ejected and receives no requests."},
     event_description{target_trial, severity::info, "target_trial",
--- a/src/cornelpier/membership/reader_roles.cpp
+++ b/src/cornelpier/membership/reader_roles.cpp
@@ -3,6 +3,7 @@
 #include "cornelpier/base/hash.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 
 namespace cornelpier {
@@ -12,14 +13,21 @@
 /// Hash key of the rank in a region. The rank in a data centre uses the name of the data centre as its key.
 constexpr std::string_view region_key = "reader";
 
-/// @return the `count` nodes of the highest rank. Ranks under different keys are independent.
-std::vector<target_id> first_by_rank(std::string_view key, std::vector<target_id> nodes, std::size_t count) {
-    const auto end = nodes.begin() + static_cast<std::ptrdiff_t>(std::min(nodes.size(), count));
-    std::ranges::partial_sort(nodes, end, std::ranges::greater{}, [&](const target_id& it) {
-        return std::pair{rendezvous_score(key, it.value()), it};
-    });
-    nodes.erase(end, nodes.end());
-    return nodes;
+/// @return the `count` nodes of the highest rank, by descending rank. Ranks under different keys are
+/// independent.
+std::vector<target_id> first_by_rank(std::string_view key, const std::vector<target_id>& nodes,
+                                     std::size_t count) {
+    std::vector<std::pair<std::uint64_t, target_id>> ranked;
+    ranked.reserve(nodes.size());
+    for (const auto& it : nodes) {
+        ranked.emplace_back(rendezvous_score(key, it.value()), it);
+    }
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(ranked.size(), count));
+    std::ranges::partial_sort(ranked, end, std::ranges::greater{});
+    std::vector<target_id> first;
+    std::ranges::transform(ranked.begin(), end, std::back_inserter(first),
+                           &std::pair<std::uint64_t, target_id>::second);
+    return first;
 }
 
 bool contains(const std::vector<target_id>& nodes, const target_id& node) {
@@ -36,6 +44,7 @@
         all.push_back(it.node);
     }
     m_recipients.clear();
+    m_tree = {};
     m_is_reader = false;
     m_is_relay = false;
     const auto readers = first_by_rank(region_key, all, 1);
@@ -52,6 +61,9 @@
             first_by_rank(data_centre.value(), nodes, nodes.size() >= two_relay_min_nodes ? 2 : 1);
         const bool is_own = data_centre == m_data_centre;
         m_is_relay = m_is_relay || (is_own && contains(relays, m_self));
+        if (is_own) {
+            m_tree.set_nodes(m_self, first_by_rank(data_centre.value(), nodes, nodes.size()));
+        }
         if (is_own && m_is_relay) {
             m_recipients.insert(m_recipients.end(), nodes.begin(), nodes.end());
         } else if (m_is_reader) {
--- a/src/cornelpier/membership/reader_roles.hpp
+++ b/src/cornelpier/membership/reader_roles.hpp
@@ -2,6 +2,7 @@
 
 #include "cornelpier/base/ids.hpp"
 #include "cornelpier/base/units.hpp"
+#include "cornelpier/membership/relay_tree.hpp"
 
 #include <cstddef>
 #include <optional>
@@ -61,6 +62,9 @@
     /// @return the nodes to which this node sends updates.
     [[nodiscard]] const std::vector<target_id>& recipients() const { return m_recipients; }
 
+    /// @return the trees along which large updates are passed on in this node's data centre.
+    [[nodiscard]] const relay_tree& tree() const { return m_tree; }
+
     /// @return true if this node has to read now.
     [[nodiscard]] bool must_read(time_point now) const { return m_is_reader || now >= read_due_at(); }
 
@@ -77,6 +81,7 @@
     bool m_is_relay = false;
     std::optional<target_id> m_reader;
     std::vector<target_id> m_recipients;
+    relay_tree m_tree;
     time_point m_confirmed_at{};
 };
 
--- /dev/null
+++ b/src/cornelpier/membership/relay_tree.cpp
@@ -0,0 +1,40 @@
+#include "cornelpier/membership/relay_tree.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelpier {
+
+namespace {
+
+/// @param order nodes in level order.
+std::vector<target_id> children_in(const std::vector<target_id>& order, const target_id& self) {
+    const auto position = static_cast<std::size_t>(std::ranges::find(order, self) - order.begin());
+    const std::size_t first = std::min(position * relay_tree::fan_out + 1, order.size());
+    const std::size_t last = std::min(first + relay_tree::fan_out, order.size());
+    return {order.begin() + static_cast<std::ptrdiff_t>(first),
+            order.begin() + static_cast<std::ptrdiff_t>(last)};
+}
+
+} // namespace
+
+void relay_tree::set_nodes(const target_id& self, const std::vector<target_id>& nodes) {
+    std::vector<target_id> order = nodes;
+    if (order.size() > 2) {
+        // The second relay is the last one, and thereby the root of the reverse order.
+        std::rotate(order.begin() + 1, order.begin() + 2, order.end());
+    }
+    if (order.size() > 2) {
+        m_inner_nodes.assign(order.begin() + 1, order.end() - 1);
+    }
+    m_children[static_cast<std::size_t>(relay_route::first)] = children_in(order, self);
+    const bool is_first_root = !order.empty() && order.front() == self;
+    std::ranges::reverse(order);
+    m_children[static_cast<std::size_t>(relay_route::second)] = children_in(order, self);
+    const bool is_second_root = !order.empty() && order.front() == self;
+    m_own_route = is_first_root    ? relay_route::first
+                  : is_second_root ? relay_route::second
+                                   : relay_route::direct;
+}
+
+} // namespace cornelpier
--- a/src/cornelpier/message/control_messages.hpp
+++ b/src/cornelpier/message/control_messages.hpp
@@ -2,6 +2,7 @@
 
 #include "cornelpier/base/ids.hpp"
 #include "cornelpier/base/units.hpp"
+#include "cornelpier/membership/relay_tree.hpp"
 #include "cornelpier/message/traffic_messages.hpp"
 
 #include <cstdint>
@@ -73,6 +74,7 @@
     incarnation process{}; ///< Of the sender.
     time_point sent_at{};  ///< On the sender's clock.
     duration age{};        ///< Time from when the state was last known to be the newest until `sent_at`.
+    relay_route route = relay_route::direct; ///< Along which the receiver passes on the changes.
 };
 
 using control_message = std::variant<gossip, plan_pull, plan_push, source_update>;
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -228,6 +228,7 @@
     visit(it.process);
     visit(it.sent_at);
     visit(it.age);
+    visit(it.route);
 }
 
 /// Message types for which `for_each_field` is defined.
@@ -249,6 +250,10 @@
     return update_evidence::available;
 }
 
+constexpr relay_route max_enumerator(relay_route /*tag*/) {
+    return relay_route::second;
+}
+
 constexpr node_state max_enumerator(node_state /*tag*/) {
     return node_state::stopped;
 }
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -5,7 +5,7 @@
 packages=(
   clang clang-format clang-tidy cmake ninja-build ccache curl doxygen g++ git
   libboost-coroutine-dev libboost-dev libboost-log-dev libboost-system-dev libboost-thread-dev libwebsocketpp-dev
-  libcli11-dev catch2 nlohmann-json3-dev libvalijson-dev libxxhash-dev
+  libcli11-dev catch2 nlohmann-json3-dev libvalijson-dev libxxhash-dev libzstd-dev
 )
 
 missing=()
