Read changes that others have and this node does not receive

A node that was told of a later state by a datagram, but did not receive the changes, waited for its silence timeout, up to 1.8 s, while further updates proved the gap. Changes that arrive after the datagram of the same state are confirmed by it, so that nodes that received a large update no longer call the store as well.

--- a/tests/platform/delayed_update_test.cpp
+++ b/tests/platform/delayed_update_test.cpp
@@ -1,5 +1,6 @@
 #include "daemon/net/clock.hpp"
 #include "platform/known_state.hpp"
+#include "platform/watch_timing.hpp"
 #include "tests/platform/support/source_documents.hpp"
 #include "tests/platform/support/source_fleet.hpp"
 #include "tests/platform/support/source_members.hpp"
@@ -35,6 +36,9 @@
 /// Longer than the time between two reports of nodes that the store serves.
 constexpr auto outage_time = 3s;
 
+/// Time for a call to the store and for publishing its response.
+constexpr auto read_time = 300ms;
+
 /// Where an update loses time.
 enum class delay_place : std::uint8_t { sender, transit };
 
@@ -79,6 +83,15 @@
         m_fleet.send(*m_reader, m_node_address, update);
     }
 
+    /// Tells the node of a later state without sending it the changes.
+    void announce_later_state() {
+        source_update update{target_id{m_reader_address}, m_state.position + 1, m_state.digest + 1, {}};
+        update.epoch = m_state.epoch;
+        update.process = incarnation{2};
+        update.sent_at = boot_now();
+        m_fleet.send(*m_reader, m_node_address, update);
+    }
+
     /// Sends updates without delay, so that the node knows how fast they can arrive.
     void confirm_in_time() {
         for (int n = 0; n < 5; ++n) {
@@ -152,6 +165,17 @@
     CHECK(state_of_other() == vm_state::live);
 }
 
+TEST_CASE_METHOD(delayed_reader_fixture, "a node that is told of changes that do not arrive reads them",
+                 "[platform][delay][field-reports]") {
+    confirm_in_time();
+    confirm(boot_now());
+    change_plan();
+    announce_later_state();
+    const auto wait = watch_timing_for(propagation_limit).catch_up_wait;
+    CHECK(becomes_true(std::chrono::duration_cast<std::chrono::milliseconds>(wait) + read_time,
+                       [&] { return node().plan_version() == 2; }));
+}
+
 TEST_CASE_METHOD(delayed_reader_fixture, "a node that gets updates in time does not call the store",
                  "[platform][delay][field-reports]") {
     confirm(boot_now());
--- a/tests/platform/known_state_test.cpp
+++ b/tests/platform/known_state_test.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint64_t same = 77;
 constexpr std::uint64_t different = 78;
 constexpr store_position listed{1, 10};
+constexpr store_position later{1, 11};
 constexpr time_point start{seconds{100}};
 
 /// Difference between the clocks of this node and the sender.
@@ -31,6 +32,21 @@
         m_state.on_read(start, start);
     }
 
+    /// Lets a datagram arrive that tells of a later state, confirmed at the time.
+    void hear_of_later(time_point now) {
+        source_update update{target_id{"10.0.0.1"}, later.number, different, {}, later.era};
+        update.sent_at = now - offset;
+        m_state.on_update(update, same, false, m_state.confirmation_time(update, now, now), now);
+    }
+
+    /// Lets the changes of the later state arrive, passed on by a node that says nothing of its age.
+    update_result receive_changes(time_point now) {
+        source_update update{target_id{"10.0.0.2"}, later.number, different, "changes", later.era};
+        update.sent_at = now - offset;
+        update.age = known_state::unknown_age;
+        return m_state.on_update(update, different, false, m_state.confirmation_time(update, now, now), now);
+    }
+
     /// Lets an update arrive.
     /// @param age of the state as its sender says.
     /// @param transit time under way.
@@ -85,6 +101,27 @@
     CHECK(node.state().confirmed_at() == start);
 }
 
+TEST_CASE("changes that arrive after the datagram that tells of them are confirmed by it", "[platform]") {
+    observed_state node;
+    const time_point told = start + delay;
+    node.hear_of_later(told);
+    CHECK(node.state().behind_since() == told);
+    CHECK(node.state().confirmed_at() == start);
+
+    CHECK(node.receive_changes(told + delay) == update_result::up_to_date);
+    CHECK(node.state().confirmed_at() == told);
+    CHECK(node.state().position() == later);
+    CHECK_FALSE(node.state().behind_since().has_value());
+}
+
+TEST_CASE("a node knows since when others are ahead of it", "[platform]") {
+    observed_state node;
+    CHECK_FALSE(node.state().behind_since().has_value());
+    node.hear_of_later(start + delay);
+    node.hear_of_later(start + 2 * delay);
+    CHECK(node.state().behind_since() == start + delay);
+}
+
 TEST_CASE("a node lists the store after two differences at one position", "[platform]") {
     observed_state node;
     node.hear(start, different, duration::zero(), duration::zero());
--- a/tests/platform/watch_timing_test.cpp
+++ b/tests/platform/watch_timing_test.cpp
@@ -10,6 +10,7 @@
     for (const int limit : {1300, 2000, 2500, 5000}) {
         const auto timing = watch_timing_for(milliseconds{limit});
         CHECK(timing.silence_timeout + milliseconds{700} <= milliseconds{limit});
+        CHECK(timing.pause + milliseconds{200} + timing.catch_up_wait <= timing.silence_timeout);
         CHECK(timing.pause + timing.max_wait < timing.silence_timeout);
         CHECK(timing.pause > duration::zero());
         CHECK(timing.max_wait > duration::zero());
