Give nodes that leave no role in spreading changes

A node beside a draining server is now reader or relay only if all others leave as well, and a leaf of both trees if the others suffice. It still receives updates.

New test: nodes that leave are neither reader nor relay but receive updates.

--- a/src/cornelpier/membership/reader_roles.hpp
+++ b/src/cornelpier/membership/reader_roles.hpp
@@ -14,6 +14,7 @@
 struct reader_candidate {
     target_id node;
     data_centre_id data_centre;
+    bool leaving = false; ///< Its process ends soon.
 };
 
 /// Assigns the reader and relay roles from a member list that all nodes of a region share. One node reads the
@@ -21,6 +22,8 @@
 /// nodes there. The load on the service is therefore independent of the fleet size, and no node sends to more
 /// than a data centre and the relays of the others.
 ///
+/// Nodes that leave have no role as long as there are others, so that the roles pass on before they end.
+///
 /// Any node can read for itself and does so after a time without updates, so that no change depends on a
 /// reader that has failed. Relays do so slightly earlier and forward the result to their data centre.
 class reader_roles {
--- a/src/cornelpier/membership/relay_tree.cpp
+++ b/src/cornelpier/membership/relay_tree.cpp
@@ -18,14 +18,18 @@
 
 } // namespace
 
-void relay_tree::set_nodes(const target_id& self, const std::vector<target_id>& nodes) {
+void relay_tree::set_nodes(const target_id& self, const std::vector<target_id>& nodes, std::size_t leaving) {
     std::vector<target_id> order = nodes;
     if (order.size() > 2) {
+        const auto first = order.begin() + 1;
         // The second relay is the last one, and thereby the root of the reverse order.
-        std::rotate(order.begin() + 1, order.begin() + 2, order.end());
-    }
-    if (order.size() > 2) {
-        m_inner_nodes.assign(order.begin() + 1, order.end() - 1);
+        std::rotate(first, first + 1, order.end());
+        const auto last = order.end() - 1;
+        // The nodes in the middle are leaves of both trees.
+        const auto leaving_count = static_cast<std::ptrdiff_t>(std::min(leaving, order.size() - 2));
+        const auto middle = first + (last - first - leaving_count) / 2;
+        std::rotate(middle, last - leaving_count, last);
+        m_inner_nodes.assign(first, last);
     }
     m_children[static_cast<std::size_t>(relay_route::first)] = children_in(order, self);
     const bool is_first_root = !order.empty() && order.front() == self;
--- a/src/cornelpier/membership/relay_tree.hpp
+++ b/src/cornelpier/membership/relay_tree.hpp
@@ -27,7 +27,9 @@
     /// Recomputes the trees.
     /// @param self this node.
     /// @param nodes all nodes of its data centre by descending rank; the first two are the relays.
-    void set_nodes(const target_id& self, const std::vector<target_id>& nodes);
+    /// @param leaving number of nodes at the end of the list that leave. They are leaves of both trees if the
+    /// others suffice.
+    void set_nodes(const target_id& self, const std::vector<target_id>& nodes, std::size_t leaving = 0);
 
     /// @return nodes to which this node passes on an update of that tree; none for `relay_route::direct`.
     [[nodiscard]] const std::vector<target_id>& children(relay_route route) const {
--- a/tests/membership/reader_roles_test.cpp
+++ b/tests/membership/reader_roles_test.cpp
@@ -78,6 +78,28 @@
     }
 }
 
+TEST_CASE("nodes that leave are neither reader nor relay but receive updates", "[membership]") {
+    auto members = region({8, 8});
+    const auto has_role = [&](const reader_candidate& it) {
+        const auto roles = roles_of(it, members);
+        return roles.is_reader() || roles.is_relay();
+    };
+    for (auto& it : members) {
+        it.leaving = has_role(it);
+    }
+    CHECK(std::ranges::none_of(members,
+                               [&](const reader_candidate& it) { return it.leaving && has_role(it); }));
+    CHECK(count_if(members, &reader_roles::is_reader) == 1);
+    CHECK(count_if(members, &reader_roles::is_relay) == 4);
+    CHECK(nodes_reached(members).size() == members.size());
+
+    for (auto& it : members) {
+        it.leaving = true;
+    }
+    CHECK(count_if(members, &reader_roles::is_reader) == 1);
+    CHECK(count_if(members, &reader_roles::is_relay) == 4);
+}
+
 TEST_CASE("no node sends updates to more than a data centre and the relays of the others", "[membership]") {
     const auto members = region({190, 190, 190, 190, 200});
     for (const auto& it : members) {
--- a/tests/membership/relay_tree_test.cpp
+++ b/tests/membership/relay_tree_test.cpp
@@ -70,6 +70,17 @@
     }
 }
 
+TEST_CASE("nodes that leave pass on nothing as long as the others suffice", "[membership]") {
+    const auto nodes = nodes_of(24);
+    constexpr std::size_t leaving = 12;
+    for (std::size_t n = nodes.size() - leaving; n < nodes.size(); ++n) {
+        relay_tree tree;
+        tree.set_nodes(nodes[n], nodes, leaving);
+        CHECK(tree.children(relay_route::first).empty());
+        CHECK(tree.children(relay_route::second).empty());
+    }
+}
+
 TEST_CASE("a node that is not listed passes on nothing", "[membership]") {
     const auto tree = tree_of(target_id{"unlisted"}, nodes_of(24));
     CHECK(tree.own_route() == relay_route::direct);
