Let nodes that the store refuses learn from other nodes

While its calls fail and its state is over a second old, a node now asks two nodes of its data centre and one of another. While the whole store is away nobody knows more, and nobody answers.

--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -72,6 +72,9 @@
                       "Changes that take a while on a slow link were sent to other nodes."},
     event_description{directory_change_without_base, severity::info, "directory_change_without_base",
                       "The differences of a value were received without the value they refer to."},
+    event_description{
+        directory_state_sent, severity::info, "directory_state_sent",
+        "Another node, which the configuration service does not serve, got the complete state."},
     event_description{target_ejected, severity::warning, "target_ejected",
                       "A target was ejected and receives no requests."},
     event_description{target_trial, severity::info, "target_trial",
--- a/src/cornelpier/message/control_messages.hpp
+++ b/src/cornelpier/message/control_messages.hpp
@@ -75,8 +75,19 @@
     time_point sent_at{};  ///< On the sender's clock.
     duration age{};        ///< Time from when the state was last known to be the newest until `sent_at`.
     relay_route route = relay_route::direct; ///< Along which the receiver passes on the changes.
+    bool is_complete = false; ///< The changes are the whole state: what they do not list is gone.
 };
 
-using control_message = std::variant<gossip, plan_pull, plan_push, source_update>;
+/// Asks a node for its state, because the service does not serve the one that asks.
+struct source_query {
+    target_id from;
+    std::uint64_t position = 0;
+    std::uint64_t digest = 0; ///< Hash of the complete state at that position.
+    std::uint64_t epoch = 0;
+    std::uint64_t plan_hash = 0; ///< Of the plan in force, on which the answer may be based.
+    duration age{};              ///< Time since the state was last known to be the newest.
+};
+
+using control_message = std::variant<gossip, plan_pull, plan_push, source_update, source_query>;
 
 } // namespace cornelpier
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -229,6 +229,18 @@
     visit(it.sent_at);
     visit(it.age);
     visit(it.route);
+    visit(it.is_complete);
+}
+
+template <typename Message, typename Visitor>
+requires std::same_as<std::remove_const_t<Message>, source_query>
+void for_each_field(Message& it, Visitor&& visit) {
+    visit(it.from);
+    visit(it.position);
+    visit(it.digest);
+    visit(it.epoch);
+    visit(it.plan_hash);
+    visit(it.age);
 }
 
 /// Message types for which `for_each_field` is defined.
--- a/src/cornelpier/node/control_core.cpp
+++ b/src/cornelpier/node/control_core.cpp
@@ -279,6 +279,7 @@
 
     /// Ignored: source updates are for nodes that get their plan from a platform adapter.
     void on_message(const source_update& /*message*/, const std::string& /*address*/) {}
+    void on_message(const source_query& /*message*/, const std::string& /*address*/) {}
 
     void on_message(const gossip& message, const std::string& address) {
         // A message that was queued during a pause has ages that are too low. While a query is active, a node
--- a/src/daemon/gossip/gossip_socket.cpp
+++ b/src/daemon/gossip/gossip_socket.cpp
@@ -17,7 +17,8 @@
 namespace {
 
 bool is_datagram_message(const control_message& message) {
-    return std::holds_alternative<gossip>(message) || std::holds_alternative<source_update>(message);
+    return std::holds_alternative<gossip>(message) || std::holds_alternative<source_update>(message) ||
+           std::holds_alternative<source_query>(message);
 }
 
 } // namespace
--- /dev/null
+++ b/tests/platform/peer_exchange_test.cpp
@@ -0,0 +1,95 @@
+#include "tests/platform/support/source_documents.hpp"
+#include "tests/platform/support/source_fleet.hpp"
+#include "tests/platform/support/source_members.hpp"
+#include "tests/process/support/becomes_true.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+namespace cornelpier::platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+using standins::store_refusal;
+using test::becomes_true;
+using test::propagation_limit;
+using test::source_entry;
+using test::source_entry_key;
+using test::source_fleet;
+
+/// Limit for a node to list the store.
+constexpr auto start_time = 1s;
+
+/// The limit for a node that the store serves, and the same again for one that learns from it.
+constexpr auto limit_through_peers = 2 * propagation_limit;
+
+/// Nodes of a data centre, of which the reader and the relays do not run.
+class unserved_node_fixture {
+  public:
+    unserved_node_fixture() {
+        const auto members = test::find_members(
+            8, [](const auto& it) { return std::ranges::find(it.relays, it.reader) != it.relays.end(); });
+        for (const auto& it : members.nodes) {
+            m_fleet.put(source_entry_key(it), source_entry(it, "ready"));
+            if (std::ranges::find(members.relays, it) == members.relays.end()) {
+                m_addresses.push_back(it);
+                m_nodes.push_back(&m_fleet.start_node(it));
+            }
+        }
+        REQUIRE(becomes_true(start_time, [&] { return all_have(1); }));
+    }
+
+    /// Lets the store refuse some of the nodes.
+    void refuse(std::size_t count, store_refusal refusal) {
+        for (std::size_t n = 0; n < count; ++n) {
+            m_fleet.refuse(m_addresses.at(n), refusal);
+        }
+    }
+
+    void change_plan(int version) {
+        m_fleet.put("op/config", test::source_manifest(version, test::many_routes(version)));
+    }
+
+    void remove_server(std::size_t n) { m_fleet.remove(source_entry_key(m_addresses.at(n))); }
+
+    [[nodiscard]] bool all_have(std::uint64_t version) const {
+        return std::ranges::all_of(m_nodes, [&](const auto* it) { return it->plan_version() == version; });
+    }
+
+    [[nodiscard]] bool all_list(std::size_t n, bool listed) const {
+        return std::ranges::all_of(m_nodes, [&](const auto* it) {
+            return (it->state_of(m_addresses.at(n)) != vm_state::unlisted) == listed;
+        });
+    }
+
+    [[nodiscard]] std::size_t node_count() const { return m_nodes.size(); }
+
+  private:
+    source_fleet m_fleet;
+    std::vector<std::string> m_addresses;
+    std::vector<test::source_node*> m_nodes;
+};
+
+} // namespace
+
+// Guards against nodes that cannot learn of a change, since the store refuses them and no relay lives.
+TEST_CASE_METHOD(unserved_node_fixture, "nodes that the store refuses learn of changes from other nodes",
+                 "[platform][peers]") {
+    const auto refusal =
+        GENERATE(store_refusal::too_many_requests, store_refusal::disconnect, store_refusal::silence);
+    refuse(node_count() / 2, refusal);
+    std::this_thread::sleep_for(propagation_limit);
+    change_plan(2);
+    remove_server(node_count() - 1);
+    CHECK(becomes_true(limit_through_peers, [&] { return all_have(2); }));
+    CHECK(becomes_true(limit_through_peers, [&] { return all_list(node_count() - 1, false); }));
+    change_plan(3);
+    CHECK(becomes_true(limit_through_peers, [&] { return all_have(3); }));
+    CHECK(all_list(0, true));
+}
+
+} // namespace cornelpier::platform
