Update nodes whose server is not listed

A node that was just added, or whose server has left while its process still runs, is in no relay's list.

--- a/src/cornelpier/membership/reader_roles.cpp
+++ b/src/cornelpier/membership/reader_roles.cpp
@@ -45,18 +45,14 @@
         by_data_centre[it.data_centre].push_back(it);
     }
     m_recipients.clear();
+    m_relays.clear();
     m_tree = {};
-    m_is_reader = false;
-    m_is_relay = false;
     const auto readers = first_by_rank(region_key, members, 1);
     m_reader = readers.empty() ? std::nullopt : std::optional{readers.front()};
-    if (std::ranges::find(members, m_self, &reader_candidate::node) == members.end()) {
-        // Other nodes do not have this node in their list and send it no updates, so that it reads for
-        // itself.
-        return;
-    }
-
-    m_is_reader = m_reader == m_self;
+    m_is_listed = std::ranges::find(members, m_self, &reader_candidate::node) != members.end();
+    // A node that is not listed gets no updates unless it asks for them, and has no role.
+    m_is_reader = m_is_listed && m_reader == m_self;
+    m_is_relay = false;
     for (const auto& [data_centre, candidates] : by_data_centre) {
         const std::size_t relay_count = candidates.size() >= two_relay_min_nodes ? 2 : 1;
         const auto relays = first_by_rank(data_centre.value(), candidates, relay_count);
@@ -65,6 +61,7 @@
             const auto leaving = std::ranges::count_if(candidates, &reader_candidate::leaving);
             m_tree.set_nodes(m_self, first_by_rank(data_centre.value(), candidates, candidates.size()),
                              static_cast<std::size_t>(leaving));
+            m_relays = relays;
             m_is_relay = contains(relays, m_self);
         }
         if (is_own && m_is_relay) {
--- a/src/cornelpier/membership/reader_roles.hpp
+++ b/src/cornelpier/membership/reader_roles.hpp
@@ -62,6 +62,12 @@
     /// @return the reader of the region, or nothing while no members are known.
     [[nodiscard]] const std::optional<target_id>& reader() const { return m_reader; }
 
+    /// @return the relays of this node's data centre, which update this node if it is listed.
+    [[nodiscard]] const std::vector<target_id>& relays() const { return m_relays; }
+
+    /// @return whether other nodes have this node in their list and send it updates.
+    [[nodiscard]] bool is_listed() const { return m_is_listed; }
+
     /// @return the nodes to which this node sends updates.
     [[nodiscard]] const std::vector<target_id>& recipients() const { return m_recipients; }
 
@@ -82,6 +88,8 @@
     duration m_silence_timeout;
     bool m_is_reader = true; ///< Until the members are known, every node reads for itself.
     bool m_is_relay = false;
+    bool m_is_listed = false;
+    std::vector<target_id> m_relays;
     std::optional<target_id> m_reader;
     std::vector<target_id> m_recipients;
     relay_tree m_tree;
--- a/src/cornelpier/message/control_messages.hpp
+++ b/src/cornelpier/message/control_messages.hpp
@@ -78,7 +78,7 @@
     bool is_complete = false; ///< The changes are the whole state: what they do not list is gone.
 };
 
-/// Asks a node for its state, because the service does not serve the one that asks.
+/// Asks a node for its state, because the service does not serve the one that asks, or for updates.
 struct source_query {
     target_id from;
     std::uint64_t position = 0;
@@ -86,6 +86,7 @@
     std::uint64_t epoch = 0;
     std::uint64_t plan_hash = 0; ///< Of the plan in force, on which the answer may be based.
     duration age{};              ///< Time since the state was last known to be the newest.
+    bool subscribes = false;     ///< Asks a relay for updates for some time.
 };
 
 using control_message = std::variant<gossip, plan_pull, plan_push, source_update, source_query>;
--- a/src/cornelpier/message/message_fields.hpp
+++ b/src/cornelpier/message/message_fields.hpp
@@ -241,6 +241,7 @@
     visit(it.epoch);
     visit(it.plan_hash);
     visit(it.age);
+    visit(it.subscribes);
 }
 
 /// Message types for which `for_each_field` is defined.
--- a/tests/platform/peer_exchange_test.cpp
+++ b/tests/platform/peer_exchange_test.cpp
@@ -24,6 +24,12 @@
 /// Limit for a node to list the store.
 constexpr auto start_time = 1s;
 
+/// Time for a change to be relayed.
+constexpr auto relay_time = 300ms;
+
+/// Between two changes, so that they fall into different parts of the interval between two reads.
+constexpr auto change_interval = 700ms;
+
 /// The limit for a node that the store serves, and the same again for one that learns from it.
 constexpr auto limit_through_peers = 2 * propagation_limit;
 
@@ -92,4 +98,40 @@
     CHECK(all_list(0, true));
 }
 
+// Guards against nodes whose server is not listed yet or no longer, to which no relay sends changes.
+TEST_CASE("a node whose server is not listed has a change as early as the others", "[platform][peers]") {
+    auto members = test::find_members(8, [](const auto&) { return true; });
+    const std::string unlisted = members.nodes.back();
+    members = test::with_roles({members.nodes.begin(), members.nodes.end() - 1});
+    const bool was_listed = GENERATE(true, false);
+    source_fleet fleet;
+    for (const auto& it : members.nodes) {
+        fleet.put(source_entry_key(it), source_entry(it, "ready"));
+    }
+    if (was_listed) {
+        fleet.put(source_entry_key(unlisted), source_entry(unlisted, "ready"));
+    }
+    std::vector<test::source_node*> listed;
+    for (const auto& it : members.nodes) {
+        listed.push_back(&fleet.start_node(it));
+    }
+    const auto& node = fleet.start_node(unlisted);
+    REQUIRE(becomes_true(start_time, [&] { return node.plan_version() == 1; }));
+    if (was_listed) {
+        fleet.remove(source_entry_key(unlisted));
+        REQUIRE(
+            becomes_true(propagation_limit, [&] { return node.state_of(unlisted) == vm_state::unlisted; }));
+    }
+
+    for (int version = 2; version < 6; ++version) {
+        const auto has = [&](const auto* it) {
+            return it->plan_version() == static_cast<std::uint64_t>(version);
+        };
+        fleet.put("op/config", test::source_manifest(version));
+        REQUIRE(becomes_true(propagation_limit, [&] { return std::ranges::all_of(listed, has); }));
+        CHECK(becomes_true(relay_time, [&] { return has(&node); }));
+        std::this_thread::sleep_for(change_interval);
+    }
+}
+
 } // namespace cornelpier::platform
