--- a/tests/platform/peer_exchange_test.cpp
+++ b/tests/platform/peer_exchange_test.cpp
@@ -41,6 +41,8 @@
             8, [](const auto& it) { return std::ranges::find(it.relays, it.reader) != it.relays.end(); });
         for (const auto& it : members.nodes) {
             m_fleet.put(source_entry_key(it), source_entry(it, "ready"));
+        }
+        for (const auto& it : members.nodes) {
             if (std::ranges::find(members.relays, it) == members.relays.end()) {
                 m_addresses.push_back(it);
                 m_nodes.push_back(&m_fleet.start_node(it));
@@ -84,7 +86,7 @@
 
 // Guards against nodes that cannot learn of a change, since the store refuses them and no relay lives.
 TEST_CASE_METHOD(unserved_node_fixture, "nodes that the store refuses learn of changes from other nodes",
-                 "[platform][peers]") {
+                 "[platform][peers][field-reports]") {
     const auto refusal =
         GENERATE(store_refusal::too_many_requests, store_refusal::disconnect, store_refusal::silence);
     refuse(node_count() / 2, refusal);
@@ -99,7 +101,8 @@
 }
 
 // Guards against nodes whose server is not listed yet or no longer, to which no relay sends changes.
-TEST_CASE("a node whose server is not listed has a change as early as the others", "[platform][peers]") {
+TEST_CASE("a node whose server is not listed has a change as early as the others",
+          "[platform][peers][field-reports]") {
     auto members = test::find_members(8, [](const auto&) { return true; });
     const std::string unlisted = members.nodes.back();
     members = test::with_roles({members.nodes.begin(), members.nodes.end() - 1});
--- a/tests/platform/slow_response_test.cpp
+++ b/tests/platform/slow_response_test.cpp
@@ -85,7 +85,8 @@
 } // namespace
 
 // Guards against a node that never learns of a large plan, since each of its calls ends before the response.
-TEST_CASE("a response of the store that keeps arriving is read to its end", "[platform][slow-response]") {
+TEST_CASE("a response of the store that keeps arriving is read to its end",
+          "[platform][slow-response][field-reports]") {
     const std::string page = page_with_large_value();
     const slow_store store(page, page.size());
     const auto outcomes = list(store, 10s);
@@ -93,7 +94,8 @@
     CHECK(std::holds_alternative<store_page>(outcomes.front()));
 }
 
-TEST_CASE("a response of the store that stops arriving ends the call", "[platform][slow-response]") {
+TEST_CASE("a response of the store that stops arriving ends the call",
+          "[platform][slow-response][field-reports]") {
     const std::string page = page_with_large_value();
     const slow_store store(page, page.size() / 4);
     const auto outcomes = list(store, stalled_call_limit);
