--- a/src/cornelpier/membership/relay_tree.cpp
+++ b/src/cornelpier/membership/relay_tree.cpp
@@ -29,7 +29,7 @@
         const auto leaving_count = static_cast<std::ptrdiff_t>(std::min(leaving, order.size() - 2));
         const auto middle = first + (last - first - leaving_count) / 2;
         std::rotate(middle, last - leaving_count, last);
-        m_inner_nodes.assign(first, last);
+        m_below_roots.assign(first, last);
     }
     m_children[static_cast<std::size_t>(relay_route::first)] = children_in(order, self);
     const bool is_first_root = !order.empty() && order.front() == self;
--- a/src/cornelpier/membership/relay_tree.hpp
+++ b/src/cornelpier/membership/relay_tree.hpp
@@ -37,14 +37,14 @@
     }
 
     /// @return the nodes that are not the root of a tree.
-    [[nodiscard]] const std::vector<target_id>& inner_nodes() const { return m_inner_nodes; }
+    [[nodiscard]] const std::vector<target_id>& nodes_below_roots() const { return m_below_roots; }
 
     /// @return tree of which this node is the root; `relay_route::direct` if there is none.
     [[nodiscard]] relay_route own_route() const { return m_own_route; }
 
   private:
     std::array<std::vector<target_id>, 3> m_children; ///< By route.
-    std::vector<target_id> m_inner_nodes;
+    std::vector<target_id> m_below_roots;
     relay_route m_own_route = relay_route::direct;
 };
 
