--- a/tests/platform/large_plan_test.cpp
+++ b/tests/platform/large_plan_test.cpp
@@ -60,6 +60,7 @@
 
 // Guards against a relay that cannot read the store since its link is full of copies of a large plan.
 TEST_CASE("a large plan does not fill the link of a relay", "[platform][large-plan][field-reports]") {
+    const bool gives_up_its_role = GENERATE(false, true);
     const auto members = test::find_members(node_count, [](const auto&) { return true; });
     const auto& address = members.relays.front();
     source_fleet fleet;
@@ -73,7 +74,11 @@
     const auto& relay = fleet.start_node(address);
     REQUIRE(becomes_true(start_time, [&] { return relay.plan_version() == 1; }));
 
-    fleet.put("op/config", test::source_manifest(2, test::many_routes(added_routes)));
+    if (gives_up_its_role) {
+        fleet.put(source_entry_key(address), source_entry(address, "draining"));
+    }
+    const int routes = gives_up_its_role ? 3 * added_routes : added_routes;
+    fleet.put("op/config", test::source_manifest(2, test::many_routes(routes)));
     REQUIRE(becomes_true(propagation_limit, [&] { return relay.plan_version() == 2; }));
     std::this_thread::sleep_for(propagation_limit);
     const std::size_t sent = received_bytes(peers);
