Keep the accepting thread of a scripted server out of a vector that it grows

Cause: scripted_server held the thread that accepts connections in the vector to which that thread adds one thread for each connection. If a connection was accepted while the destructor joined the first element, the vector moved to other memory: join() reset the id in memory that had been freed, and the moved thread was destroyed as joinable. It needs a connection that the accepting thread has not taken when the test ends, such as that of a server check.

Change: the accepting thread is a member of its own, and the others are joined after it has ended. faulty_server, slow_relay and stub_http_server were looked through: none of them has this fault.

--- a/tests/daemon/server_client_test.cpp
+++ b/tests/daemon/server_client_test.cpp
@@ -23,7 +23,7 @@
         : m_answer(std::move(answer)), m_close(close),
           m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0}) {
         address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-        m_threads.emplace_back([this] { accept(); });
+        m_accepting = std::thread([this] { accept(); });
     }
 
     ~scripted_server() {
@@ -33,9 +33,9 @@
             boost::system::error_code ec;
             wake.connect(m_acceptor.local_endpoint(), ec);
         }
-        m_threads.front().join();
-        for (std::size_t n = 1; n < m_threads.size(); ++n) {
-            m_threads[n].join();
+        m_accepting.join();
+        for (auto& it : m_serving) {
+            it.join();
         }
     }
 
@@ -53,7 +53,7 @@
                 return;
             }
             connections.push(1);
-            m_threads.emplace_back([this, it = std::move(socket)]() mutable { serve(it); });
+            m_serving.emplace_back([this, it = std::move(socket)]() mutable { serve(it); });
         }
     }
 
@@ -76,7 +76,8 @@
     bool m_close;
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor;
-    std::vector<std::thread> m_threads;
+    std::vector<std::thread> m_serving; ///< Grown by m_accepting until that has ended.
+    std::thread m_accepting;
 };
 
 /// Client that records its events.
