Show how many guests a relay has, and which ones it refused

A relay updates up to 16 nodes whose server is not listed; that bound had no metric, and a node that was refused was seen nowhere.

--- a/src/cornelpier/base/event_catalogue.cpp
+++ b/src/cornelpier/base/event_catalogue.cpp
@@ -75,6 +75,8 @@
     event_description{
         directory_state_sent, severity::info, "directory_state_sent",
         "Another node, which the configuration service does not serve, got the complete state."},
+    event_description{directory_guest_refused, severity::info, "directory_guest_refused",
+                      "A node whose server is not listed asked for updates, and too many are updated."},
     event_description{target_ejected, severity::warning, "target_ejected",
                       "A target was ejected and receives no requests."},
     event_description{target_trial, severity::info, "target_trial",
--- a/src/cornelpier/base/event_catalogue.hpp
+++ b/src/cornelpier/base/event_catalogue.hpp
@@ -45,6 +45,7 @@
     directory_update_large = 315,
     directory_change_without_base = 316,
     directory_state_sent = 317,
+    directory_guest_refused = 318,
     target_ejected = 400,
     target_trial = 401,
     target_recovered = 402,
--- a/src/cornelpier/node/control_core.hpp
+++ b/src/cornelpier/node/control_core.hpp
@@ -5,6 +5,7 @@
 #include "cornelpier/node/node_identity.hpp"
 #include "cornelpier/plan/plan_manager.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -18,7 +19,8 @@
     duration plan_age{};           ///< Time since this node put the plan in force.
     duration plan_confirmed_age{}; ///< Time since a reader saw it at the configuration service.
     bool reader = false;
-    bool conflict = false; ///< Another plan with the same version but other content was seen.
+    std::size_t guests = 0; ///< Nodes that this node updates though their server is not listed.
+    bool conflict = false;  ///< Another plan with the same version but other content was seen.
     std::vector<member_record> members;
     std::vector<target_id> stale_members; ///< In the plan, but without a record newer than `stale_age`.
 };
--- a/src/daemon/metrics/metrics.cpp
+++ b/src/daemon/metrics/metrics.cpp
@@ -167,6 +167,8 @@
         write_gauge(out, "plan_conflict", "1 if another content of the same version was seen.",
                     control.conflict ? 1 : 0);
         write_gauge(out, "reader", "1 if this node reads the configuration service.", control.reader ? 1 : 0);
+        write_gauge(out, "guests", "Nodes that this node updates though their server is not listed.",
+                    static_cast<double>(control.guests));
         write_gauge(out, "members", "Nodes known.", static_cast<double>(control.members.size()));
         write_memory(out, gauges.memory);
     }
--- a/tests/platform/large_plan_test.cpp
+++ b/tests/platform/large_plan_test.cpp
@@ -37,16 +37,6 @@
 /// Limit for a node to list the store.
 constexpr auto start_time = 1s;
 
-bool contains(const std::vector<std::string>& nodes, const std::string& node) {
-    return std::ranges::find(nodes, node) != nodes.end();
-}
-
-void register_all(source_fleet& fleet, const std::vector<std::string>& nodes) {
-    for (const auto& it : nodes) {
-        fleet.put(source_entry_key(it), source_entry(it, "ready"));
-    }
-}
-
 std::size_t received_bytes(const std::vector<test::update_peer*>& peers) {
     return std::accumulate(peers.begin(), peers.end(), std::size_t{0}, [](std::size_t sum, const auto* peer) {
         for (const auto& it : peer->received()) {
@@ -64,7 +54,7 @@
     const auto members = test::find_members(node_count, [](const auto&) { return true; });
     const auto& address = members.relays.front();
     source_fleet fleet;
-    register_all(fleet, members.nodes);
+    fleet.register_all(members.nodes);
     std::vector<test::update_peer*> peers;
     for (const auto& it : members.nodes) {
         if (it != address) {
@@ -89,12 +79,11 @@
 
 TEST_CASE("all nodes have a large plan in time though a relay and a node that forwards it are gone",
           "[platform][large-plan][field-reports]") {
-    const auto members = test::find_members(node_count, [](const auto& it) {
-        return !contains(it.relays, it.reader) && it.reader != it.nodes.back();
-    });
+    const auto members = test::find_members(
+        node_count, [](const auto& it) { return !it.is_relay(it.reader) && it.reader != it.nodes.back(); });
     const auto& stopped = members.relays.front();
     source_fleet fleet;
-    register_all(fleet, members.nodes);
+    fleet.register_all(members.nodes);
     std::vector<test::source_node*> nodes;
     for (const auto& it : members.nodes) {
         if (it != stopped && it != members.nodes.back()) {
--- a/tests/platform/peer_exchange_test.cpp
+++ b/tests/platform/peer_exchange_test.cpp
@@ -37,13 +37,10 @@
 class unserved_node_fixture {
   public:
     unserved_node_fixture() {
-        const auto members = test::find_members(
-            8, [](const auto& it) { return std::ranges::find(it.relays, it.reader) != it.relays.end(); });
+        const auto members = test::find_members(8, [](const auto& it) { return it.is_relay(it.reader); });
+        m_fleet.register_all(members.nodes);
         for (const auto& it : members.nodes) {
-            m_fleet.put(source_entry_key(it), source_entry(it, "ready"));
-        }
-        for (const auto& it : members.nodes) {
-            if (std::ranges::find(members.relays, it) == members.relays.end()) {
+            if (!members.is_relay(it)) {
                 m_addresses.push_back(it);
                 m_nodes.push_back(&m_fleet.start_node(it));
             }
@@ -108,9 +105,7 @@
     members = test::with_roles({members.nodes.begin(), members.nodes.end() - 1});
     const bool was_listed = GENERATE(true, false);
     source_fleet fleet;
-    for (const auto& it : members.nodes) {
-        fleet.put(source_entry_key(it), source_entry(it, "ready"));
-    }
+    fleet.register_all(members.nodes);
     if (was_listed) {
         fleet.put(source_entry_key(unlisted), source_entry(unlisted, "ready"));
     }
--- a/tests/platform/store_fleet_source_test.cpp
+++ b/tests/platform/store_fleet_source_test.cpp
@@ -40,16 +40,6 @@
 /// The first position of a store.
 constexpr revision earlier_position = 1;
 
-bool contains(const std::vector<std::string>& nodes, const std::string& node) {
-    return std::ranges::find(nodes, node) != nodes.end();
-}
-
-void register_all(source_fleet& fleet, const std::vector<std::string>& nodes) {
-    for (const auto& it : nodes) {
-        fleet.put(source_entry_key(it), source_entry(it, "ready"));
-    }
-}
-
 bool received_change_of(const test::update_peer& peer, const std::string& key) {
     return std::ranges::any_of(peer.received(), [&](const source_update& update) {
         const auto changes = decode_relayed_changes(update.changes);
@@ -61,14 +51,13 @@
 
 TEST_CASE("changes are in force in time while a node that just started becomes the reader",
           "[platform][drain]") {
-    const auto members =
-        test::find_members(7, [](const auto& it) { return !contains(it.relays, it.reader); });
+    const auto members = test::find_members(7, [](const auto& it) { return !it.is_relay(it.reader); });
     std::vector<std::string> registered = members.nodes;
     std::erase(registered, members.reader);
     const std::string leaving = registered.back();
 
     source_fleet fleet;
-    register_all(fleet, registered);
+    fleet.register_all(registered);
     std::vector<test::source_node*> nodes;
     for (const auto& it : registered) {
         nodes.push_back(&fleet.start_node(it));
@@ -134,12 +123,11 @@
 }
 
 TEST_CASE("relays that missed the same change do not confirm each other", "[platform][drain]") {
-    const auto members =
-        test::find_members(7, [](const auto& it) { return !contains(it.relays, it.reader); });
+    const auto members = test::find_members(7, [](const auto& it) { return !it.is_relay(it.reader); });
     const std::string leaving = members.reader;
 
     source_fleet fleet;
-    register_all(fleet, members.nodes);
+    fleet.register_all(members.nodes);
     auto& reader = fleet.add_peer(members.reader);
     std::vector<test::source_node*> relays;
     for (const auto& it : members.relays) {
@@ -171,7 +159,7 @@
           "[platform][warm-up]") {
     const std::string address = test::loopback_address(1);
     source_fleet fleet;
-    register_all(fleet, {address});
+    fleet.register_all({address});
     auto& node = fleet.start_node(address);
     REQUIRE(becomes_true(start_time, [&] { return node.plan_version() == 1; }));
     CHECK_FALSE(node.warm_up());
@@ -192,7 +180,7 @@
     const std::string peer_address = members.nodes.back();
 
     source_fleet fleet;
-    register_all(fleet, members.nodes);
+    fleet.register_all(members.nodes);
     auto& peer = fleet.add_peer(peer_address);
     auto& node = fleet.start_node(members.reader);
     REQUIRE(becomes_true(start_time, [&] { return node.state_of(peer_address) == vm_state::live; }));
--- a/tests/platform/support/source_fleet.cpp
+++ b/tests/platform/support/source_fleet.cpp
@@ -39,6 +39,12 @@
     run([&] { m_store.remove(key); });
 }
 
+void source_fleet::register_all(const std::vector<std::string>& nodes) {
+    for (const auto& it : nodes) {
+        put(source_entry_key(it), source_entry(it, "ready"));
+    }
+}
+
 void source_fleet::refuse(const std::string& node, standins::store_refusal refusal) {
     run([&] { m_store.refuse(store_front(node), refusal); });
 }
--- a/tests/platform/support/source_fleet.hpp
+++ b/tests/platform/support/source_fleet.hpp
@@ -35,6 +35,9 @@
     /// Deletes a key of the store.
     void remove(const std::string& key);
 
+    /// Registers the servers of nodes as ready.
+    void register_all(const std::vector<std::string>& nodes);
+
     /// Lets the store refuse the requests of a node, which must have been added.
     void refuse(const std::string& node, standins::store_refusal refusal);
 
--- a/tests/platform/support/source_members.cpp
+++ b/tests/platform/support/source_members.cpp
@@ -4,11 +4,16 @@
 
 #include "tests/platform/support/source_documents.hpp"
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
 namespace cornelpier::test {
 
+bool source_members::is_relay(const std::string& node) const {
+    return std::ranges::find(relays, node) != relays.end();
+}
+
 source_members with_roles(std::vector<std::string> nodes) {
     std::vector<reader_candidate> candidates;
     for (const auto& it : nodes) {
--- a/tests/platform/support/source_members.hpp
+++ b/tests/platform/support/source_members.hpp
@@ -12,6 +12,8 @@
     std::vector<std::string> nodes;
     std::string reader;
     std::vector<std::string> relays;
+
+    [[nodiscard]] bool is_relay(const std::string& node) const;
 };
 
 /// @return the members and their roles.
