Close the listening socket of links when no thread uses it any more

Cause: node_daemon::stop ran link_manager::stop on the control thread, which closes the acceptor of websocketpp, while a traffic thread that had just accepted a link began the next accept, a read, on it. websocketpp has no strand for its acceptor.

--- a/src/daemon/link/link_manager.hpp
+++ b/src/daemon/link/link_manager.hpp
@@ -106,7 +106,8 @@
     /// @return bytes that are queued on all links and not yet passed to the kernel.
     [[nodiscard]] std::size_t queued_bytes() const;
 
-    /// Stops accepting and closes all links.
+    /// Stops accepting and closes all links. Must not be called while another thread runs the context, whose
+    /// handlers use the listening socket.
     void stop();
 
   private:
--- a/src/daemon/node/node_daemon.cpp
+++ b/src/daemon/node/node_daemon.cpp
@@ -154,6 +154,7 @@
         for (auto& it : threads) {
             it.join();
         }
+        m_links.stop();
         return 0;
     }
 
@@ -310,7 +311,6 @@
     void stop(const char* cause) {
         m_log.write({event_number::process_ended, {{"cause", cause}}});
         m_source->stop();
-        m_links.stop();
         m_server.stop();
         m_traffic_context.stop();
         m_control_context.stop();
--- a/tests/process/process_test.cpp
+++ b/tests/process/process_test.cpp
@@ -2,12 +2,15 @@
 #include "tests/process/support/http_call.hpp"
 #include "tests/process/support/small_fleet.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <fstream>
 #include <iostream>
 #include <stdexcept>
@@ -51,6 +54,20 @@
     }
 }
 
+/// Opens connections and resets them, so that they occupy no ports, until they are refused.
+void connect_until_refused(std::uint16_t port) {
+    using boost::asio::ip::tcp;
+    boost::asio::io_context context;
+    boost::system::error_code ec;
+    while (!ec) {
+        tcp::socket socket(context);
+        socket.connect({boost::asio::ip::address_v4::loopback(), port}, ec);
+        if (!ec) {
+            socket.set_option(tcp::socket::linger(true, 0), ec);
+        }
+    }
+}
+
 } // namespace
 
 TEST_CASE("lookups and orders run once and carry verdicts through any node", "[process]") {
@@ -139,6 +156,25 @@
     CHECK(call(fleet.caller_address("atelier-1"), get_request("/a", "comenzi")).verdict() == "ran");
 }
 
+TEST_CASE("a node ends cleanly while connections to its links are opened", "[process]") {
+    small_fleet fleet;
+    const std::uint16_t port = fleet.link_port("comenzi-1");
+    for (int n = 0; n < 3; ++n) {
+        auto& node = fleet.node("comenzi-1");
+        std::vector<std::thread> peers;
+        for (int peer = 0; peer < 4; ++peer) {
+            peers.emplace_back([&] { connect_until_refused(port); });
+        }
+        node.send_signal(SIGTERM);
+        CHECK(node.wait(10s) == 0);
+        for (auto& it : peers) {
+            it.join();
+        }
+        fleet.start_node("comenzi-1");
+        REQUIRE(fleet.wait_until_serving("comenzi-1"));
+    }
+}
+
 TEST_CASE("a node exits instead of starting partially on bad arguments, bad settings or an occupied port",
           "[process]") {
     small_fleet fleet;
--- a/tests/process/support/small_fleet.cpp
+++ b/tests/process/support/small_fleet.cpp
@@ -106,12 +106,20 @@
     std::filesystem::remove_all(m_directory, ec);
 }
 
-std::string small_fleet::address(const std::string& target, int kind) const {
+int small_fleet::port(const std::string& target, int kind) const {
     if (kind == platform_port) {
-        return "127.0.0.1:" + std::to_string(m_first_port + ports_per_fleet - 1);
+        return m_first_port + ports_per_fleet - 1;
     }
     const auto n = static_cast<int>(std::ranges::find(targets, target) - targets.begin());
-    return "127.0.0.1:" + std::to_string(m_first_port + n * ports_per_target + kind);
+    return m_first_port + n * ports_per_target + kind;
+}
+
+std::string small_fleet::address(const std::string& target, int kind) const {
+    return "127.0.0.1:" + std::to_string(port(target, kind));
+}
+
+std::uint16_t small_fleet::link_port(const std::string& target) const {
+    return static_cast<std::uint16_t>(port(target, node_port));
 }
 
 std::string small_fleet::caller_address(const std::string& target) const {
--- a/tests/process/support/small_fleet.hpp
+++ b/tests/process/support/small_fleet.hpp
@@ -3,6 +3,7 @@
 #include "tests/process/support/child_process.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,6 +31,9 @@
     /// @return the address on which a node accepts callers.
     [[nodiscard]] std::string caller_address(const std::string& target) const;
 
+    /// @return the port on which a node accepts links.
+    [[nodiscard]] std::uint16_t link_port(const std::string& target) const;
+
     /// @return the address of a target's server.
     [[nodiscard]] std::string server_address(const std::string& target) const;
 
@@ -67,6 +71,7 @@
     bool wait_until_serving(const std::string& target) const;
 
   private:
+    [[nodiscard]] int port(const std::string& target, int kind) const;
     [[nodiscard]] std::string address(const std::string& target, int kind) const;
     void write_plan() const;
     void write_settings(const std::string& target) const;
