Forget the nodes of a larger relay tree when it is recomputed

relay_tree::set_nodes kept the nodes below the roots of an earlier, larger list when the new one has two nodes or fewer. No caller could see it: reader_roles starts from an empty tree each time. The contract says that the trees are recomputed.

A new test failed before (22 nodes were left) and passes now.

--- a/src/cornelpier/membership/relay_tree.cpp
+++ b/src/cornelpier/membership/relay_tree.cpp
@@ -20,6 +20,7 @@
 
 void relay_tree::set_nodes(const target_id& self, const std::vector<target_id>& nodes, std::size_t leaving) {
     std::vector<target_id> order = nodes;
+    m_below_roots.clear();
     if (order.size() > 2) {
         const auto first = order.begin() + 1;
         // The second relay is the last one, and thereby the root of the reverse order.
--- a/tests/membership/relay_tree_test.cpp
+++ b/tests/membership/relay_tree_test.cpp
@@ -89,4 +89,14 @@
     CHECK(tree.children(relay_route::direct).empty());
 }
 
+TEST_CASE("trees over fewer nodes than before keep none of the others", "[membership]") {
+    const auto nodes = nodes_of(24);
+    relay_tree tree;
+    tree.set_nodes(nodes[0], nodes);
+    CHECK(tree.nodes_below_roots().size() == nodes.size() - 2);
+    tree.set_nodes(nodes[0], {nodes[0], nodes[1]});
+    CHECK(tree.nodes_below_roots().empty());
+    CHECK(tree.children(relay_route::first) == std::vector{nodes[1]});
+}
+
 } // namespace cornelpier
